Thin path: caller, entry VM, backend server, platform as processes

Change: workspace with the library, chicoryd, chicory and the stand-ins platform, backend and call; configuration versions by compare-and-swap on one head key, fleet record kept by a lease holder, bounded queues by class and deadline, equal shares of slots among the entry VMs of a data centre. Before: nothing. Conclusion: the frame stands; membership, controller and policies follow.

--- /dev/null
+++ b/src/bin/chicory/main.rs
@@ -0,0 +1,10 @@
+//! The operators' command line.
+
+mod cmd;
+mod entry;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cmd::operator_command().run().run()
+}
--- /dev/null
+++ b/src/config/validate.rs
@@ -0,0 +1,318 @@
+//! Checks of a whole configuration before it is accepted.
+//!
+//! All faults are collected, so that an operator mends them in one go.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::str::FromStr;
+
+use crate::config::FleetConfig;
+use crate::config::JobConfig;
+use crate::config::MaintenanceRules;
+use crate::config::MaintenanceWindow;
+use crate::config::MeasureWeights;
+use crate::config::PoolConfig;
+use crate::config::ResourceAmount;
+use crate::config::TeamQuota;
+use crate::config::WaveRequest;
+use crate::config::wire::ConfigWire;
+use crate::config::wire::JobWire;
+use crate::config::wire::MaintenanceWire;
+use crate::config::wire::PoolWire;
+use crate::config::wire::ResourceWire;
+use crate::config::wire::WaveWire;
+use crate::config::wire::WeightsWire;
+use crate::config::wire::WindowWire;
+use crate::names::VmName;
+
+/// Most pools of a configuration.
+pub const MAX_POOLS: usize = 1024;
+/// Most VMs of a configuration.
+pub const MAX_VMS: usize = 20_000;
+/// Most slots of one VM.
+pub const MAX_SLOTS: u32 = 4096;
+/// Largest queue limit.
+pub const MAX_QUEUE_LIMIT: u32 = 65_536;
+/// Minutes of a day.
+const DAY_MINUTES: u16 = 24 * 60;
+
+/// One fault of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigFault {
+    /// Place in the document, as `pools.billing.budget`.
+    pub path: String,
+    /// What is wrong and what is accepted.
+    pub problem: String,
+}
+
+impl fmt::Display for ConfigFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.problem)
+    }
+}
+
+/// Collects faults while a document is read.
+#[derive(Default)]
+struct FaultList {
+    faults: Vec<ConfigFault>,
+}
+
+impl FaultList {
+    fn add(&mut self, path: impl Into<String>, problem: impl fmt::Display) {
+        self.faults.push(ConfigFault {
+            path: path.into(),
+            problem: problem.to_string(),
+        });
+    }
+
+    fn check(&mut self, holds: bool, path: impl Into<String>, problem: impl fmt::Display) {
+        if !holds {
+            self.add(path, problem);
+        }
+    }
+
+    fn parse<T: FromStr<Err: fmt::Display>>(&mut self, path: &str, text: &str) -> Option<T> {
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.add(path, error);
+                None
+            }
+        }
+    }
+}
+
+impl TryFrom<ConfigWire> for FleetConfig {
+    type Error = Vec<ConfigFault>;
+
+    fn try_from(wire: ConfigWire) -> Result<Self, Self::Error> {
+        let mut faults = FaultList::default();
+        let mut pools = BTreeMap::new();
+        for (name, pool) in &wire.pools {
+            let path = format!("pools.{name}");
+            let pool = read_pool(&mut faults, &path, pool);
+            if let Some(name) = faults.parse(&path, name) {
+                pools.insert(name, pool);
+            }
+        }
+        let mut teams = BTreeMap::new();
+        for (name, limit) in &wire.teams {
+            if let Some(name) = faults.parse(&format!("teams.{name}"), name) {
+                let limit = (*limit).into();
+                teams.insert(name, TeamQuota { limit });
+            }
+        }
+        let mut drains = BTreeMap::new();
+        for (vm, reason) in &wire.drains {
+            if let Some(vm) = faults.parse(&format!("drains.{vm}"), vm) {
+                drains.insert(vm, reason.clone());
+            }
+        }
+        let spare_pool = wire.spare_pool.as_deref();
+        let config = Self {
+            pools,
+            spare_pool: spare_pool.and_then(|name| faults.parse("spare_pool", name)),
+            teams,
+            maintenance: read_maintenance(&mut faults, &wire.maintenance),
+            weights: read_weights(&mut faults, wire.weights),
+            wave: wire.wave.as_ref().map(|wave| read_wave(&mut faults, wave)),
+            drains,
+        };
+        check_references(&mut faults, &config);
+        if faults.faults.is_empty() {
+            Ok(config)
+        } else {
+            Err(faults.faults)
+        }
+    }
+}
+
+fn read_pool(faults: &mut FaultList, path: &str, wire: &PoolWire) -> PoolConfig {
+    let mut vms = BTreeSet::new();
+    for vm in &wire.vms {
+        let path = format!("{path}.vms");
+        if let Some(name) = faults.parse::<VmName>(&path, vm) {
+            faults.check(vms.insert(name), path, format!("VM {vm} stands twice"));
+        }
+    }
+    let size = u32::try_from(vms.len()).unwrap_or(u32::MAX);
+    faults.check(
+        wire.budget <= size,
+        format!("{path}.budget"),
+        format!(
+            "budget {} is larger than the pool of {size} VMs",
+            wire.budget
+        ),
+    );
+    faults.check(
+        (1..=MAX_SLOTS).contains(&wire.slots),
+        format!("{path}.slots"),
+        format!("accepted is 1 to {MAX_SLOTS}"),
+    );
+    faults.check(
+        (1..=MAX_QUEUE_LIMIT).contains(&wire.queue_limit),
+        format!("{path}.queue_limit"),
+        format!("accepted is 1 to {MAX_QUEUE_LIMIT}"),
+    );
+    let windows = wire.windows.iter().enumerate().map(|(index, window)| {
+        let path = format!("{path}.windows[{index}]");
+        read_window(faults, &path, window)
+    });
+    let windows = windows.collect();
+    let jobs = wire.jobs.iter().map(|job| {
+        let path = format!("{path}.jobs.{}", job.name);
+        read_job(faults, &path, job)
+    });
+    PoolConfig {
+        budget: wire.budget,
+        vms,
+        windows,
+        queue_limit: wire.queue_limit,
+        slots: wire.slots,
+        jobs: jobs.collect(),
+    }
+}
+
+fn read_window(faults: &mut FaultList, path: &str, wire: &WindowWire) -> MaintenanceWindow {
+    faults.check(
+        !wire.days.is_empty() && wire.days.iter().all(|day| *day < 7),
+        format!("{path}.days"),
+        "a window without days can never open: accepted are 0 (Monday) to 6",
+    );
+    faults.check(
+        wire.start_minute < DAY_MINUTES,
+        format!("{path}.start_minute"),
+        "accepted is 0 to 1439",
+    );
+    faults.check(
+        (1..=DAY_MINUTES).contains(&wire.minutes),
+        format!("{path}.minutes"),
+        "a window without length can never open: accepted is 1 to 1440",
+    );
+    MaintenanceWindow {
+        days: wire.days.clone(),
+        start_minute: wire.start_minute,
+        minutes: wire.minutes,
+    }
+}
+
+fn read_job(faults: &mut FaultList, path: &str, wire: &JobWire) -> JobConfig {
+    faults.check(
+        wire.tasks >= 1,
+        format!("{path}.tasks"),
+        "accepted is 1 or more",
+    );
+    let team = wire.team.as_deref();
+    JobConfig {
+        name: wire.name.clone(),
+        team: team.and_then(|team| faults.parse(&format!("{path}.team"), team)),
+        tasks: wire.tasks,
+        need: wire.need.into(),
+        urgent: wire.urgent,
+    }
+}
+
+fn read_maintenance(faults: &mut FaultList, wire: &MaintenanceWire) -> MaintenanceRules {
+    let defaults = MaintenanceRules::default();
+    let rules = MaintenanceRules {
+        period_s: wire.period_s.unwrap_or(defaults.period_s),
+        return_limit_s: wire.return_limit_s.unwrap_or(defaults.return_limit_s),
+        drain_limit_s: wire.drain_limit_s.unwrap_or(defaults.drain_limit_s),
+        failure_stop_share: wire
+            .failure_stop_share
+            .unwrap_or(defaults.failure_stop_share),
+    };
+    let seconds = [
+        ("period_s", rules.period_s),
+        ("return_limit_s", rules.return_limit_s),
+        ("drain_limit_s", rules.drain_limit_s),
+    ];
+    for (key, value) in seconds {
+        let path = format!("maintenance.{key}");
+        faults.check(value >= 1, path, "accepted is 1 or more seconds");
+    }
+    faults.check(
+        (0.0..=1.0).contains(&rules.failure_stop_share),
+        "maintenance.failure_stop_share",
+        "accepted is 0 to 1",
+    );
+    rules
+}
+
+fn read_weights(faults: &mut FaultList, wire: WeightsWire) -> MeasureWeights {
+    let defaults = MeasureWeights::default();
+    let weights = MeasureWeights {
+        buffer: wire.buffer.unwrap_or(defaults.buffer),
+        rollout: wire.rollout.unwrap_or(defaults.rollout),
+        moves: wire.moves.unwrap_or(defaults.moves),
+    };
+    for (key, value) in [
+        ("buffer", weights.buffer),
+        ("rollout", weights.rollout),
+        ("moves", weights.moves),
+    ] {
+        let holds = value.is_finite() && value >= 0.0;
+        faults.check(holds, format!("weights.{key}"), "accepted is 0 or more");
+    }
+    weights
+}
+
+fn read_wave(faults: &mut FaultList, wire: &WaveWire) -> WaveRequest {
+    let pools = wire.pools.iter();
+    let pools = pools.filter_map(|pool| faults.parse("wave.pools", pool));
+    WaveRequest {
+        id: wire.id.clone(),
+        pools: pools.collect(),
+        running: wire.running,
+        started_ms: wire.started_ms,
+    }
+}
+
+fn check_references(faults: &mut FaultList, config: &FleetConfig) {
+    faults.check(
+        config.pools.len() <= MAX_POOLS,
+        "pools",
+        format!("at most {MAX_POOLS} pools are accepted"),
+    );
+    let mut homes: BTreeMap<&VmName, &str> = BTreeMap::new();
+    for (name, pool) in &config.pools {
+        for vm in &pool.vms {
+            if let Some(other) = homes.insert(vm, name.as_str()) {
+                let problem = format!("VM {vm} is in pool {other} as well");
+                faults.add(format!("pools.{name}.vms"), problem);
+            }
+        }
+        for job in &pool.jobs {
+            let known = job.team.as_ref();
+            let known = known.is_none_or(|team| config.teams.contains_key(team));
+            let path = format!("pools.{name}.jobs.{}.team", job.name);
+            faults.check(known, path, "no such team");
+        }
+    }
+    faults.check(
+        homes.len() <= MAX_VMS,
+        "pools",
+        format!("at most {MAX_VMS} VMs are accepted"),
+    );
+    for vm in config.drains.keys() {
+        let known = homes.contains_key(vm);
+        faults.check(known, format!("drains.{vm}"), "no pool has this VM");
+    }
+    let spare = config.spare_pool.iter().map(|pool| ("spare_pool", pool));
+    let wave = config.wave.iter().flat_map(|wave| &wave.pools);
+    for (path, pool) in spare.chain(wave.map(|pool| ("wave.pools", pool))) {
+        let known = config.pools.contains_key(pool);
+        faults.check(known, path, format!("there is no pool {pool}"));
+    }
+}
+
+impl From<ResourceWire> for ResourceAmount {
+    fn from(wire: ResourceWire) -> Self {
+        Self {
+            cpu_millis: wire.cpu_millis,
+            memory_mb: wire.memory_mb,
+            accelerators: wire.accelerators,
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,8 @@
+//! Decisions: pure state machines and functions over borrowed views.
+//!
+//! They hold no socket, no clock and no randomness: the time is an argument, as
+//! a [`std::time::Duration`] since the start of the process, and what is to be
+//! done is returned as actions.
+
+pub mod dispatch;
+pub mod slots;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! Coordination parts of a fleet capacity and maintenance manager.
+//!
+//! Decisions are pure functions and state machines over plain structs: state
+//! and clock in, actions out. Services own sockets and state, run as tasks of a
+//! micro-kernel and talk by typed messages. The daemons are thin shells around
+//! both.
+
+pub mod audit;
+pub mod config;
+pub mod decide;
+pub mod fleet;
+pub mod http;
+pub mod kernel;
+pub mod logs;
+pub mod names;
+pub mod platform;
+pub mod request;
+pub mod service;
+pub mod settings;
--- /dev/null
+++ b/src/names.rs
@@ -0,0 +1,112 @@
+//! Names of the things that the system manages.
+//!
+//! A name is 1 to 63 characters of ASCII letters, digits, `-`, `_` and `.`, so
+//! that it can stand in a key of the platform's service, in a header and in a
+//! log line without quoting.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use snafu::Snafu;
+
+/// Longest name, in bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+
+/// A name that breaks the rules of this module.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{name:?} is not a name: 1 to {MAX_NAME_BYTES} of A-Z a-z 0-9 - _ ."))]
+pub struct NameError {
+    name: String,
+}
+
+fn is_valid(name: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&name.len())
+        && name
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'))
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Checks and stores a name.
+            ///
+            /// # Errors
+            ///
+            /// Fails if `name` breaks the rules of the module.
+            pub fn new(name: &str) -> Result<Self, NameError> {
+                if !is_valid(name) {
+                    return NameSnafu { name }.fail();
+                }
+                Ok(Self(name.into()))
+            }
+
+            /// Returns the name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(name: &str) -> Result<Self, NameError> {
+                Self::new(name)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(&self.0, f)
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Name of a VM.
+    VmName
+);
+name_type!(
+    /// Name of a pool of VMs.
+    PoolName
+);
+name_type!(
+    /// Name of a data centre.
+    DcName
+);
+name_type!(
+    /// Name of a rack, unique within its data centre.
+    RackName
+);
+name_type!(
+    /// Name of an entry VM.
+    EntryName
+);
+name_type!(
+    /// Name of a team with quotas.
+    TeamName
+);
+name_type!(
+    /// Identifier of an operation at the platform; repeating it has no effect.
+    OperationId
+);
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,359 @@
+//! Client of the platform's interfaces.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use hyper::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::OptionExt;
+use snafu::ResultExt;
+
+use crate::http::CallAnswer;
+use crate::http::CallRequest;
+use crate::http::call;
+use crate::names::DcName;
+use crate::names::OperationId;
+use crate::names::VmName;
+use crate::platform::KeyValue;
+use crate::platform::ListedVm;
+use crate::platform::MalformedSnafu;
+use crate::platform::NoAnswerSnafu;
+use crate::platform::OperationKind;
+use crate::platform::OperationState;
+use crate::platform::PlatformError;
+use crate::platform::RefusedSnafu;
+use crate::platform::wire::INDEX_HEADER;
+use crate::platform::wire::ListedWire;
+use crate::platform::wire::OperationStateWire;
+use crate::platform::wire::OperationWire;
+use crate::platform::wire::SessionIdWire;
+use crate::platform::wire::SessionWire;
+use crate::platform::wire::ValueWire;
+
+const JSON: &str = "application/json";
+
+/// Where the platform is and how long to wait for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// Limit on a call other than a watch.
+    pub call_limit: Duration,
+    /// Longest wait of a watch.
+    pub watch_wait: Duration,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 8500)),
+            call_limit: Duration::from_secs(2),
+            watch_wait: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Client of the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformClient {
+    settings: PlatformSettings,
+}
+
+/// What a watch saw.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WatchAnswer {
+    /// The value, if the key exists.
+    pub value: Option<KeyValue>,
+    /// Revision to continue from.
+    pub index: u64,
+}
+
+impl PlatformClient {
+    /// Makes a client.
+    #[must_use]
+    pub fn new(settings: PlatformSettings) -> Self {
+        Self { settings }
+    }
+
+    /// Reads a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no usable answer.
+    pub async fn get(&self, key: &str) -> Result<Option<KeyValue>, PlatformError> {
+        let path = format!("/v1/kv/{key}");
+        Ok(self
+            .read("get", &path, self.settings.call_limit)
+            .await?
+            .0
+            .pop())
+    }
+
+    /// Reads all keys that start with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no usable answer.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<KeyValue>, PlatformError> {
+        let path = format!("/v1/kv/{prefix}?recurse");
+        Ok(self.read("list", &path, self.settings.call_limit).await?.0)
+    }
+
+    /// Waits until a key changes after `index`, or until the wait is over.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no usable answer.
+    pub async fn watch(&self, key: &str, index: u64) -> Result<WatchAnswer, PlatformError> {
+        let wait = self.settings.watch_wait;
+        let path = format!("/v1/kv/{key}?index={index}&wait={}ms", wait.as_millis());
+        let limit = wait + self.settings.call_limit;
+        let (mut values, index) = self.read("watch", &path, limit).await?;
+        Ok(WatchAnswer {
+            value: values.pop(),
+            index,
+        })
+    }
+
+    /// Writes a key if its revision is still `revision`; 0 creates it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no usable answer; unless the error is
+    /// [`PlatformError::Refused`], the write may have taken effect.
+    pub async fn compare_and_swap(
+        &self,
+        key: &str,
+        revision: u64,
+        value: Vec<u8>,
+    ) -> Result<bool, PlatformError> {
+        let path = format!("/v1/kv/{key}?cas={revision}");
+        self.decide("cas", Method::PUT, &path, value).await
+    }
+
+    /// Deletes a key if its revision is still `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::compare_and_swap`] does.
+    pub async fn compare_and_delete(
+        &self,
+        key: &str,
+        revision: u64,
+    ) -> Result<bool, PlatformError> {
+        let path = format!("/v1/kv/{key}?cas={revision}");
+        self.decide("delete", Method::DELETE, &path, Vec::new())
+            .await
+    }
+
+    /// Creates a lease that lapses unless it is renewed within `ttl`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no usable answer.
+    pub async fn create_lease(&self, name: &str, ttl: Duration) -> Result<String, PlatformError> {
+        let session = SessionWire {
+            name: name.to_owned(),
+            ttl: format!("{}ms", ttl.as_millis()),
+            behavior: "delete".to_owned(),
+            lock_delay: "0s".to_owned(),
+        };
+        let body = encode(&session);
+        let step = "lease_create";
+        let answer = self.put(step, "/v1/session/create", body).await?;
+        let id: SessionIdWire = self.decode(step, &answer.body)?;
+        Ok(id.id)
+    }
+
+    /// Renews a lease; false if it has lapsed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no usable answer.
+    pub async fn renew_lease(&self, lease: &str) -> Result<bool, PlatformError> {
+        let path = format!("/v1/session/renew/{lease}");
+        match self.put("lease_renew", &path, Vec::new()).await {
+            Ok(_) => Ok(true),
+            Err(PlatformError::Refused { status: 404, .. }) => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Gives a lease up.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no usable answer.
+    pub async fn destroy_lease(&self, lease: &str) -> Result<(), PlatformError> {
+        let path = format!("/v1/session/destroy/{lease}");
+        self.put("lease_destroy", &path, Vec::new()).await.map(drop)
+    }
+
+    /// Takes a key under a lease; false if another lease holds it.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::compare_and_swap`] does.
+    pub async fn acquire(
+        &self,
+        key: &str,
+        lease: &str,
+        value: Vec<u8>,
+    ) -> Result<bool, PlatformError> {
+        let path = format!("/v1/kv/{key}?acquire={lease}");
+        self.decide("acquire", Method::PUT, &path, value).await
+    }
+
+    /// Reads the list of VMs of a data centre; it lags.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no usable answer.
+    pub async fn list_vms(&self, dc: &DcName) -> Result<Vec<ListedVm>, PlatformError> {
+        let step = "list_vms";
+        let path = format!("/v1/vms?dc={dc}");
+        let request = CallRequest {
+            path: &path,
+            limit: self.settings.call_limit,
+            ..CallRequest::default()
+        };
+        let answer = self.checked(step, request).await?;
+        let listed: Vec<ListedWire> = self.decode(step, &answer.body)?;
+        let listed = listed.into_iter().map(TryInto::try_into);
+        let listed = listed.collect::<Result<_, _>>();
+        listed.map_err(|error| self.malformed(step, &error))
+    }
+
+    /// Starts an operation on a VM, or finds how far it has come; idempotent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no usable answer; the operation may have
+    /// started.
+    pub async fn operate(
+        &self,
+        vm: &VmName,
+        operation: &OperationId,
+        kind: OperationKind,
+    ) -> Result<OperationState, PlatformError> {
+        let step = "operate";
+        let path = format!("/v1/vms/{vm}/operations/{operation}");
+        let body = encode(&OperationWire {
+            kind: kind.as_str().to_owned(),
+        });
+        let answer = self.put(step, &path, body).await?;
+        let state: OperationStateWire = self.decode(step, &answer.body)?;
+        Ok(state.state.into())
+    }
+
+    async fn read(
+        &self,
+        step: &'static str,
+        path: &str,
+        limit: Duration,
+    ) -> Result<(Vec<KeyValue>, u64), PlatformError> {
+        let request = CallRequest {
+            path,
+            limit,
+            ..CallRequest::default()
+        };
+        let answer = call(self.settings.address, request).await;
+        let answer = answer.context(NoAnswerSnafu { step })?;
+        let index = answer.headers.get(INDEX_HEADER);
+        let index = index.and_then(|index| index.to_str().ok()?.parse().ok());
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok((Vec::new(), index.unwrap_or(0)));
+        }
+        self.check_status(step, &answer)?;
+        let index = index.context(MalformedSnafu {
+            step,
+            peer: self.settings.address,
+            problem: "no index",
+        })?;
+        let values: Vec<ValueWire> = self.decode(step, &answer.body)?;
+        let values = values.into_iter().map(TryInto::try_into);
+        let values = values.collect::<Result<_, _>>();
+        Ok((values.map_err(|error| self.malformed(step, &error))?, index))
+    }
+
+    async fn decide(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<bool, PlatformError> {
+        let request = CallRequest {
+            method,
+            path,
+            body: Bytes::from(body),
+            limit: self.settings.call_limit,
+            ..CallRequest::default()
+        };
+        let answer = self.checked(step, request).await?;
+        self.decode(step, &answer.body)
+    }
+
+    async fn put(
+        &self,
+        step: &'static str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<CallAnswer, PlatformError> {
+        let request = CallRequest {
+            method: Method::PUT,
+            path,
+            content_type: JSON,
+            body: Bytes::from(body),
+            limit: self.settings.call_limit,
+        };
+        self.checked(step, request).await
+    }
+
+    async fn checked(
+        &self,
+        step: &'static str,
+        request: CallRequest<'_>,
+    ) -> Result<CallAnswer, PlatformError> {
+        let answer = call(self.settings.address, request).await;
+        let answer = answer.context(NoAnswerSnafu { step })?;
+        self.check_status(step, &answer)?;
+        Ok(answer)
+    }
+
+    fn check_status(&self, step: &'static str, answer: &CallAnswer) -> Result<(), PlatformError> {
+        if answer.status.is_success() {
+            return Ok(());
+        }
+        RefusedSnafu {
+            step,
+            peer: self.settings.address,
+            status: answer.status.as_u16(),
+        }
+        .fail()
+    }
+
+    fn decode<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        body: &[u8],
+    ) -> Result<T, PlatformError> {
+        serde_json::from_slice(body).map_err(|error| self.malformed(step, &error))
+    }
+
+    fn malformed(&self, step: &'static str, error: &dyn std::error::Error) -> PlatformError {
+        PlatformError::Malformed {
+            step,
+            peer: self.settings.address,
+            problem: error.to_string(),
+        }
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    // The wire types hold only strings, numbers and lists, which always encode.
+    serde_json::to_vec(value).unwrap_or_default()
+}
--- /dev/null
+++ b/src/service/daemon.rs
@@ -0,0 +1,122 @@
+//! Composition of the daemon: binds the sockets and starts the services.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use salvo::conn::Acceptor;
+use salvo::conn::Listener;
+use salvo::conn::TcpListener as ControlListener;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+
+use crate::kernel::LookupError;
+use crate::kernel::ServiceKernel;
+use crate::kernel::ShutdownPhase;
+use crate::platform::PlatformClient;
+use crate::service::config;
+use crate::service::config::ConfigView;
+use crate::service::control;
+use crate::service::entry;
+use crate::service::fleet;
+use crate::service::fleet::FleetView;
+use crate::settings::DaemonSettings;
+
+/// Time for the tasks to end once requests in progress have had theirs.
+const STOP_LIMIT: Duration = Duration::from_secs(2);
+
+/// A daemon that could not be started.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[snafu(display("step=listen peer={address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The address for operators and peers cannot be listened on.
+    #[snafu(display("step=listen_control peer={address}: {source}"))]
+    ListenControl {
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: salvo::Error,
+    },
+    /// A bound socket has no address.
+    #[snafu(display("step=listen_control peer={address}: no local address"))]
+    NoAddress {
+        /// The address that was asked for.
+        address: SocketAddr,
+    },
+    /// A service is missing.
+    #[snafu(display("step=start: {source}"))]
+    Lookup {
+        /// Cause.
+        source: LookupError,
+    },
+}
+
+/// A running daemon.
+pub struct RunningDaemon {
+    /// Where callers reach it.
+    pub entry_address: SocketAddr,
+    /// Where operators and peers reach it.
+    pub control_address: SocketAddr,
+    kernel: ServiceKernel,
+    shutdown_limit: Duration,
+}
+
+/// Starts all services of a daemon.
+///
+/// # Errors
+///
+/// Fails if a socket cannot be bound.
+pub async fn start(settings: &DaemonSettings) -> Result<RunningDaemon, StartError> {
+    let address = settings.entry_listen;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.context(ListenSnafu { address })?;
+    let entry_address = listener.local_addr().context(ListenSnafu { address })?;
+    let address = settings.control_listen;
+    let acceptor = ControlListener::new(address).try_bind().await;
+    let acceptor = acceptor.context(ListenControlSnafu { address })?;
+    let holding = acceptor.holdings().first();
+    let holding = holding.and_then(|holding| holding.local_addr.clone().into_std());
+    let control_address = holding.context(NoAddressSnafu { address })?;
+
+    let kernel = ServiceKernel::default();
+    let client = PlatformClient::new(settings.platform.clone());
+    config::start(&kernel, client.clone());
+    let config: ConfigView = kernel.find(config::NAME).context(LookupSnafu)?;
+    fleet::start(&kernel, settings, client.clone(), config.clone());
+    let fleet: FleetView = kernel.find(fleet::NAME).context(LookupSnafu)?;
+    entry::start(&kernel, settings, listener, config.clone(), fleet.clone());
+    control::start(&kernel, settings, acceptor, client, config, fleet);
+    log::info!(
+        event = "daemon_started", name:% = settings.name, dc:% = settings.dc,
+        listen:% = entry_address, control_listen:% = control_address; ""
+    );
+    Ok(RunningDaemon {
+        entry_address,
+        control_address,
+        kernel,
+        shutdown_limit: settings.limits.shutdown_limit,
+    })
+}
+
+impl RunningDaemon {
+    /// Stops gracefully: requests in progress finish, new ones are refused as not run.
+    pub async fn stop(self) {
+        log::info!(event = "shutdown_started"; "");
+        self.kernel.advance(ShutdownPhase::Announced);
+        self.kernel.advance(ShutdownPhase::Draining);
+        let drained = self.kernel.join_named(entry::NAME, self.shutdown_limit);
+        drained.await;
+        self.kernel.advance(ShutdownPhase::Stopped);
+        self.kernel.join(STOP_LIMIT).await;
+        log::info!(event = "shutdown_ended"; "");
+    }
+}
--- /dev/null
+++ b/src/service/entry/mod.rs
@@ -0,0 +1,141 @@
+//! Service `entry`: takes requests from callers and sends them to backend servers.
+//!
+//! The dispatcher task owns the queues, the slots and the idle connections to
+//! backend servers. Each caller's connection is a task that asks the dispatcher
+//! for a slot; each exchange with a backend server is a task of its own, so that
+//! it keeps its slot until the backend server is done, even if the caller has
+//! gone.
+
+mod dispatcher;
+mod exchange;
+mod handler;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::kernel::ServiceKernel;
+use crate::kernel::ServiceName;
+use crate::kernel::ShutdownPhase;
+use crate::kernel::reached;
+use crate::names::EntryName;
+use crate::service::config::ConfigView;
+use crate::service::fleet::FleetView;
+use crate::settings::DaemonSettings;
+use crate::settings::EntryLimits;
+
+use dispatcher::DispatchInbox;
+
+/// Name of the service.
+pub const NAME: ServiceName = "entry";
+/// Name of the dispatcher's task, which outlives the last caller.
+const DISPATCH: ServiceName = "dispatch";
+/// Time that a caller gets to send the head of a request.
+const HEADER_LIMIT: Duration = Duration::from_secs(10);
+/// Pause after a failed accept, as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What the handlers of callers' requests share.
+struct EntryGate {
+    name: EntryName,
+    limits: EntryLimits,
+    inbox: DispatchInbox,
+    phase: watch::Receiver<ShutdownPhase>,
+    started: Instant,
+}
+
+/// Starts the service on a bound socket.
+pub fn start(
+    kernel: &ServiceKernel,
+    settings: &DaemonSettings,
+    listener: TcpListener,
+    config: ConfigView,
+    fleet: FleetView,
+) {
+    let started = Instant::now();
+    let (inbox, messages) = mpsc::unbounded_channel();
+    let gate = Arc::new(EntryGate {
+        name: settings.name.clone(),
+        limits: settings.limits.clone(),
+        inbox: DispatchInbox::new(inbox),
+        phase: kernel.phase(),
+        started,
+    });
+    let share = dispatcher::own_share(settings);
+    let mut phase = kernel.phase();
+    kernel.spawn(DISPATCH, async move {
+        tokio::select! {
+            () = dispatcher::run(messages, config, fleet, share, started) => {}
+            () = reached(&mut phase, ShutdownPhase::Stopped) => {}
+        }
+    });
+    kernel.spawn(NAME, accept(gate, listener));
+}
+
+/// Accepts callers until the shutdown drains, then waits for their connections.
+async fn accept(gate: Arc<EntryGate>, listener: TcpListener) {
+    let connections = gate.limits.connections;
+    let permits = Arc::new(Semaphore::new(connections));
+    let mut phase = gate.phase.clone();
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = reached(&mut phase, ShutdownPhase::Draining) => break,
+        };
+        match accepted {
+            Ok((stream, caller)) => {
+                let gate = gate.clone();
+                tokio::spawn(async move {
+                    serve(gate, stream, caller).await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                log::warn!(event = "accept_failed", error:% = error; "");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    let all = u32::try_from(connections).unwrap_or(u32::MAX);
+    // The semaphore is never closed, so the wait ends when all callers are gone.
+    let _ = permits.acquire_many(all).await;
+}
+
+async fn serve(gate: Arc<EntryGate>, stream: TcpStream, caller: SocketAddr) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(event = "nodelay_failed", peer:% = caller, error:% = error; "");
+    }
+    let mut phase = gate.phase.clone();
+    let handle = service_fn(move |request| handler::handle(gate.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_LIMIT)
+        .serve_connection(TokioIo::new(stream), handle);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = reached(&mut phase, ShutdownPhase::Draining) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!(event = "caller_connection_failed", peer:% = caller, error:% = error; "");
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,362 @@
+//! Settings of the daemon, read from an INI file.
+//!
+//! One function reads one setting. All faults of a file are reported at once;
+//! an unknown section or key is a fault.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::str::FromStr;
+use std::time::Duration;
+
+use ini::Ini;
+
+use crate::names::DcName;
+use crate::names::EntryName;
+use crate::platform::PlatformSettings;
+
+/// A peer: another entry VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// Data centre of the peer.
+    pub dc: DcName,
+    /// Its control address.
+    pub control: SocketAddr,
+}
+
+/// Settings of one daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DaemonSettings {
+    /// Name of this entry VM.
+    pub name: EntryName,
+    /// Data centre of this entry VM.
+    pub dc: DcName,
+    /// Where callers reach it.
+    pub entry_listen: SocketAddr,
+    /// Where peers and operators reach it.
+    pub control_listen: SocketAddr,
+    /// Other entry VMs, of all data centres.
+    pub peers: Vec<PeerAddress>,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// Limits of the request path.
+    pub limits: EntryLimits,
+    /// Periods of the control traffic.
+    pub control: ControlPeriods,
+}
+
+/// Limits of the request path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntryLimits {
+    /// Largest body of a request, in bytes.
+    pub request_bytes: usize,
+    /// Largest answer that is held back until it is whole, in bytes.
+    pub answer_bytes: usize,
+    /// Most connections of callers.
+    pub connections: usize,
+    /// Limit on a connection attempt to a backend server.
+    pub connect_limit: Duration,
+    /// Time that requests in progress get at shutdown.
+    pub shutdown_limit: Duration,
+}
+
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self {
+            request_bytes: 1 << 20,
+            answer_bytes: 4 << 20,
+            connections: 4096,
+            connect_limit: Duration::from_millis(250),
+            shutdown_limit: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Periods of the control traffic.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ControlPeriods {
+    /// Time after which an unrenewed controller lease lapses.
+    pub lease_ttl: Duration,
+    /// Time between two exchanges with a peer.
+    pub sync: Duration,
+    /// Time between two readings of the platform's list of VMs.
+    pub list: Duration,
+    /// How long the platform's list may lag behind.
+    pub list_lag: Duration,
+    /// A process that did not run for this long reads the state again before it serves.
+    pub pause_limit: Duration,
+}
+
+impl Default for ControlPeriods {
+    fn default() -> Self {
+        Self {
+            lease_ttl: Duration::from_secs(10),
+            sync: Duration::from_secs(1),
+            list: Duration::from_secs(5),
+            list_lag: Duration::from_secs(30),
+            pause_limit: Duration::from_secs(2),
+        }
+    }
+}
+
+/// One fault of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingFault {
+    /// Section.
+    pub section: String,
+    /// Key; empty if the fault is the section's or the file's.
+    pub key: String,
+    /// Value that was given.
+    pub value: String,
+    /// What is accepted.
+    pub accepted: String,
+}
+
+impl fmt::Display for SettingFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "section={} key={} value={:?} accepted={:?}",
+            self.section, self.key, self.value, self.accepted
+        )
+    }
+}
+
+const KNOWN_KEYS: [(&str, &[&str]); 5] = [
+    ("entry", &["name", "dc", "listen", "control_listen"]),
+    ("peers", &["control"]),
+    ("platform", &["address", "call_limit_ms", "watch_wait_ms"]),
+    (
+        "limits",
+        &[
+            "request_bytes",
+            "answer_bytes",
+            "connections",
+            "connect_limit_ms",
+            "shutdown_limit_ms",
+        ],
+    ),
+    (
+        "control",
+        &[
+            "lease_ttl_ms",
+            "sync_ms",
+            "list_ms",
+            "list_lag_ms",
+            "pause_limit_ms",
+        ],
+    ),
+];
+
+impl DaemonSettings {
+    /// Reads the settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all faults of the file.
+    pub fn load(path: &Path) -> Result<Self, Vec<SettingFault>> {
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&text),
+            Err(error) => Err(vec![file_fault(path.display(), error)]),
+        }
+    }
+
+    /// Reads the settings from the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all faults of the text.
+    pub fn parse(text: &str) -> Result<Self, Vec<SettingFault>> {
+        let ini = Ini::load_from_str(text);
+        let ini = ini.map_err(|error| vec![file_fault("", error)])?;
+        let mut reader = SettingReader {
+            ini: &ini,
+            faults: Vec::new(),
+        };
+        reader.check_keys();
+        let name = entry_name(&mut reader);
+        let dc = entry_dc(&mut reader);
+        let settings = (
+            entry_listen(&mut reader),
+            control_listen(&mut reader),
+            peers(&mut reader),
+            platform(&mut reader),
+            limits(&mut reader),
+            control(&mut reader),
+        );
+        match (name, dc, reader.faults.is_empty()) {
+            (Some(name), Some(dc), true) => Ok(Self {
+                name,
+                dc,
+                entry_listen: settings.0,
+                control_listen: settings.1,
+                peers: settings.2,
+                platform: settings.3,
+                limits: settings.4,
+                control: settings.5,
+            }),
+            _ => Err(reader.faults),
+        }
+    }
+}
+
+fn file_fault(value: impl fmt::Display, error: impl fmt::Display) -> SettingFault {
+    SettingFault {
+        section: String::new(),
+        key: String::new(),
+        value: value.to_string(),
+        accepted: format!("a readable INI file: {error}"),
+    }
+}
+
+/// Reads values and collects faults.
+struct SettingReader<'a> {
+    ini: &'a Ini,
+    faults: Vec<SettingFault>,
+}
+
+impl SettingReader<'_> {
+    fn fault(&mut self, section: &str, key: &str, value: &str, accepted: &str) {
+        self.faults.push(SettingFault {
+            section: section.to_owned(),
+            key: key.to_owned(),
+            value: value.to_owned(),
+            accepted: accepted.to_owned(),
+        });
+    }
+
+    fn check_keys(&mut self) {
+        let ini = self.ini;
+        let sections = KNOWN_KEYS.map(|(section, _)| section).join(", ");
+        for (section, properties) in ini {
+            let section = section.unwrap_or("");
+            let known = KNOWN_KEYS.iter().find(|(name, _)| *name == section);
+            let Some((_, keys)) = known else {
+                if !section.is_empty() || !properties.is_empty() {
+                    self.fault(section, "", "", &format!("sections {sections}"));
+                }
+                continue;
+            };
+            for (key, value) in properties {
+                if !keys.contains(&key) {
+                    self.fault(section, key, value, &format!("keys {}", keys.join(", ")));
+                }
+            }
+        }
+    }
+
+    fn optional<T: FromStr>(&mut self, section: &str, key: &str, accepted: &str) -> Option<T> {
+        let text = self.ini.get_from(Some(section), key)?;
+        let value = text.trim().parse().ok();
+        if value.is_none() {
+            self.fault(section, key, text, accepted);
+        }
+        value
+    }
+
+    fn required<T: FromStr>(&mut self, section: &str, key: &str, accepted: &str) -> Option<T> {
+        if self.ini.get_from(Some(section), key).is_none() {
+            self.fault(section, key, "", accepted);
+            return None;
+        }
+        self.optional(section, key, accepted)
+    }
+
+    fn number(&mut self, section: &str, key: &str, range: (usize, usize), default: usize) -> usize {
+        let (least, most) = range;
+        let accepted = format!("a whole number, {least} to {most}");
+        let Some(number) = self.optional::<usize>(section, key, &accepted) else {
+            return default;
+        };
+        if !(least..=most).contains(&number) {
+            self.fault(section, key, &number.to_string(), &accepted);
+        }
+        number
+    }
+
+    fn millis(&mut self, section: &str, key: &str, default: Duration) -> Duration {
+        const MOST: usize = 24 * 3600 * 1000;
+        let default = usize::try_from(default.as_millis()).unwrap_or(MOST);
+        let millis = self.number(section, key, (1, MOST), default);
+        Duration::from_millis(millis as u64)
+    }
+}
+
+const NAME: &str = "1 to 63 of A-Z a-z 0-9 - _ .";
+const ADDRESS: &str = "an IP number and a port, as 10.0.0.1:8080";
+
+fn entry_name(reader: &mut SettingReader<'_>) -> Option<EntryName> {
+    reader.required("entry", "name", NAME)
+}
+
+fn entry_dc(reader: &mut SettingReader<'_>) -> Option<DcName> {
+    reader.required("entry", "dc", NAME)
+}
+
+fn entry_listen(reader: &mut SettingReader<'_>) -> SocketAddr {
+    let address = reader.optional("entry", "listen", ADDRESS);
+    address.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 8080)))
+}
+
+fn control_listen(reader: &mut SettingReader<'_>) -> SocketAddr {
+    let address = reader.optional("entry", "control_listen", ADDRESS);
+    address.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 8081)))
+}
+
+fn peers(reader: &mut SettingReader<'_>) -> Vec<PeerAddress> {
+    let Some(text) = reader.ini.get_from(Some("peers"), "control") else {
+        return Vec::new();
+    };
+    let items = text.split(',').map(str::trim);
+    let items = items.filter(|item| !item.is_empty());
+    let mut peers = Vec::new();
+    for item in items {
+        match parse_peer(item) {
+            Some(peer) => peers.push(peer),
+            None => reader.fault("peers", "control", item, "a list of DC=IP:PORT"),
+        }
+    }
+    peers
+}
+
+fn parse_peer(item: &str) -> Option<PeerAddress> {
+    let (dc, address) = item.split_once('=')?;
+    Some(PeerAddress {
+        dc: dc.trim().parse().ok()?,
+        control: address.trim().parse().ok()?,
+    })
+}
+
+fn platform(reader: &mut SettingReader<'_>) -> PlatformSettings {
+    let defaults = PlatformSettings::default();
+    let address = reader.required("platform", "address", ADDRESS);
+    PlatformSettings {
+        address: address.unwrap_or(defaults.address),
+        call_limit: reader.millis("platform", "call_limit_ms", defaults.call_limit),
+        watch_wait: reader.millis("platform", "watch_wait_ms", defaults.watch_wait),
+    }
+}
+
+fn limits(reader: &mut SettingReader<'_>) -> EntryLimits {
+    const BYTES: (usize, usize) = (1024, 64 << 20);
+    const CONNECTIONS: (usize, usize) = (1, 65_536);
+    let defaults = EntryLimits::default();
+    EntryLimits {
+        request_bytes: reader.number("limits", "request_bytes", BYTES, defaults.request_bytes),
+        answer_bytes: reader.number("limits", "answer_bytes", BYTES, defaults.answer_bytes),
+        connections: reader.number("limits", "connections", CONNECTIONS, defaults.connections),
+        connect_limit: reader.millis("limits", "connect_limit_ms", defaults.connect_limit),
+        shutdown_limit: reader.millis("limits", "shutdown_limit_ms", defaults.shutdown_limit),
+    }
+}
+
+fn control(reader: &mut SettingReader<'_>) -> ControlPeriods {
+    let defaults = ControlPeriods::default();
+    ControlPeriods {
+        lease_ttl: reader.millis("control", "lease_ttl_ms", defaults.lease_ttl),
+        sync: reader.millis("control", "sync_ms", defaults.sync),
+        list: reader.millis("control", "list_ms", defaults.list),
+        list_lag: reader.millis("control", "list_lag_ms", defaults.list_lag),
+        pause_limit: reader.millis("control", "pause_limit_ms", defaults.pause_limit),
+    }
+}
--- /dev/null
+++ b/standin/src/cmd/mod.rs
@@ -0,0 +1,57 @@
+//! Command line of the stand-ins; one module a subcommand.
+
+mod backend;
+mod call;
+mod platform;
+
+use std::io;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use tokio::runtime::Runtime;
+
+use backend::BackendOptions;
+use backend::backend_options;
+use call::CallOptions;
+use call::call_options;
+use platform::PlatformOptions;
+use platform::platform_options;
+
+/// Small stand-ins of the platform, backend servers and callers.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub enum StandinCommand {
+    /// Runs the platform.
+    #[bpaf(command)]
+    Platform(#[bpaf(external(platform_options))] PlatformOptions),
+    /// Runs a backend server.
+    #[bpaf(command)]
+    Backend(#[bpaf(external(backend_options))] BackendOptions),
+    /// Puts an open-loop load on a pool and ends with one line of results.
+    #[bpaf(command)]
+    Call(#[bpaf(external(call_options))] CallOptions),
+}
+
+impl StandinCommand {
+    /// Carries the command out.
+    pub fn run(self) -> ExitCode {
+        let result = Runtime::new().and_then(|runtime| match self {
+            Self::Platform(options) => runtime.block_on(platform::run(options)),
+            Self::Backend(options) => runtime.block_on(backend::run(options)),
+            Self::Call(options) => runtime.block_on(call::run(options)),
+        });
+        exit_code(result)
+    }
+}
+
+/// Exit status 0 if all promises were kept, 1 otherwise.
+fn exit_code(result: io::Result<bool>) -> ExitCode {
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,8 @@
+//! Small stand-ins of the platform, backend servers and callers.
+//!
+//! Each runs as a process of its own or as tasks of a test.
+
+pub mod backend;
+pub mod call;
+pub mod platform;
+pub mod server;
--- /dev/null
+++ b/standin/src/main.rs
@@ -0,0 +1,10 @@
+//! Stand-ins as processes of their own.
+
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chicorygauge::logs::start();
+    cmd::standin_command().run().run()
+}
