--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,3 @@
+//! Benchmark of capacity; see docs/DESIGN.md.
+
+fn main() {}
--- /dev/null
+++ b/benches/dispatch.rs
@@ -0,0 +1,3 @@
+//! Benchmark of dispatch; see docs/DESIGN.md.
+
+fn main() {}
--- /dev/null
+++ b/benches/lending.rs
@@ -0,0 +1,3 @@
+//! Benchmark of lending; see docs/DESIGN.md.
+
+fn main() {}
--- /dev/null
+++ b/benches/path.rs
@@ -0,0 +1,3 @@
+//! Benchmark of path; see docs/DESIGN.md.
+
+fn main() {}
--- /dev/null
+++ b/benches/placement.rs
@@ -0,0 +1,3 @@
+//! Benchmark of placement; see docs/DESIGN.md.
+
+fn main() {}
--- /dev/null
+++ b/benches/planner.rs
@@ -0,0 +1,3 @@
+//! Benchmark of planner; see docs/DESIGN.md.
+
+fn main() {}
--- /dev/null
+++ b/src/decide/controller.rs
@@ -0,0 +1,1 @@
+//! Steps of a data centre's controller: drains, stops, moves, returns.
--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -143,6 +143,13 @@
         self.vms.get(vm).map_or(0, |slots| slots.in_use)
     }
 
+    /// Returns the requests in progress by VM; VMs without any are left out.
+    #[must_use]
+    pub fn all_in_use(&self) -> BTreeMap<VmName, u32> {
+        let busy = self.vms.iter().filter(|(_, slots)| slots.in_use > 0);
+        busy.map(|(vm, slots)| (vm.clone(), slots.in_use)).collect()
+    }
+
     /// Takes a request in.
     pub fn arrive(&mut self, now: Duration, request: &SlotRequest) -> Vec<DispatchAction> {
         if let Some(refusal) = self.refuse_arrival(now, request) {
--- /dev/null
+++ b/src/decide/health.rs
@@ -0,0 +1,1 @@
+//! Ejection of backend servers that fail.
--- /dev/null
+++ b/src/decide/lending.rs
@@ -0,0 +1,1 @@
+//! Lending of spare VMs to pools that are short.
--- /dev/null
+++ b/src/decide/membership.rs
@@ -0,0 +1,1 @@
+//! Membership of the entry VMs of a data centre.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,5 +4,12 @@
 //! a [`std::time::Duration`] since the start of the process, and what is to be
 //! done is returned as actions.
 
+pub mod controller;
 pub mod dispatch;
+pub mod health;
+pub mod lending;
+pub mod membership;
+pub mod placement;
+pub mod planner;
+pub mod retry;
 pub mod slots;
--- /dev/null
+++ b/src/decide/placement.rs
@@ -0,0 +1,1 @@
+//! Placement of the jobs of pools on workers.
--- /dev/null
+++ b/src/decide/retry.rs
@@ -0,0 +1,1 @@
+//! When a request may be sent again.
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,44 @@
+//! Metrics, named by the conventions of Prometheus and rendered as its text.
+
+use std::sync::OnceLock;
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+/// Requests by outcome and reason.
+pub const REQUESTS: &str = "chicory_requests_total";
+/// Calls to the platform by step and result.
+pub const PLATFORM_CALLS: &str = "chicory_platform_calls_total";
+/// Configuration version in force.
+pub const CONFIG_VERSION: &str = "chicory_config_version";
+/// Sequence of the fleet record in force.
+pub const FLEET_SEQUENCE: &str = "chicory_fleet_sequence";
+
+static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+fn recorder() -> Option<&'static PrometheusHandle> {
+    let install = || PrometheusBuilder::new().install_recorder().ok();
+    RECORDER.get_or_init(install).as_ref()
+}
+
+/// Starts the recording; a second start in one process has no effect.
+pub fn start() {
+    recorder();
+    metrics::describe_counter!(REQUESTS, "Requests by outcome and reason.");
+    metrics::describe_counter!(PLATFORM_CALLS, "Calls to the platform by step and result.");
+    metrics::describe_gauge!(CONFIG_VERSION, "Configuration version in force.");
+    metrics::describe_gauge!(FLEET_SEQUENCE, "Sequence of the fleet record in force.");
+}
+
+/// Renders all metrics as text.
+#[must_use]
+pub fn render() -> String {
+    recorder().map(PrometheusHandle::render).unwrap_or_default()
+}
+
+/// Removes old samples from the recorder's buffers; to be called now and then.
+pub fn upkeep() {
+    if let Some(recorder) = recorder() {
+        recorder.run_upkeep();
+    }
+}
--- /dev/null
+++ b/src/peer/wire.rs
@@ -0,0 +1,1 @@
+//! Messages between entry VMs, encoded as MessagePack over HTTP.
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,1 @@
+//! Evidence from the audit trail: whether each condition held.
--- /dev/null
+++ b/src/service/audit.rs
@@ -0,0 +1,1 @@
+//! Service `audit`: moves audit rows from outboxes to segments.
--- a/src/service/control/mod.rs
+++ b/src/service/control/mod.rs
@@ -20,6 +20,7 @@
 use crate::kernel::ServiceName;
 use crate::kernel::ShutdownPhase;
 use crate::kernel::reached;
+use crate::metrics;
 use crate::platform::PlatformClient;
 use crate::service::config::ConfigView;
 use crate::service::fleet::FleetView;
@@ -61,11 +62,14 @@
         config,
         fleet,
     });
-    let router = Router::with_path("v1")
+    let operators = Router::with_path("v1")
         .hoop(affix_state::inject(state))
         .push(Router::with_path("status").get(show_status))
         .push(Router::with_path("config").get(show_config))
         .push(Router::with_path("config/patch").post(patch_config));
+    let router = Router::new()
+        .push(operators)
+        .push(Router::with_path("metrics").get(show_metrics));
     let mut phase = kernel.phase();
     kernel.spawn(NAME, async move {
         let server = Server::new(acceptor);
@@ -93,6 +97,11 @@
     }));
 }
 
+#[handler]
+async fn show_metrics(response: &mut Response) {
+    response.render(metrics::render());
+}
+
 #[handler]
 async fn show_status(depot: &mut Depot, response: &mut Response) {
     let Some(state) = state_of(depot) else {
--- a/src/service/daemon.rs
+++ b/src/service/daemon.rs
@@ -15,6 +15,7 @@
 use crate::kernel::LookupError;
 use crate::kernel::ServiceKernel;
 use crate::kernel::ShutdownPhase;
+use crate::metrics;
 use crate::platform::PlatformClient;
 use crate::service::config;
 use crate::service::config::ConfigView;
@@ -22,6 +23,8 @@
 use crate::service::entry;
 use crate::service::fleet;
 use crate::service::fleet::FleetView;
+use crate::service::peers;
+use crate::service::peers::PeerView;
 use crate::settings::DaemonSettings;
 
 /// Time for the tasks to end once requests in progress have had theirs.
@@ -76,6 +79,7 @@
 ///
 /// Fails if a socket cannot be bound.
 pub async fn start(settings: &DaemonSettings) -> Result<RunningDaemon, StartError> {
+    metrics::start();
     let address = settings.entry_listen;
     let listener = TcpListener::bind(address).await;
     let listener = listener.context(ListenSnafu { address })?;
@@ -93,7 +97,16 @@
     let config: ConfigView = kernel.find(config::NAME).context(LookupSnafu)?;
     fleet::start(&kernel, settings, client.clone(), config.clone());
     let fleet: FleetView = kernel.find(fleet::NAME).context(LookupSnafu)?;
-    entry::start(&kernel, settings, listener, config.clone(), fleet.clone());
+    peers::start(&kernel, settings);
+    let peers: PeerView = kernel.find(peers::NAME).context(LookupSnafu)?;
+    entry::start(
+        &kernel,
+        settings,
+        listener,
+        config.clone(),
+        fleet.clone(),
+        peers,
+    );
     control::start(&kernel, settings, acceptor, client, config, fleet);
     log::info!(
         event = "daemon_started", name:% = settings.name, dc:% = settings.dc,
--- a/src/service/entry/dispatcher.rs
+++ b/src/service/entry/dispatcher.rs
@@ -24,12 +24,14 @@
 use crate::fleet::FleetRecord;
 use crate::names::PoolName;
 use crate::names::VmName;
+use crate::peer::EntryAck;
+use crate::peer::SharePlace;
 use crate::request::RefuseReason;
 use crate::request::RequestClass;
 use crate::service::config::ConfigView;
 use crate::service::entry::exchange::BackendConnection;
 use crate::service::fleet::FleetView;
-use crate::settings::DaemonSettings;
+use crate::service::peers::PeerView;
 
 /// Time between two passes over the queues.
 const TICK: Duration = Duration::from_millis(10);
@@ -65,27 +67,30 @@
         service_time: Option<Duration>,
         connection: Option<BackendConnection>,
     },
+    /// Asks what is in force and in progress.
+    Report { reply: oneshot::Sender<EntryAck> },
 }
 
 /// Sender of messages to the dispatcher.
 ///
 /// Each caller's connection has at most one request in the channel, so the
 /// limit on connections bounds it.
-pub(super) struct DispatchInbox {
+#[derive(Clone)]
+pub struct DispatchInbox {
     sender: mpsc::UnboundedSender<DispatchMessage>,
-    tickets: AtomicU64,
+    tickets: Arc<AtomicU64>,
 }
 
 impl DispatchInbox {
-    pub fn new(sender: mpsc::UnboundedSender<DispatchMessage>) -> Self {
+    pub(super) fn new(sender: mpsc::UnboundedSender<DispatchMessage>) -> Self {
         Self {
             sender,
-            tickets: AtomicU64::new(0),
+            tickets: Arc::default(),
         }
     }
 
     /// Asks for a slot and waits for the decision.
-    pub async fn acquire(
+    pub(super) async fn acquire(
         &self,
         pool: &PoolName,
         class: RequestClass,
@@ -107,8 +112,15 @@
         }))
     }
 
+    /// Asks what is in force and in progress; none if the dispatcher is gone.
+    pub async fn report(&self) -> Option<EntryAck> {
+        let (reply, ack) = oneshot::channel();
+        self.sender.send(DispatchMessage::Report { reply }).ok()?;
+        ack.await.ok()
+    }
+
     /// Gives a slot back.
-    pub fn finish(
+    pub(super) fn finish(
         &self,
         vm: VmName,
         service_time: Option<Duration>,
@@ -123,33 +135,12 @@
     }
 }
 
-/// Place of an entry VM among those of its data centre.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct SharePlace {
-    entries: u32,
-    index: u32,
-}
-
-/// Finds the place of this entry VM among those that its settings name.
-pub(super) fn own_share(settings: &DaemonSettings) -> SharePlace {
-    let peers = settings.peers.iter().filter(|peer| peer.dc == settings.dc);
-    let mut addresses: Vec<_> = peers.map(|peer| peer.control).collect();
-    addresses.push(settings.control_listen);
-    addresses.sort();
-    addresses.dedup();
-    let index = addresses.binary_search(&settings.control_listen);
-    SharePlace {
-        entries: addresses.len() as u32,
-        index: index.unwrap_or(0) as u32,
-    }
-}
-
 /// Runs until all senders are gone.
 pub(super) async fn run(
     mut messages: mpsc::UnboundedReceiver<DispatchMessage>,
     mut config: ConfigView,
     mut fleet: FleetView,
-    share: SharePlace,
+    mut peers: PeerView,
     started: Instant,
 ) {
     let mut dispatcher = Dispatcher::default();
@@ -158,8 +149,9 @@
     loop {
         tokio::select! {
             biased;
-            Ok(()) = config.changed() => dispatcher.renew(&mut config, &mut fleet, share),
-            Ok(()) = fleet.changed() => dispatcher.renew(&mut config, &mut fleet, share),
+            Ok(()) = config.changed() => dispatcher.renew(&mut config, &mut fleet, &mut peers),
+            Ok(()) = fleet.changed() => dispatcher.renew(&mut config, &mut fleet, &mut peers),
+            Ok(()) = peers.changed() => dispatcher.renew(&mut config, &mut fleet, &mut peers),
             _ = ticks.tick() => {
                 let actions = dispatcher.state.tick(started.elapsed());
                 dispatcher.carry_out(actions);
@@ -176,21 +168,27 @@
 struct Dispatcher {
     state: DispatchState,
     has_state: bool,
+    ack: EntryAck,
     replies: HashMap<TicketId, oneshot::Sender<SlotAnswer>>,
     idle: HashMap<VmName, Vec<BackendConnection>>,
 }
 
 impl Dispatcher {
-    fn renew(&mut self, config: &mut ConfigView, fleet: &mut FleetView, share: SharePlace) {
+    fn renew(&mut self, config: &mut ConfigView, fleet: &mut FleetView, peers: &mut PeerView) {
         let config = config.borrow_and_update().clone();
+        let peers = peers.borrow_and_update().clone();
         let pools = config.config.pools.iter();
         let pools = pools.map(|(name, pool)| (name, pool.queue_limit));
         self.state.set_pools(pools);
         let Some(record) = fleet.borrow_and_update().clone() else {
             return;
         };
-        self.has_state = config.version > 0;
-        self.state.set_vms(targets(&record, &config.config, share));
+        self.has_state = config.version > 0 && peers.trusted;
+        self.ack.config_version = config.version;
+        self.ack.fleet_sequence = record.sequence;
+        self.ack.generation = peers.generation;
+        let targets = targets(&record, &config.config, peers.place);
+        self.state.set_vms(targets);
         self.idle.retain(|vm, _| record.vms.contains_key(vm));
     }
 
@@ -216,6 +214,15 @@
                 self.keep(&vm, connection);
                 self.state.finish(now, &vm, service_time)
             }
+            DispatchMessage::Report { reply } => {
+                let in_use = self.state.all_in_use();
+                // A peer that has given up needs no answer.
+                let _ = reply.send(EntryAck {
+                    in_use,
+                    ..self.ack.clone()
+                });
+                return;
+            }
         };
         self.carry_out(actions);
     }
--- a/src/service/entry/handler.rs
+++ b/src/service/entry/handler.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout_at;
 
 use crate::kernel::ShutdownPhase;
+use crate::metrics::REQUESTS;
 use crate::request::RefuseReason;
 use crate::request::RequestOutcome;
 use crate::request::headers;
@@ -69,9 +70,23 @@
         Ok(body) => run(&gate, &terms, &parts, body, arrived + terms.deadline).await,
         Err(refusal) => refusal,
     };
+    count(&response);
     Ok(with_request_id(response, &terms))
 }
 
+fn count(response: &CallerResponse) {
+    let header = |name| {
+        let value = response.headers().get(name);
+        let text = value.and_then(|value| value.to_str().ok());
+        text.unwrap_or("").to_owned()
+    };
+    let labels = [
+        ("outcome", header(headers::OUTCOME)),
+        ("reason", header(headers::REASON)),
+    ];
+    metrics::counter!(REQUESTS, &labels).increment(1);
+}
+
 /// Checks what can be checked before a slot is asked for, and reads the body.
 async fn admit(
     gate: &EntryGate,
--- a/src/service/entry/mod.rs
+++ b/src/service/entry/mod.rs
@@ -33,10 +33,11 @@
 use crate::names::EntryName;
 use crate::service::config::ConfigView;
 use crate::service::fleet::FleetView;
+use crate::service::peers::PeerView;
 use crate::settings::DaemonSettings;
 use crate::settings::EntryLimits;
 
-use dispatcher::DispatchInbox;
+pub use dispatcher::DispatchInbox;
 
 /// Name of the service.
 pub const NAME: ServiceName = "entry";
@@ -63,6 +64,7 @@
     listener: TcpListener,
     config: ConfigView,
     fleet: FleetView,
+    peers: PeerView,
 ) {
     let started = Instant::now();
     let (inbox, messages) = mpsc::unbounded_channel();
@@ -73,11 +75,11 @@
         phase: kernel.phase(),
         started,
     });
-    let share = dispatcher::own_share(settings);
+    kernel.register::<DispatchInbox>(NAME, gate.inbox.clone());
     let mut phase = kernel.phase();
     kernel.spawn(DISPATCH, async move {
         tokio::select! {
-            () = dispatcher::run(messages, config, fleet, share, started) => {}
+            () = dispatcher::run(messages, config, fleet, peers, started) => {}
             () = reached(&mut phase, ShutdownPhase::Stopped) => {}
         }
     });
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -1,10 +1,12 @@
 //! Services of the daemon: tasks that own sockets and state.
 
+pub mod audit;
 pub mod config;
 pub mod control;
 pub mod daemon;
 pub mod entry;
 pub mod fleet;
+pub mod peers;
 
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
