Interfaces of the fleet service: term, inbox, report

The fleet service becomes a folder. It registers a view of the controller's term (epoch, until when), an inbox that takes pushed records and switches the watch, and a view of what the controller waits for. The fleet record gains the nonce of its writer and the operations of failed VMs that have not ended. The term and the switch carry no behaviour yet.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,10 +23,16 @@
 pub struct FleetRecord {
     /// Fencing number of the controller that wrote it; it only grows.
     pub epoch: u64,
+    /// Random number of the controller's term that wrote it; two controllers
+    /// that both lost the answer to a claim tell by it whose claim stands.
+    pub nonce: u64,
     /// Counts the changes of the record; it only grows.
     pub sequence: u64,
     /// VMs by name.
     pub vms: BTreeMap<VmName, VmRecord>,
+    /// Operations on failed VMs that have not ended at the platform; such a VM
+    /// does not serve before its operation has.
+    pub unfinished: BTreeMap<VmName, OperationId>,
     /// Progress of the wave in this data centre.
     pub wave: Option<WaveProgress>,
     /// Audit rows not yet moved to a segment.
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -24,8 +24,12 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct FleetWire {
     pub epoch: u64,
+    #[serde(default)]
+    pub nonce: u64,
     pub sequence: u64,
     pub vms: BTreeMap<String, VmWire>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub unfinished: BTreeMap<String, String>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub wave: Option<WaveProgressWire>,
     #[serde(default)]
@@ -125,12 +129,17 @@
 impl From<&FleetRecord> for FleetWire {
     fn from(record: &FleetRecord) -> Self {
         let vms = record.vms.iter();
+        let unfinished = record.unfinished.iter();
         Self {
             epoch: record.epoch,
+            nonce: record.nonce,
             sequence: record.sequence,
             vms: vms
                 .map(|(name, vm)| (name.to_string(), vm.into()))
                 .collect(),
+            unfinished: unfinished
+                .map(|(vm, operation)| (vm.to_string(), operation.to_string()))
+                .collect(),
             wave: record.wave.as_ref().map(Into::into),
             outbox: (&record.outbox).into(),
         }
@@ -143,10 +152,14 @@
     fn try_from(wire: FleetWire) -> Result<Self, NameError> {
         let vms = wire.vms.into_iter();
         let vms = vms.map(|(name, vm)| Ok((name.parse()?, vm.try_into()?)));
+        let unfinished = wire.unfinished.into_iter();
+        let unfinished = unfinished.map(|(vm, operation)| Ok((vm.parse()?, operation.parse()?)));
         Ok(Self {
             epoch: wire.epoch,
+            nonce: wire.nonce,
             sequence: wire.sequence,
             vms: vms.collect::<Result<_, NameError>>()?,
+            unfinished: unfinished.collect::<Result<_, NameError>>()?,
             wave: wire.wave.map(Into::into),
             outbox: wire.outbox.into(),
         })
--- a/src/service/fleet.rs
+++ b/src/service/fleet/mod.rs
@@ -3,11 +3,14 @@
 //! One entry VM of the data centre holds the controller's lease and keeps the
 //! record; the others follow it.
 
+mod messages;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use snafu::ResultExt;
 use snafu::Snafu;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -32,12 +35,17 @@
 use crate::service::unix_ms;
 use crate::settings::DaemonSettings;
 
+pub use messages::ControllerReport;
+pub use messages::ControllerTerm;
+pub use messages::ControllerView;
+pub use messages::FleetInbox;
+pub use messages::FleetMessage;
+pub use messages::FleetView;
+pub use messages::ReportView;
+
 /// Name of the service.
 pub const NAME: ServiceName = "fleet";
 
-/// View of the fleet record in force; none before the first.
-pub type FleetView = watch::Receiver<Option<Arc<FleetRecord>>>;
-
 /// A round of the controller that could not be completed.
 #[derive(Debug, Snafu)]
 enum FleetError {
@@ -58,16 +66,31 @@
 ) {
     let (sender, view) = watch::channel(None);
     kernel.register::<FleetView>(NAME, view);
+    let (inbox, mut messages) = mpsc::channel(messages::INBOX_LIMIT);
+    kernel.register::<FleetInbox>(NAME, inbox);
+    let (term, view) = watch::channel(ControllerTerm::default());
+    kernel.register::<ControllerView>(NAME, view);
+    let (report, view) = watch::channel(Arc::default());
+    kernel.register::<ReportView>(NAME, view);
     let mut phase = kernel.phase();
     let settings = settings.clone();
     kernel.spawn(NAME, async move {
         let controller = control(&settings, &client, &config, &sender);
         let follower = follow(&settings, &client, &sender);
+        let offers = async {
+            while let Some(message) = messages.recv().await {
+                if let FleetMessage::Offer(record) = message {
+                    take(&sender, record);
+                }
+            }
+        };
         tokio::select! {
             () = controller => {}
             () = follower => {}
+            () = offers => {}
             () = reached(&mut phase, ShutdownPhase::Stopped) => {}
         }
+        drop((term, report));
     });
 }
 
@@ -106,12 +129,17 @@
             return;
         }
     };
+    take(sender, Arc::new(record));
+}
+
+/// Puts a record in force if it is newer than the one that is.
+fn take(sender: &watch::Sender<Option<Arc<FleetRecord>>>, record: Arc<FleetRecord>) {
     sender.send_if_modified(|current| {
         let known = current.as_ref().map_or(0, |current| current.sequence);
         let newer = record.sequence > known;
         if newer {
             log::info!(event = "fleet_in_force", sequence = record.sequence; "");
-            *current = Some(Arc::new(record));
+            *current = Some(record);
         }
         newer
     });
