--- a/src/decide/controller.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Steps of a data centre's controller: drains, stops, moves, returns.
--- /dev/null
+++ b/src/decide/controller/changes.rs
@@ -0,0 +1,402 @@
+//! Changes of VMs: from the state in the record to the next one.
+
+use std::collections::BTreeMap;
+
+use super::ControllerState;
+use super::PostponedStop;
+use super::StepView;
+use super::draft::RecordDraft;
+use super::draft::VmChange;
+use super::draft::row_pool;
+use super::home_of;
+use super::quiet::in_progress;
+use super::rows::budget_of;
+use super::rows::out_of_service;
+use super::wave;
+use crate::fleet::DrainPurpose;
+use crate::fleet::OutageCause;
+use crate::fleet::VmRecord;
+use crate::fleet::VmState;
+use crate::names::EntryName;
+use crate::names::OperationId;
+use crate::names::PoolName;
+use crate::names::VmName;
+use crate::platform::OperationState;
+
+/// Milliseconds of a second.
+const SECOND_MS: u64 = 1000;
+
+/// What holds for all VMs in one step.
+struct StepFacts {
+    /// VMs that are unreachable or gone, with the reason.
+    lost: BTreeMap<VmName, &'static str>,
+    /// By how many VMs each pool is over its budget.
+    excess: BTreeMap<PoolName, usize>,
+}
+
+impl ControllerState {
+    /// Adds listed VMs that the configuration gives a home, and follows new addresses.
+    pub(super) fn admit(&self, view: &StepView<'_>, draft: &mut RecordDraft<'_>) {
+        for (name, listed) in view.listed {
+            let known = view.fleet.vms.get(name);
+            if known.is_some_and(|vm| vm.address == listed.address && vm.rack == listed.rack) {
+                continue;
+            }
+            let home = home_of(view.config, name).filter(|_| !listed.leaving);
+            let new = home.map(|home| VmRecord {
+                pool: home.clone(),
+                address: listed.address,
+                rack: listed.rack.clone(),
+                state: VmState::Serving,
+                since_ms: view.now_ms,
+                maintained_ms: view.now_ms,
+            });
+            let moved = known.map(|vm| VmRecord {
+                address: listed.address,
+                rack: listed.rack.clone(),
+                ..vm.clone()
+            });
+            if let Some(next) = moved.or(new) {
+                draft.changed |= draft.apply(&change_to(name, next, "listed"));
+            }
+        }
+    }
+
+    /// Makes all changes that are due.
+    pub(super) fn change_vms(&mut self, view: &StepView<'_>, draft: &mut RecordDraft<'_>) {
+        let mut facts = StepFacts {
+            lost: self.lost_vms(view),
+            excess: excess_of(view),
+        };
+        for name in view.fleet.vms.keys() {
+            // Its address may have changed in this very draft.
+            let Some(vm) = draft.record.vms.get(name).cloned() else {
+                continue;
+            };
+            let change = match &vm.state {
+                VmState::Serving => self.leave_service(view, &facts, name, &vm),
+                VmState::Draining(purpose) => {
+                    self.follow_drain(view, &mut facts, name, &vm, purpose)
+                }
+                VmState::Stopped(operation) => self.follow_stop(view, name, &vm, operation),
+                VmState::Failed => self.follow_failure(view, name, &vm),
+                VmState::Held => follow_hold(view, self.is_gone(name), name, &vm),
+            };
+            if let Some(change) = change {
+                self.make_change(view, draft, &vm, &change);
+            }
+        }
+    }
+
+    /// Makes a change together with what else it brings in the record.
+    fn make_change(
+        &mut self,
+        view: &StepView<'_>,
+        draft: &mut RecordDraft<'_>,
+        before: &VmRecord,
+        change: &VmChange,
+    ) {
+        if !draft.apply(change) {
+            return;
+        }
+        draft.changed = true;
+        let after = change.next.as_ref().map(|vm| &vm.state);
+        match (&before.state, after) {
+            (VmState::Draining(_), Some(VmState::Stopped(_))) => wave::count_started(draft),
+            (VmState::Stopped(_), Some(VmState::Serving)) => wave::count_returned(draft),
+            (VmState::Stopped(operation), Some(VmState::Failed)) => {
+                if !self.has_ended(operation) {
+                    let unfinished = &mut draft.record.unfinished;
+                    unfinished.insert(change.vm.clone(), operation.clone());
+                }
+                wave::count_failed(view, draft);
+            }
+            (_, None) => {
+                draft.record.unfinished.remove(&change.vm);
+            }
+            _ => {}
+        }
+    }
+
+    fn leave_service(
+        &self,
+        view: &StepView<'_>,
+        facts: &StepFacts,
+        name: &VmName,
+        vm: &VmRecord,
+    ) -> Option<VmChange> {
+        if let Some(reason) = facts.lost.get(name) {
+            return Some(enter(view, name, vm, VmState::Failed, *reason));
+        }
+        let leave = VmState::Draining(DrainPurpose::Leave);
+        if is_leaving(view, name) {
+            return Some(enter(view, name, vm, leave, "listed as leaving"));
+        }
+        if home_of(view.config, name).is_none() {
+            return Some(enter(view, name, vm, leave, "in no pool"));
+        }
+        let mut pools = view.ledgers.keys();
+        let purpose = pools.find_map(|pool| self.start_of(view, pool, name, vm))?;
+        let operation = match &purpose {
+            DrainPurpose::Maintain(operation) => Some(operation.clone()),
+            _ => None,
+        };
+        let text = match &purpose {
+            DrainPurpose::Hold => view.config.drains.get(name).map_or("", String::as_str),
+            _ => "",
+        };
+        Some(VmChange {
+            operation,
+            ..enter(view, name, vm, VmState::Draining(purpose), text)
+        })
+    }
+
+    fn follow_drain(
+        &mut self,
+        view: &StepView<'_>,
+        facts: &mut StepFacts,
+        name: &VmName,
+        vm: &VmRecord,
+        purpose: &DrainPurpose,
+    ) -> Option<VmChange> {
+        let quiet = self.is_quiet(view, name);
+        if *purpose == DrainPurpose::Leave {
+            return self.follow_leave(view, quiet, name, vm);
+        }
+        if let Some(reason) = facts.lost.get(name) {
+            return Some(enter(view, name, vm, VmState::Failed, *reason));
+        }
+        if is_leaving(view, name) {
+            let leave = VmState::Draining(DrainPurpose::Leave);
+            return Some(enter(view, name, vm, leave, "listed as leaving"));
+        }
+        if let Some(reason) = cancel_reason(view, facts, name, vm, purpose) {
+            return Some(enter(view, name, vm, VmState::Serving, reason));
+        }
+        if quiet {
+            return end_drain(view, name, vm, purpose);
+        }
+        self.postpone(view, name, vm, purpose)
+    }
+
+    fn follow_leave(
+        &self,
+        view: &StepView<'_>,
+        quiet: bool,
+        name: &VmName,
+        vm: &VmRecord,
+    ) -> Option<VmChange> {
+        let home = home_of(view.config, name);
+        if home.is_some() && !is_leaving(view, name) && view.listed.contains_key(name) {
+            return Some(enter(view, name, vm, VmState::Serving, "no longer leaving"));
+        }
+        if home.is_none() && (quiet || self.is_gone(name)) {
+            return Some(VmChange {
+                in_progress: Some(in_progress(view, name)),
+                ..removal(name, "in no pool")
+            });
+        }
+        let gone = self.is_gone(name);
+        gone.then(|| enter(view, name, vm, VmState::Failed, "gone"))
+    }
+
+    /// Puts a VM back into service whose drain takes too long.
+    fn postpone(
+        &mut self,
+        view: &StepView<'_>,
+        name: &VmName,
+        vm: &VmRecord,
+        purpose: &DrainPurpose,
+    ) -> Option<VmChange> {
+        let limit_ms = view.config.maintenance.drain_limit_s * SECOND_MS;
+        let late = view.now_ms >= vm.since_ms + limit_ms;
+        if !late || *purpose == DrainPurpose::Hold {
+            return None;
+        }
+        let entries = self.blockers(view, name);
+        let names: Vec<_> = entries.iter().map(EntryName::as_str).collect();
+        let text = format!("postponed, in use by {}", names.join(","));
+        let stop = PostponedStop {
+            until_ms: view.now_ms + limit_ms.max(SECOND_MS),
+            entries,
+        };
+        self.postponed.insert(name.clone(), stop);
+        Some(enter(view, name, vm, VmState::Serving, text))
+    }
+
+    fn follow_stop(
+        &self,
+        view: &StepView<'_>,
+        name: &VmName,
+        vm: &VmRecord,
+        operation: &OperationId,
+    ) -> Option<VmChange> {
+        let state = self.operations.get(operation);
+        let limit_ms = view.config.maintenance.return_limit_s * SECOND_MS;
+        let late = view.now_ms >= vm.since_ms + limit_ms;
+        // Before the platform has the operation, a former controller's call could
+        // still begin it.
+        let known = state.is_some() || self.is_gone(name);
+        let back = self.answers(name) && view.listed.contains_key(name);
+        let change = match state {
+            Some(OperationState::Done) if back => VmChange {
+                next: Some(VmRecord {
+                    maintained_ms: view.now_ms,
+                    ..entered(view, vm, VmState::Serving)
+                }),
+                ..enter(view, name, vm, VmState::Serving, "back")
+            },
+            Some(OperationState::Failed) => {
+                enter(view, name, vm, VmState::Failed, "operation failed")
+            }
+            _ if late && known => enter(view, name, vm, VmState::Failed, "not back in time"),
+            _ => return None,
+        };
+        Some(VmChange {
+            operation: Some(operation.clone()),
+            ..change
+        })
+    }
+
+    fn follow_failure(
+        &self,
+        view: &StepView<'_>,
+        name: &VmName,
+        vm: &VmRecord,
+    ) -> Option<VmChange> {
+        let gone = self.is_gone(name);
+        if home_of(view.config, name).is_none() && gone {
+            return Some(removal(name, "gone"));
+        }
+        let listed = view.listed.get(name)?;
+        let waits = listed.leaving || gone || view.fleet.unfinished.contains_key(name);
+        if waits || !self.answers(name) {
+            return None;
+        }
+        Some(enter(view, name, vm, VmState::Serving, "back"))
+    }
+}
+
+fn follow_hold(view: &StepView<'_>, gone: bool, name: &VmName, vm: &VmRecord) -> Option<VmChange> {
+    if home_of(view.config, name).is_none() {
+        return Some(removal(name, "in no pool"));
+    }
+    if gone {
+        return Some(enter(view, name, vm, VmState::Failed, "gone"));
+    }
+    let held = view.config.drains.contains_key(name);
+    (!held).then(|| enter(view, name, vm, VmState::Serving, "hold ended"))
+}
+
+fn end_drain(
+    view: &StepView<'_>,
+    name: &VmName,
+    vm: &VmRecord,
+    purpose: &DrainPurpose,
+) -> Option<VmChange> {
+    let change = match purpose {
+        DrainPurpose::Maintain(operation) => {
+            // The row may have been lost; it is entered again before the stop.
+            let row = view.ledgers.get(&vm.pool)?.rows.get(name)?;
+            if row.cause != OutageCause::Planned(operation.clone()) {
+                return None;
+            }
+            let stopped = VmState::Stopped(operation.clone());
+            VmChange {
+                operation: Some(operation.clone()),
+                ..enter(view, name, vm, stopped, "")
+            }
+        }
+        DrainPurpose::Move(pool) => VmChange {
+            next: Some(VmRecord {
+                pool: pool.clone(),
+                ..entered(view, vm, VmState::Serving)
+            }),
+            ..enter(view, name, vm, VmState::Serving, "moved")
+        },
+        DrainPurpose::Hold => enter(view, name, vm, VmState::Held, ""),
+        DrainPurpose::Leave => return None,
+    };
+    Some(VmChange {
+        in_progress: Some(in_progress(view, name)),
+        ..change
+    })
+}
+
+/// Tells why a drain is to be given up; none if it goes on.
+fn cancel_reason(
+    view: &StepView<'_>,
+    facts: &mut StepFacts,
+    name: &VmName,
+    vm: &VmRecord,
+    purpose: &DrainPurpose,
+) -> Option<&'static str> {
+    let over_budget = |facts: &mut StepFacts| {
+        let excess = row_pool(vm).and_then(|pool| facts.excess.get_mut(pool));
+        let excess = excess.filter(|excess| **excess > 0);
+        excess.map(|excess| {
+            *excess -= 1;
+            "over budget"
+        })
+    };
+    match purpose {
+        DrainPurpose::Maintain(_) if !wave::is_due(view, vm) => Some("wave not running"),
+        DrainPurpose::Maintain(_) => over_budget(facts),
+        DrainPurpose::Move(pool) if home_of(view.config, name) != Some(pool) => {
+            Some("move called off")
+        }
+        DrainPurpose::Move(_) => over_budget(facts),
+        DrainPurpose::Hold if !view.config.drains.contains_key(name) => Some("hold ended"),
+        DrainPurpose::Hold | DrainPurpose::Leave => None,
+    }
+}
+
+fn excess_of(view: &StepView<'_>) -> BTreeMap<PoolName, usize> {
+    let excess = view.ledgers.iter().map(|(pool, ledger)| {
+        let out = out_of_service(view, pool, ledger);
+        (pool.clone(), out.saturating_sub(budget_of(view, pool)))
+    });
+    excess.collect()
+}
+
+fn is_leaving(view: &StepView<'_>, vm: &VmName) -> bool {
+    view.listed.get(vm).is_some_and(|listed| listed.leaving)
+}
+
+fn entered(view: &StepView<'_>, vm: &VmRecord, state: VmState) -> VmRecord {
+    VmRecord {
+        state,
+        since_ms: view.now_ms.max(vm.since_ms + 1),
+        ..vm.clone()
+    }
+}
+
+fn enter(
+    view: &StepView<'_>,
+    name: &VmName,
+    vm: &VmRecord,
+    state: VmState,
+    text: impl Into<String>,
+) -> VmChange {
+    change_to(name, entered(view, vm, state), text)
+}
+
+fn change_to(name: &VmName, next: VmRecord, text: impl Into<String>) -> VmChange {
+    VmChange {
+        vm: name.clone(),
+        next: Some(next),
+        operation: None,
+        in_progress: None,
+        text: text.into(),
+    }
+}
+
+fn removal(name: &VmName, text: &str) -> VmChange {
+    VmChange {
+        vm: name.clone(),
+        next: None,
+        operation: None,
+        in_progress: None,
+        text: text.to_owned(),
+    }
+}
--- /dev/null
+++ b/src/decide/controller/draft.rs
@@ -0,0 +1,205 @@
+//! The next fleet record while it is being put together, with its audit rows.
+
+use super::StepView;
+use crate::audit::AuditRow;
+use crate::fleet::DrainPurpose;
+use crate::fleet::FleetRecord;
+use crate::fleet::VmRecord;
+use crate::fleet::VmState;
+use crate::names::OperationId;
+use crate::names::PoolName;
+use crate::names::VmName;
+
+/// Most audit rows that one change of a VM brings.
+const ROWS_PER_CHANGE: usize = 8;
+
+/// A change of one VM.
+#[derive(Clone, Debug)]
+pub(super) struct VmChange {
+    pub vm: VmName,
+    /// The VM after the change; none if it is dropped from the record.
+    pub next: Option<VmRecord>,
+    /// Operation that the change belongs to.
+    pub operation: Option<OperationId>,
+    /// Requests in progress, where the change depends on there being none.
+    pub in_progress: Option<u32>,
+    /// Why, in words.
+    pub text: String,
+}
+
+/// The next record.
+pub(super) struct RecordDraft<'a> {
+    view: &'a StepView<'a>,
+    pub record: FleetRecord,
+    pub changed: bool,
+}
+
+impl<'a> RecordDraft<'a> {
+    pub fn new(view: &'a StepView<'a>) -> Self {
+        Self {
+            view,
+            record: view.fleet.clone(),
+            changed: false,
+        }
+    }
+
+    /// Returns the record if it differs from the one that was read.
+    pub fn finish(mut self) -> Option<FleetRecord> {
+        self.record.sequence += 1;
+        self.changed.then_some(self.record)
+    }
+
+    /// Drops audit rows that stand in segments.
+    pub fn trim(&mut self, moved: u64) {
+        let rows = &mut self.record.outbox.rows;
+        while rows.front().is_some_and(|row| row.sequence <= moved) {
+            rows.pop_front();
+            self.changed = true;
+        }
+    }
+
+    /// Tells whether the outbox has room for another change.
+    pub fn has_room(&self) -> bool {
+        self.record.outbox.has_room(ROWS_PER_CHANGE)
+    }
+
+    pub fn audit(
+        &mut self,
+        subject: String,
+        action: &str,
+        from: String,
+        to: String,
+        reason: String,
+    ) {
+        self.changed = true;
+        self.record.outbox.append(AuditRow {
+            time_ms: self.view.now_ms,
+            author: self.view.author.to_string(),
+            subject,
+            action: action.to_owned(),
+            from,
+            to,
+            reason,
+            ..AuditRow::default()
+        });
+    }
+
+    /// Makes a change and writes its audit rows; without room it has to wait.
+    pub fn apply(&mut self, change: &VmChange) -> bool {
+        if !self.has_room() {
+            return false;
+        }
+        let before = self.record.vms.remove(&change.vm);
+        let after = change.next.as_ref();
+        if let Some(after) = after {
+            self.record.vms.insert(change.vm.clone(), after.clone());
+        }
+        self.audit_state(change, before.as_ref());
+        self.audit_address(change, before.as_ref());
+        self.audit_pool(change, before.as_ref());
+        self.audit_maintained(change, before.as_ref());
+        self.audit_ledger(change, before.as_ref());
+        true
+    }
+
+    fn audit_state(&mut self, change: &VmChange, before: Option<&VmRecord>) {
+        let name_of = |vm: Option<&VmRecord>| vm.map_or(String::new(), |vm| vm.state.to_string());
+        let (from, to) = (name_of(before), name_of(change.next.as_ref()));
+        if from == to {
+            return;
+        }
+        let pool = change.next.as_ref().or(before).map(|vm| &vm.pool);
+        let reason = reason_of(change, pool);
+        self.audit(format!("vm/{}", change.vm), "state", from, to, reason);
+    }
+
+    fn audit_address(&mut self, change: &VmChange, before: Option<&VmRecord>) {
+        let (Some(before), Some(after)) = (before, &change.next) else {
+            return;
+        };
+        if before.address != after.address {
+            let (from, to) = (before.address.to_string(), after.address.to_string());
+            let reason = reason_of(change, Some(&after.pool));
+            self.audit(format!("vm/{}", change.vm), "address", from, to, reason);
+        }
+    }
+
+    fn audit_pool(&mut self, change: &VmChange, before: Option<&VmRecord>) {
+        let (Some(before), Some(after)) = (before, &change.next) else {
+            return;
+        };
+        if before.pool != after.pool {
+            let (from, to) = (before.pool.to_string(), after.pool.to_string());
+            let reason = reason_of(change, None);
+            self.audit(format!("vm/{}", change.vm), "pool", from, to, reason);
+        }
+    }
+
+    fn audit_maintained(&mut self, change: &VmChange, before: Option<&VmRecord>) {
+        let (Some(before), Some(after)) = (before, &change.next) else {
+            return;
+        };
+        if before.maintained_ms != after.maintained_ms {
+            let from = before.maintained_ms.to_string();
+            let to = after.maintained_ms.to_string();
+            let reason = reason_of(change, Some(&after.pool));
+            self.audit(format!("vm/{}", change.vm), "maintained", from, to, reason);
+        }
+    }
+
+    fn audit_ledger(&mut self, change: &VmChange, before: Option<&VmRecord>) {
+        let (old, new) = (row_of(before), row_of(change.next.as_ref()));
+        if old == new {
+            return;
+        }
+        let vm = change.vm.to_string();
+        if let Some((pool, cause)) = old {
+            let subject = format!("ledger/{pool}");
+            self.audit(subject, "in", vm.clone(), String::new(), cause);
+        }
+        if let Some((pool, cause)) = new {
+            let subject = format!("ledger/{pool}");
+            self.audit(subject, "out", String::new(), vm, cause);
+        }
+    }
+}
+
+/// Returns the pool whose ledger has a row for a VM, if it is out of service.
+///
+/// A VM on its way to another pool is out of service there.
+pub(super) fn row_pool(vm: &VmRecord) -> Option<&PoolName> {
+    match &vm.state {
+        VmState::Serving => None,
+        VmState::Draining(DrainPurpose::Move(pool)) => Some(pool),
+        _ => Some(&vm.pool),
+    }
+}
+
+fn row_of(vm: Option<&VmRecord>) -> Option<(&PoolName, String)> {
+    let vm = vm?;
+    Some((row_pool(vm)?, cause_of(vm)))
+}
+
+fn cause_of(vm: &VmRecord) -> String {
+    match &vm.state {
+        VmState::Draining(DrainPurpose::Maintain(operation)) | VmState::Stopped(operation) => {
+            format!("operation={operation}")
+        }
+        VmState::Draining(DrainPurpose::Move(_)) => "operation=move".to_owned(),
+        VmState::Draining(DrainPurpose::Hold) | VmState::Held => "operation=hold".to_owned(),
+        _ => "cause=failed".to_owned(),
+    }
+}
+
+fn reason_of(change: &VmChange, pool: Option<&PoolName>) -> String {
+    let pool = pool.map(|pool| format!("pool={pool}"));
+    let operation = change.operation.as_ref();
+    let operation = operation.map(|operation| format!("operation={operation}"));
+    let progress = change.in_progress;
+    let progress = progress.map(|count| format!("in_progress={count}"));
+    let text = Some(&change.text).filter(|text| !text.is_empty());
+    let text = text.map(|text| format!("text={text}"));
+    let parts = [pool, operation, progress, text];
+    let parts: Vec<_> = parts.into_iter().flatten().collect();
+    parts.join(" ")
+}
--- /dev/null
+++ b/src/decide/controller/observe.rs
@@ -0,0 +1,185 @@
+//! What the controller learns between its steps.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::ControllerState;
+use super::StepView;
+use super::WriteEnd;
+use crate::fleet::VmRecord;
+use crate::fleet::VmState;
+use crate::names::EntryName;
+use crate::names::OperationId;
+use crate::names::PoolName;
+use crate::names::VmName;
+use crate::platform::ListedVm;
+use crate::platform::OperationState;
+
+/// Probes in a row that must fail before a VM counts as unreachable.
+const UNREACHABLE_PROBES: u32 = 3;
+/// Probes in a row that a failed VM must answer before it serves again.
+const REACHABLE_PROBES: u32 = 2;
+/// Readings of the list in a row that must lack a VM before it counts as gone.
+const GONE_READINGS: u32 = 2;
+
+/// Results of probes of a VM since its last change of state.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ProbeCount {
+    since_ms: u64,
+    answered: u32,
+    failed: u32,
+}
+
+impl ControllerState {
+    /// Takes the result of a probe of a VM.
+    pub fn observe_probe(&mut self, vm: &VmName, answered: bool) {
+        let count = self.probes.entry(vm.clone()).or_default();
+        if answered {
+            count.answered = count.answered.saturating_add(1);
+            count.failed = 0;
+        } else {
+            count.failed = count.failed.saturating_add(1);
+            count.answered = 0;
+        }
+    }
+
+    /// Takes a reading of the platform's list.
+    pub fn observe_list(
+        &mut self,
+        known: &BTreeMap<VmName, VmRecord>,
+        listed: &BTreeMap<VmName, ListedVm>,
+    ) {
+        self.missing.retain(|vm, _| known.contains_key(vm));
+        for vm in known.keys() {
+            let count = self.missing.entry(vm.clone()).or_default();
+            *count = if listed.contains_key(vm) {
+                0
+            } else {
+                count.saturating_add(1)
+            };
+        }
+    }
+
+    /// Takes the state of an operation as the platform told it.
+    pub fn observe_operation(&mut self, operation: &OperationId, state: OperationState) {
+        self.operations.insert(operation.clone(), state);
+    }
+
+    /// Takes the end of a write to a ledger.
+    pub fn observe_ledger(&mut self, pool: &PoolName, end: WriteEnd) {
+        match end {
+            WriteEnd::Written => {
+                self.doubtful.remove(pool);
+            }
+            WriteEnd::Overtaken => {}
+            WriteEnd::Unclear => {
+                self.doubtful.insert(pool.clone());
+            }
+        }
+    }
+
+    /// Takes an entry VM's view of the VMs that it has ejected for failing.
+    pub fn observe_ejected(&mut self, entry: &EntryName, ejected: &BTreeSet<VmName>) {
+        for entries in self.ejected.values_mut() {
+            entries.remove(entry);
+        }
+        for vm in ejected {
+            let entries = self.ejected.entry(vm.clone()).or_default();
+            entries.insert(entry.clone());
+        }
+        self.ejected.retain(|_, entries| !entries.is_empty());
+    }
+
+    /// Returns the VMs to be probed now rather than in their turn.
+    #[must_use]
+    pub fn suspects(&self, view: &StepView<'_>) -> Vec<VmName> {
+        let vms = view.fleet.vms.iter();
+        let suspects = vms.filter(|(name, vm)| match &vm.state {
+            VmState::Failed => true,
+            VmState::Stopped(operation) => self.has_ended(operation),
+            _ => {
+                let failing = self.probes.get(*name).is_some_and(|count| count.failed > 0);
+                failing || self.ejected.contains_key(*name)
+            }
+        });
+        suspects.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Forgets what a change of state has overtaken.
+    pub(super) fn observe_record(&mut self, view: &StepView<'_>) {
+        let vms = &view.fleet.vms;
+        let draining = |vm: &VmName| {
+            let vm = vms.get(vm);
+            vm.is_some_and(|vm| matches!(vm.state, VmState::Draining(_)))
+        };
+        self.drained.retain(|vm, _| draining(vm));
+        for vm in vms.keys().filter(|vm| draining(vm)) {
+            let sequence = view.fleet.sequence;
+            self.drained.entry(vm.clone()).or_insert(sequence);
+        }
+        self.probes.retain(|vm, _| vms.contains_key(vm));
+        for (name, vm) in vms {
+            let count = self.probes.entry(name.clone()).or_default();
+            if count.since_ms != vm.since_ms {
+                *count = ProbeCount {
+                    since_ms: vm.since_ms,
+                    ..ProbeCount::default()
+                };
+            }
+        }
+        let now_ms = view.now_ms;
+        self.postponed.retain(|_, stop| now_ms < stop.until_ms);
+        let unfinished: BTreeSet<_> = view.fleet.unfinished.values().collect();
+        let stopped = vms.values().filter_map(|vm| match &vm.state {
+            VmState::Stopped(operation) => Some(operation),
+            _ => None,
+        });
+        let open: BTreeSet<_> = stopped.chain(unfinished).collect();
+        self.operations
+            .retain(|operation, _| open.contains(operation));
+    }
+
+    /// Tells whether a VM has answered since it failed.
+    pub(super) fn answers(&self, vm: &VmName) -> bool {
+        let count = self.probes.get(vm);
+        count.is_some_and(|count| count.answered >= REACHABLE_PROBES)
+    }
+
+    /// Returns the VMs in use that are unreachable or gone, each with the reason.
+    ///
+    /// If most VMs of the data centre seem to be, the fault is more likely in the
+    /// list or on the controller's side, and nothing is concluded: the VMs stay
+    /// in use by the entry VMs that reach them.
+    pub(super) fn lost_vms(&self, view: &StepView<'_>) -> BTreeMap<VmName, &'static str> {
+        let vms = view.fleet.vms.iter();
+        let used =
+            vms.filter(|(_, vm)| matches!(vm.state, VmState::Serving | VmState::Draining(_)));
+        let used: Vec<_> = used.map(|(name, _)| name).collect();
+        let lost = used.iter().filter_map(|vm| {
+            let reason = if self.is_gone(vm) {
+                "gone"
+            } else if self.is_unreachable(vm) {
+                "unreachable"
+            } else {
+                return None;
+            };
+            Some(((*vm).clone(), reason))
+        });
+        let lost: BTreeMap<_, _> = lost.collect();
+        if lost.len() * 2 > used.len() {
+            return BTreeMap::new();
+        }
+        lost
+    }
+
+    /// Tells whether the list has lacked a VM for certain.
+    pub(super) fn is_gone(&self, vm: &VmName) -> bool {
+        let count = self.missing.get(vm);
+        count.is_some_and(|count| *count >= GONE_READINGS)
+    }
+
+    fn is_unreachable(&self, vm: &VmName) -> bool {
+        let count = self.probes.get(vm);
+        count.is_some_and(|count| count.failed >= UNREACHABLE_PROBES)
+    }
+}
--- /dev/null
+++ b/src/decide/controller/rows.rs
@@ -0,0 +1,257 @@
+//! Ledger rows: which ones stand, which ones go, and which outages may start.
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::ControllerAction;
+use super::ControllerState;
+use super::StepView;
+use super::draft::row_pool;
+use super::home_of;
+use super::wave;
+use crate::decide::planner::WaveView;
+use crate::decide::planner::next_stops;
+use crate::fleet::DrainPurpose;
+use crate::fleet::FleetRecord;
+use crate::fleet::LedgerRow;
+use crate::fleet::OutageCause;
+use crate::fleet::PoolLedger;
+use crate::fleet::VmRecord;
+use crate::fleet::VmState;
+use crate::names::OperationId;
+use crate::names::PoolName;
+use crate::names::VmName;
+
+/// A planned outage that is wanted for a serving VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OutagePurpose<'a> {
+    Maintain,
+    Move(&'a PoolName),
+    Hold,
+}
+
+impl OutagePurpose<'_> {
+    fn prefix(self) -> &'static str {
+        match self {
+            Self::Maintain => "maintain",
+            Self::Move(_) => "move",
+            Self::Hold => "hold",
+        }
+    }
+
+    /// Returns the pool whose budget the outage uses.
+    fn pool<'a>(&'a self, vm: &'a VmRecord) -> &'a PoolName {
+        match self {
+            Self::Move(pool) => pool,
+            _ => &vm.pool,
+        }
+    }
+
+    pub fn drain(self, operation: &OperationId) -> DrainPurpose {
+        match self {
+            Self::Maintain => DrainPurpose::Maintain(operation.clone()),
+            Self::Move(pool) => DrainPurpose::Move(pool.clone()),
+            Self::Hold => DrainPurpose::Hold,
+        }
+    }
+}
+
+/// Returns the planned outage that is wanted for a serving VM.
+pub(super) fn purpose_of<'a>(
+    view: &StepView<'a>,
+    name: &VmName,
+    vm: &VmRecord,
+) -> Option<OutagePurpose<'a>> {
+    let home = home_of(view.config, name)?;
+    if !vm.state.takes_work() || view.listed.get(name).is_some_and(|listed| listed.leaving) {
+        return None;
+    }
+    if view.config.drains.contains_key(name) {
+        return Some(OutagePurpose::Hold);
+    }
+    if *home != vm.pool {
+        return Some(OutagePurpose::Move(home));
+    }
+    wave::is_due(view, vm).then_some(OutagePurpose::Maintain)
+}
+
+/// Returns how many VMs of a pool count as out of service.
+pub(super) fn out_of_service(view: &StepView<'_>, pool: &PoolName, ledger: &PoolLedger) -> usize {
+    let vms = view.config.pools.get(pool).map(|pool| &pool.vms);
+    let unseen = vms.into_iter().flatten();
+    let unseen = unseen.filter(|vm| view.unseen.contains(*vm) && !ledger.rows.contains_key(*vm));
+    ledger.rows.len() + unseen.count()
+}
+
+/// Returns the budget of a pool.
+pub(super) fn budget_of(view: &StepView<'_>, pool: &PoolName) -> usize {
+    let pool = view.config.pools.get(pool);
+    pool.map_or(0, |pool| pool.budget as usize)
+}
+
+impl ControllerState {
+    /// Returns the writes that bring the ledgers in line with the record and
+    /// enter the outages to be started.
+    pub(super) fn ledger_writes(&mut self, view: &StepView<'_>) -> Vec<ControllerAction> {
+        let mut next = view.ledgers.clone();
+        for (pool, ledger) in &mut next {
+            let keeps = |vm: &VmName| self.keeps_row(view, pool, vm);
+            ledger
+                .rows
+                .retain(|vm, row| row.dc != *view.dc || keeps(vm));
+        }
+        for (name, vm) in &view.fleet.vms {
+            if let Some(pool) = row_pool(vm) {
+                let ledger = next.entry(pool.clone()).or_default();
+                add_due_row(view, ledger, name, vm);
+            }
+        }
+        self.start_outages(view, &mut next);
+        let empty = PoolLedger::default();
+        let changed = next.into_iter().filter(|(pool, ledger)| {
+            let before = view.ledgers.get(pool).unwrap_or(&empty);
+            ledger != before
+        });
+        let writes = changed.map(|(pool, ledger)| ControllerAction::WriteLedger { pool, ledger });
+        writes.collect()
+    }
+
+    fn keeps_row(&self, view: &StepView<'_>, pool: &PoolName, name: &VmName) -> bool {
+        let Some(vm) = view.fleet.vms.get(name) else {
+            return false;
+        };
+        row_pool(vm) == Some(pool) || self.start_of(view, pool, name, vm).is_some()
+    }
+
+    /// Returns the drain that a row allows to begin; none if the row is of no use.
+    ///
+    /// Only rows written in this term count: a write that a former controller may
+    /// still make fails on them. For the same reason no row counts while a write
+    /// of this term to the ledger may still take effect.
+    pub(super) fn start_of(
+        &self,
+        view: &StepView<'_>,
+        pool: &PoolName,
+        name: &VmName,
+        vm: &VmRecord,
+    ) -> Option<DrainPurpose> {
+        let ledger = view.ledgers.get(pool)?;
+        let row = ledger.rows.get(name).filter(|row| row.dc == *view.dc)?;
+        let OutageCause::Planned(operation) = &row.cause else {
+            return None;
+        };
+        let usable = self.issued.contains(operation)
+            && !self.doubtful.contains(pool)
+            && !self.postponed.contains_key(name)
+            && row.since_ms > vm.since_ms
+            && out_of_service(view, pool, ledger) <= budget_of(view, pool);
+        let purpose = purpose_of(view, name, vm).filter(|purpose| purpose.pool(vm) == pool)?;
+        usable.then(|| purpose.drain(operation))
+    }
+
+    /// Enters rows for outages, as far as the budgets allow.
+    fn start_outages(&mut self, view: &StepView<'_>, next: &mut BTreeMap<PoolName, PoolLedger>) {
+        for name in self.outage_order(view) {
+            let Some(vm) = view.fleet.vms.get(&name) else {
+                continue;
+            };
+            let Some(purpose) = purpose_of(view, &name, vm) else {
+                continue;
+            };
+            let mut ledgers = view.ledgers.values();
+            let has_row = ledgers.any(|ledger| ledger.rows.contains_key(&name));
+            if has_row || self.postponed.contains_key(&name) {
+                continue;
+            }
+            let pool = purpose.pool(vm);
+            let ledger = next.entry(pool.clone()).or_default();
+            if out_of_service(view, pool, ledger) >= budget_of(view, pool) {
+                continue;
+            }
+            let operation = operation_id(view, purpose.prefix(), &name);
+            self.issued.extend(operation.clone());
+            let row = operation.map(|operation| LedgerRow {
+                dc: view.dc.clone(),
+                cause: OutageCause::Planned(operation),
+                since_ms: view.now_ms.max(vm.since_ms + 1),
+            });
+            ledger.rows.extend(row.map(|row| (name, row)));
+        }
+    }
+
+    /// Returns the VMs for which an outage is wanted: holds and moves first, then
+    /// the wave's stops as the planner orders them.
+    fn outage_order(&self, view: &StepView<'_>) -> Vec<VmName> {
+        let wishes = view.fleet.vms.iter().filter(|(name, vm)| {
+            let purpose = purpose_of(view, name, vm);
+            matches!(purpose, Some(OutagePurpose::Hold | OutagePurpose::Move(_)))
+        });
+        let mut order: Vec<_> = wishes.map(|(name, _)| name.clone()).collect();
+        if wave::may_start(view) {
+            let fleet = self.without_postponed(view);
+            let stops = next_stops(&WaveView {
+                config: view.config,
+                fleet: &fleet,
+                ledgers: view.ledgers,
+                unseen: view.unseen,
+                now_ms: view.now_ms,
+            });
+            order.extend(stops);
+        }
+        order
+    }
+
+    /// Returns the record with postponed VMs as if they were not due, so that the
+    /// planner takes others.
+    fn without_postponed<'a>(&self, view: &StepView<'a>) -> Cow<'a, FleetRecord> {
+        if self.postponed.is_empty() {
+            return Cow::Borrowed(view.fleet);
+        }
+        let mut fleet = view.fleet.clone();
+        for (name, vm) in &mut fleet.vms {
+            if self.postponed.contains_key(name) {
+                vm.maintained_ms = u64::MAX;
+            }
+        }
+        Cow::Owned(fleet)
+    }
+}
+
+/// Enters or corrects the row of a VM that is out of service.
+fn add_due_row(view: &StepView<'_>, ledger: &mut PoolLedger, name: &VmName, vm: &VmRecord) {
+    let held = ledger.rows.get(name);
+    let planned = held.filter(|row| matches!(row.cause, OutageCause::Planned(_)));
+    let cause = match &vm.state {
+        VmState::Draining(DrainPurpose::Maintain(operation)) | VmState::Stopped(operation) => {
+            Some(OutageCause::Planned(operation.clone()))
+        }
+        VmState::Draining(DrainPurpose::Hold | DrainPurpose::Move(_)) | VmState::Held => {
+            let held = planned.map(|row| row.cause.clone());
+            let new = || operation_id(view, "hold", name).map(OutageCause::Planned);
+            held.or_else(new)
+        }
+        _ => Some(OutageCause::Failed),
+    };
+    let Some(cause) = cause.filter(|cause| held.is_none_or(|row| row.cause != *cause)) else {
+        return;
+    };
+    let row = LedgerRow {
+        dc: view.dc.clone(),
+        cause,
+        since_ms: vm.since_ms,
+    };
+    ledger.rows.insert(name.clone(), row);
+}
+
+/// Makes an identifier that no other state of any record yields.
+fn operation_id(view: &StepView<'_>, prefix: &str, vm: &VmName) -> Option<OperationId> {
+    let seed = format!("{}/{vm}/{}", view.dc, view.now_ms);
+    let hash = xxh3_64(seed.as_bytes());
+    let (epoch, sequence) = (view.fleet.epoch, view.fleet.sequence);
+    // Prefix and numbers are far shorter than the longest name.
+    format!("{prefix}-{epoch}-{sequence}-{hash:016x}")
+        .parse()
+        .ok()
+}
--- /dev/null
+++ b/src/decide/controller/wave.rs
@@ -0,0 +1,117 @@
+//! Progress of a maintenance wave in the data centre.
+
+use super::StepView;
+use super::draft::RecordDraft;
+use crate::config::WaveRequest;
+use crate::fleet::DrainPurpose;
+use crate::fleet::VmRecord;
+use crate::fleet::VmState;
+use crate::fleet::WaveProgress;
+
+/// Returns the wave that operators ask for, if it has been entered in the record.
+fn current<'a>(view: &StepView<'a>) -> Option<(&'a WaveRequest, &'a WaveProgress)> {
+    let request = view.config.wave.as_ref()?;
+    let progress = view.fleet.wave.as_ref()?;
+    (request.id == progress.id).then_some((request, progress))
+}
+
+/// Tells whether planned stops of the wave may start.
+pub(super) fn may_start(view: &StepView<'_>) -> bool {
+    current(view).is_some_and(|(request, progress)| request.running && progress.stopped.is_none())
+}
+
+/// Tells whether a VM has yet to be maintained by the wave that may start stops.
+pub(super) fn is_due(view: &StepView<'_>, vm: &VmRecord) -> bool {
+    let request = current(view).map(|(request, _)| request);
+    may_start(view) && request.is_some_and(|request| covers(request, vm))
+}
+
+fn covers(request: &WaveRequest, vm: &VmRecord) -> bool {
+    let chosen = request.pools.is_empty() || request.pools.contains(&vm.pool);
+    chosen && vm.maintained_ms < request.started_ms
+}
+
+/// Enters a wave that operators have started.
+pub(super) fn begin(view: &StepView<'_>, draft: &mut RecordDraft<'_>) {
+    let Some(request) = view.config.wave.as_ref().filter(|wave| wave.running) else {
+        return;
+    };
+    let known = draft.record.wave.as_ref();
+    if known.is_some_and(|wave| wave.id == request.id) || !draft.has_room() {
+        return;
+    }
+    draft.record.wave = Some(WaveProgress {
+        id: request.id.clone(),
+        ..WaveProgress::default()
+    });
+    let subject = format!("wave/{}", request.id);
+    let text = format!("dc={}", view.dc);
+    draft.audit(subject, "started", String::new(), "running".into(), text);
+}
+
+/// Counts a stop that begins.
+pub(super) fn count_started(draft: &mut RecordDraft<'_>) {
+    if let Some(wave) = &mut draft.record.wave {
+        wave.started += 1;
+    }
+}
+
+/// Counts a VM that is back.
+pub(super) fn count_returned(draft: &mut RecordDraft<'_>) {
+    if let Some(wave) = &mut draft.record.wave {
+        wave.returned += 1;
+    }
+}
+
+/// Counts a VM that did not come back, and stops the wave if there are too many.
+pub(super) fn count_failed(view: &StepView<'_>, draft: &mut RecordDraft<'_>) {
+    let Some(wave) = &mut draft.record.wave else {
+        return;
+    };
+    wave.failed += 1;
+    let share = view.config.maintenance.failure_stop_share;
+    let exceeded = f64::from(wave.failed) > share * f64::from(wave.started);
+    if !exceeded || wave.stopped.is_some() {
+        return;
+    }
+    let text = format!("{} of {} VMs did not return", wave.failed, wave.started);
+    wave.stopped = Some(text.clone());
+    let subject = format!("wave/{}", wave.id);
+    let reason = format!("dc={} text={text}", view.dc);
+    draft.audit(
+        subject,
+        "stopped",
+        "running".into(),
+        "stopped".into(),
+        reason,
+    );
+}
+
+/// Notes the end of a wave; VMs that are out of service otherwise are left out.
+pub(super) fn finish(view: &StepView<'_>, draft: &mut RecordDraft<'_>) {
+    let Some(request) = view.config.wave.as_ref().filter(|wave| wave.running) else {
+        return;
+    };
+    let Some(wave) = &draft.record.wave else {
+        return;
+    };
+    let open = wave.id == request.id && wave.stopped.is_none() && !wave.ended;
+    let mut vms = draft.record.vms.values();
+    let left = vms.any(|vm| match &vm.state {
+        VmState::Draining(DrainPurpose::Maintain(_)) | VmState::Stopped(_) => true,
+        VmState::Serving | VmState::Draining(DrainPurpose::Move(_)) => covers(request, vm),
+        _ => false,
+    });
+    if !open || left || !draft.has_room() {
+        return;
+    }
+    let subject = format!("wave/{}", wave.id);
+    let reason = format!(
+        "dc={} text=started {} returned {} failed {}",
+        view.dc, wave.started, wave.returned, wave.failed
+    );
+    if let Some(wave) = &mut draft.record.wave {
+        wave.ended = true;
+    }
+    draft.audit(subject, "ended", "running".into(), "ended".into(), reason);
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod wire;
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use crate::audit::AuditOutbox;
@@ -33,6 +34,8 @@
     /// Operations on failed VMs that have not ended at the platform; such a VM
     /// does not serve before its operation has.
     pub unfinished: BTreeMap<VmName, OperationId>,
+    /// Configuration version that all entry VMs of the data centre have had in force.
+    pub config_version: u64,
     /// Progress of the wave in this data centre.
     pub wave: Option<WaveProgress>,
     /// Audit rows not yet moved to a segment.
@@ -79,6 +82,21 @@
     }
 }
 
+impl fmt::Display for VmState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Serving => "serving",
+            Self::Draining(DrainPurpose::Maintain(_)) => "draining_to_maintain",
+            Self::Draining(DrainPurpose::Move(_)) => "draining_to_move",
+            Self::Draining(DrainPurpose::Hold) => "draining_to_hold",
+            Self::Draining(DrainPurpose::Leave) => "draining_to_leave",
+            Self::Stopped(_) => "stopped",
+            Self::Failed => "failed",
+            Self::Held => "held",
+        })
+    }
+}
+
 /// What follows a drain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DrainPurpose {
@@ -105,6 +123,8 @@
     pub failed: u32,
     /// Why the wave stopped itself.
     pub stopped: Option<String>,
+    /// Whether all its VMs have had their maintenance.
+    pub ended: bool,
 }
 
 /// VMs of one pool that are out of service.
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -30,6 +30,8 @@
     pub vms: BTreeMap<String, VmWire>,
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub unfinished: BTreeMap<String, String>,
+    #[serde(default)]
+    pub config_version: u64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub wave: Option<WaveProgressWire>,
     #[serde(default)]
@@ -70,6 +72,8 @@
     pub failed: u32,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stopped: Option<String>,
+    #[serde(default)]
+    pub ended: bool,
 }
 
 /// JSON form of [`AuditOutbox`].
@@ -140,6 +144,7 @@
             unfinished: unfinished
                 .map(|(vm, operation)| (vm.to_string(), operation.to_string()))
                 .collect(),
+            config_version: record.config_version,
             wave: record.wave.as_ref().map(Into::into),
             outbox: (&record.outbox).into(),
         }
@@ -160,6 +165,7 @@
             sequence: wire.sequence,
             vms: vms.collect::<Result<_, NameError>>()?,
             unfinished: unfinished.collect::<Result<_, NameError>>()?,
+            config_version: wire.config_version,
             wave: wire.wave.map(Into::into),
             outbox: wire.outbox.into(),
         })
@@ -238,6 +244,7 @@
             returned: wave.returned,
             failed: wave.failed,
             stopped: wave.stopped.clone(),
+            ended: wave.ended,
         }
     }
 }
@@ -250,6 +257,7 @@
             returned: wire.returned,
             failed: wire.failed,
             stopped: wire.stopped,
+            ended: wire.ended,
         }
     }
 }
--- /dev/null
+++ b/src/service/fleet/controller.rs
@@ -0,0 +1,134 @@
+//! The controller's loop: it claims the record when the lease is taken and makes
+//! rounds until it is lost.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use super::ControllerReport;
+use super::ControllerTerm;
+use super::FleetError;
+use super::backoff::BackoffPause;
+use super::lease::HeldLease;
+use super::round::TermState;
+use super::round::TermTools;
+use crate::kernel::ServiceKernel;
+use crate::names::EntryName;
+use crate::peer::EntryAck;
+use crate::service::config::ConfigView;
+use crate::service::entry;
+use crate::service::entry::DispatchInbox;
+use crate::service::peers;
+use crate::service::peers::PeerView;
+
+/// Rounds that may follow one another at once while there is something to write.
+const MAX_ROUNDS_AT_ONCE: u32 = 8;
+
+/// What the controller publishes.
+pub(super) struct ControllerSenders {
+    pub term: watch::Sender<ControllerTerm>,
+    pub report: watch::Sender<Arc<ControllerReport>>,
+}
+
+/// Runs for ever.
+pub(super) async fn run(
+    kernel: &ServiceKernel,
+    tools: &TermTools<'_>,
+    mut config: ConfigView,
+    senders: &ControllerSenders,
+) {
+    let sync = tools.settings.control.sync;
+    let mut pause = BackoffPause::new(sync);
+    let mut lease = tools.lease.clone();
+    let mut term = None;
+    let mut at_once = 0;
+    loop {
+        let held = lease.borrow_and_update().clone();
+        let held = held.filter(|held| Instant::now() < held.until);
+        let Some(held) = held else {
+            term = None;
+            senders.publish(None, &term);
+            // The service that keeps the lease ends with the process.
+            let _ = lease.changed().await;
+            continue;
+        };
+        senders.publish(Some(&held), &term);
+        match round(kernel, tools, &mut config, senders, &held, &mut term).await {
+            Ok(wrote) => {
+                pause.reset();
+                at_once = if wrote { at_once + 1 } else { 0 };
+                if !wrote || at_once > MAX_ROUNDS_AT_ONCE {
+                    at_once = 0;
+                    tokio::select! {
+                        () = sleep(sync) => {}
+                        _ = config.changed() => {}
+                        _ = lease.changed() => {}
+                    }
+                }
+            }
+            Err(error) => {
+                log::warn!(event = "controller_round_failed", error:% = error; "");
+                if matches!(error, FleetError::Deposed { .. }) {
+                    term = None;
+                }
+                sleep(pause.next()).await;
+            }
+        }
+    }
+}
+
+impl ControllerSenders {
+    fn publish(&self, held: Option<&HeldLease>, term: &Option<TermState>) {
+        let current = ControllerTerm {
+            epoch: term.as_ref().map_or(0, TermState::epoch),
+            until: held.map(|held| held.until),
+        };
+        self.term.send_if_modified(|known| {
+            let changed = *known != current;
+            *known = current;
+            changed
+        });
+        if held.is_none() {
+            self.report.send_replace(Arc::default());
+        }
+    }
+}
+
+async fn round(
+    kernel: &ServiceKernel,
+    tools: &TermTools<'_>,
+    config: &mut ConfigView,
+    senders: &ControllerSenders,
+    held: &HeldLease,
+    term: &mut Option<TermState>,
+) -> Result<bool, FleetError> {
+    term.take_if(|term| term.lease != held.id);
+    let Some(state) = term else {
+        *term = Some(TermState::claim(tools, held).await?);
+        senders.publish(Some(held), term);
+        return Ok(true);
+    };
+    let config = config.borrow_and_update().clone();
+    let acks = member_acks(kernel, &tools.settings.name).await;
+    let result = state.round(tools, &config, acks.clone()).await;
+    let report = state.report(tools, &config, &acks);
+    senders.report.send_replace(Arc::new(report));
+    result
+}
+
+/// Returns the last acknowledgement of each member; its own is fresh.
+async fn member_acks(kernel: &ServiceKernel, own: &EntryName) -> BTreeMap<EntryName, EntryAck> {
+    let mut acks = BTreeMap::new();
+    if let Ok(peers) = kernel.find::<PeerView>(peers::NAME) {
+        let state = peers.borrow().clone();
+        let members = state.members.iter();
+        acks.extend(members.map(|(name, member)| (name.clone(), member.ack.clone())));
+    }
+    if let Ok(inbox) = kernel.find::<DispatchInbox>(entry::NAME) {
+        acks.extend(inbox.report().await.map(|ack| (own.clone(), ack)));
+    }
+    acks
+}
--- /dev/null
+++ b/src/service/fleet/follow.rs
@@ -0,0 +1,89 @@
+//! Following the fleet record: from pushes, or by a watch at the platform.
+
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::FleetMessage;
+use super::backoff::BackoffPause;
+use super::store::decode_record;
+use super::store::fleet_key;
+use crate::fleet::FleetRecord;
+use crate::platform::KeyValue;
+use crate::platform::PlatformClient;
+use crate::settings::DaemonSettings;
+
+/// Sender of the record in force.
+pub(super) type RecordSender = watch::Sender<Option<Arc<FleetRecord>>>;
+
+/// Takes offered records and keeps the watch while it is on.
+pub(super) async fn run(
+    settings: &DaemonSettings,
+    client: &PlatformClient,
+    sender: &RecordSender,
+    mut messages: mpsc::Receiver<FleetMessage>,
+) {
+    let mut watching = true;
+    let mut watch = std::pin::pin!(watch_record(settings, client, sender));
+    loop {
+        let message = tokio::select! {
+            message = messages.recv() => message,
+            () = watch.as_mut(), if watching => return,
+        };
+        match message {
+            Some(FleetMessage::Offer(record)) => take(sender, record),
+            Some(FleetMessage::Watch(on)) => {
+                if on != watching {
+                    // Ends the waiting call, or lets the next one read at once.
+                    watch.set(watch_record(settings, client, sender));
+                }
+                watching = on;
+            }
+            // The kernel holds a sender as long as the process lives.
+            None => return,
+        }
+    }
+}
+
+async fn watch_record(settings: &DaemonSettings, client: &PlatformClient, sender: &RecordSender) {
+    let key = fleet_key(&settings.dc);
+    let mut pause = BackoffPause::new(settings.control.sync);
+    let mut index = 0;
+    loop {
+        match client.watch(&key, index).await {
+            Ok(answer) => {
+                pause.reset();
+                index = answer.index;
+                if let Some(value) = answer.value {
+                    publish(sender, &value);
+                }
+            }
+            Err(error) => {
+                log::warn!(event = "fleet_watch_failed", error:% = error; "");
+                sleep(pause.next()).await;
+            }
+        }
+    }
+}
+
+fn publish(sender: &RecordSender, value: &KeyValue) {
+    match decode_record(value) {
+        Ok(record) => take(sender, Arc::new(record)),
+        Err(error) => log::error!(event = "fleet_record_unreadable", error:% = error; ""),
+    }
+}
+
+/// Puts a record in force if it is newer than the one that is.
+pub(super) fn take(sender: &RecordSender, record: Arc<FleetRecord>) {
+    sender.send_if_modified(|current| {
+        let known = current.as_ref().map_or(0, |current| current.sequence);
+        let newer = record.sequence > known;
+        if newer {
+            log::info!(event = "fleet_in_force", sequence = record.sequence; "");
+            *current = Some(record);
+        }
+        newer
+    });
+}
--- /dev/null
+++ b/src/service/fleet/lease.rs
@@ -0,0 +1,144 @@
+//! Lease of the controller.
+//!
+//! An entry VM without the lease waits with one watch on its key and bids for it
+//! when the key is gone. The holder renews at a third of the time to live. The
+//! lease counts as held until its time to live has passed since the last
+//! successful renewal was *sent*, by the monotonic clock, so a process that was
+//! paused sees by itself that it may have lost it.
+
+use std::time::Duration;
+
+use snafu::ResultExt;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use super::FleetError;
+use super::PlatformSnafu;
+use crate::kernel::ShutdownPhase;
+use crate::kernel::reached;
+use crate::platform::PlatformClient;
+use crate::service::fleet::backoff::BackoffPause;
+use crate::settings::DaemonSettings;
+
+/// Renewals in one time to live.
+const RENEWALS: u32 = 3;
+
+/// A lease that is held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct HeldLease {
+    pub id: String,
+    /// When it lapses unless it is renewed.
+    pub until: Instant,
+}
+
+/// View of the lease; none while another entry VM holds it.
+pub(super) type LeaseView = watch::Receiver<Option<HeldLease>>;
+
+/// Bids for the lease and keeps it until the shutdown is announced.
+pub(super) async fn run(
+    settings: &DaemonSettings,
+    client: &PlatformClient,
+    sender: &watch::Sender<Option<HeldLease>>,
+    mut phase: watch::Receiver<ShutdownPhase>,
+) {
+    tokio::select! {
+        () = keep(settings, client, sender) => {}
+        () = reached(&mut phase, ShutdownPhase::Announced) => {}
+    }
+    // The successor need not wait for the lease to lapse.
+    let held = sender.send_replace(None);
+    if let Some(lease) = held
+        && let Err(error) = client.destroy_lease(&lease.id).await
+    {
+        log::warn!(event = "lease_release_failed", error:% = error; "");
+    }
+    std::future::pending::<()>().await;
+}
+
+async fn keep(
+    settings: &DaemonSettings,
+    client: &PlatformClient,
+    sender: &watch::Sender<Option<HeldLease>>,
+) {
+    let mut pause = BackoffPause::new(settings.control.sync);
+    let mut index = 0;
+    loop {
+        let held = sender.borrow().clone();
+        let result = match held {
+            Some(lease) => renew(settings, client, sender, &lease).await,
+            None => bid(settings, client, sender, &mut index).await,
+        };
+        match result {
+            Ok(wait) => {
+                pause.reset();
+                sleep(wait).await;
+            }
+            Err(error) => {
+                log::warn!(event = "lease_call_failed", error:% = error; "");
+                drop_lapsed(sender);
+                sleep(pause.next()).await;
+            }
+        }
+    }
+}
+
+/// Renews the lease and returns the time until the next renewal.
+async fn renew(
+    settings: &DaemonSettings,
+    client: &PlatformClient,
+    sender: &watch::Sender<Option<HeldLease>>,
+    lease: &HeldLease,
+) -> Result<Duration, FleetError> {
+    let ttl = settings.control.lease_ttl;
+    let sent = Instant::now();
+    let renewed = client.renew_lease(&lease.id).await;
+    if renewed.context(PlatformSnafu)? {
+        let id = lease.id.clone();
+        let until = sent + ttl;
+        sender.send_replace(Some(HeldLease { id, until }));
+        return Ok(ttl / RENEWALS);
+    }
+    log::warn!(event = "controller_deposed", entry:% = settings.name; "");
+    sender.send_replace(None);
+    Ok(Duration::ZERO)
+}
+
+fn drop_lapsed(sender: &watch::Sender<Option<HeldLease>>) {
+    let now = Instant::now();
+    sender.send_if_modified(|held| held.take_if(|lease| lease.until <= now).is_some());
+}
+
+/// Waits until nobody holds the lease and takes it.
+async fn bid(
+    settings: &DaemonSettings,
+    client: &PlatformClient,
+    sender: &watch::Sender<Option<HeldLease>>,
+    index: &mut u64,
+) -> Result<Duration, FleetError> {
+    let key = format!("controller/{}", settings.dc);
+    let answer = client.watch(&key, *index).await.context(PlatformSnafu)?;
+    *index = answer.index;
+    if answer.value.is_some() {
+        return Ok(Duration::ZERO);
+    }
+    let ttl = settings.control.lease_ttl;
+    let sent = Instant::now();
+    let id = client.create_lease(settings.name.as_str(), ttl).await;
+    let id = id.context(PlatformSnafu)?;
+    let value = settings.name.as_str().as_bytes().to_vec();
+    // A lost answer is met by the same lease: to acquire it again succeeds.
+    let mut acquired = client.acquire(&key, &id, value.clone()).await;
+    if acquired.is_err() {
+        acquired = client.acquire(&key, &id, value).await;
+    }
+    if acquired.context(PlatformSnafu)? {
+        log::info!(event = "controller_elected", entry:% = settings.name; "");
+        let until = sent + ttl;
+        sender.send_replace(Some(HeldLease { id, until }));
+        return Ok(ttl / RENEWALS);
+    }
+    *index = 0;
+    client.destroy_lease(&id).await.context(PlatformSnafu)?;
+    Ok(settings.control.sync)
+}
--- /dev/null
+++ b/src/service/fleet/operations.rs
@@ -0,0 +1,48 @@
+//! Calls that concern VMs: operations at the platform and probes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::names::OperationId;
+use crate::names::VmName;
+use crate::platform::OperationKind;
+use crate::platform::OperationState;
+use crate::platform::PlatformClient;
+use crate::platform::PlatformError;
+
+/// Starts an operation or asks for its state; none if the platform refuses it,
+/// as it does for a VM that it does not know.
+pub(super) async fn operate(
+    client: &PlatformClient,
+    vm: &VmName,
+    operation: &OperationId,
+    kind: OperationKind,
+) -> Result<Option<OperationState>, PlatformError> {
+    match client.operate(vm, operation, kind).await {
+        Ok(state) => Ok(Some(state)),
+        Err(error @ PlatformError::Refused { .. }) => {
+            log::warn!(event = "operation_refused", vm:% = vm, operation:% = operation, error:% = error; "");
+            Ok(None)
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Probes VMs by connecting to them, all at once.
+pub(super) async fn probe_all(
+    vms: Vec<(VmName, SocketAddr)>,
+    limit: Duration,
+) -> Vec<(VmName, bool)> {
+    let mut probes = JoinSet::new();
+    for (vm, address) in vms {
+        probes.spawn(async move {
+            let connected = timeout(limit, TcpStream::connect(address)).await;
+            (vm, matches!(connected, Ok(Ok(_))))
+        });
+    }
+    probes.join_all().await
+}
--- /dev/null
+++ b/src/service/fleet/round.rs
@@ -0,0 +1,392 @@
+//! One term of the controller and its rounds.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snafu::ResultExt;
+use tokio::time::Instant;
+
+use super::AuditSnafu;
+use super::ControllerReport;
+use super::DeposedSnafu;
+use super::FleetError;
+use super::PlatformSnafu;
+use super::follow::RecordSender;
+use super::follow::take;
+use super::lease::HeldLease;
+use super::lease::LeaseView;
+use super::operations;
+use super::store;
+use super::store::StoredLedgers;
+use super::store::StoredRecord;
+use crate::config::VersionedConfig;
+use crate::decide::controller::ControllerAction;
+use crate::decide::controller::ControllerState;
+use crate::decide::controller::StepView;
+use crate::decide::controller::WriteEnd;
+use crate::fleet::EntryRoster;
+use crate::fleet::VmState;
+use crate::names::DcName;
+use crate::names::EntryName;
+use crate::names::OperationId;
+use crate::names::VmName;
+use crate::peer::EntryAck;
+use crate::platform::ListedVm;
+use crate::platform::OperationKind;
+use crate::platform::PlatformClient;
+use crate::service::audit;
+use crate::service::unix_ms;
+use crate::settings::DaemonSettings;
+
+/// Rows in the outbox that are moved without waiting for the period.
+const FULL_OUTBOX_ROWS: usize = 64;
+/// Periods of the list in which every VM is probed once.
+const SWEEP_PERIODS: u32 = 6;
+/// Most VMs probed in one round in their turn.
+const SWEEP_PROBES: usize = 32;
+/// Leases' times to live after which an unrefreshed roster counts as unseen.
+const UNSEEN_TTLS: u64 = 3;
+
+/// What the rounds of a term use.
+pub(super) struct TermTools<'a> {
+    pub settings: &'a DaemonSettings,
+    pub client: &'a PlatformClient,
+    pub lease: &'a LeaseView,
+    pub records: &'a RecordSender,
+}
+
+/// A term: from the claim in the record until the lease is lost.
+pub(super) struct TermState {
+    pub lease: String,
+    nonce: u64,
+    stored: StoredRecord,
+    ledgers: StoredLedgers,
+    state: ControllerState,
+    listed: BTreeMap<VmName, ListedVm>,
+    roster: EntryRoster,
+    /// VMs of data centres that do not refresh their roster.
+    unseen: BTreeMap<DcName, BTreeSet<VmName>>,
+    moved_rows: u64,
+    record_stale: bool,
+    ledgers_stale: bool,
+    listed_at: Option<Instant>,
+    audited_at: Option<Instant>,
+    probed_at: BTreeMap<VmName, Instant>,
+    polled_at: BTreeMap<OperationId, Instant>,
+}
+
+impl TermState {
+    /// Claims the record for a new term before anything else is done in it.
+    ///
+    /// The write changes the revision, so whatever a former controller may still
+    /// write to the record fails.
+    pub async fn claim(tools: &TermTools<'_>, lease: &HeldLease) -> Result<Self, FleetError> {
+        let dc = &tools.settings.dc;
+        let before = store::read_record(tools.client, dc).await?;
+        let mut record = before.record;
+        record.epoch += 1;
+        record.sequence += 1;
+        record.nonce = rand::random();
+        store::write_record(tools.client, dc, before.revision, &record).await?;
+        // Also tells whether a write without an answer took effect.
+        let stored = store::read_record(tools.client, dc).await?;
+        snafu::ensure!(
+            stored.record.nonce == record.nonce && stored.record.epoch == record.epoch,
+            DeposedSnafu {
+                epoch: record.epoch
+            }
+        );
+        log::info!(event = "controller_claimed", epoch = record.epoch; "");
+        take(tools.records, Arc::new(stored.record.clone()));
+        Ok(Self {
+            lease: lease.id.clone(),
+            nonce: record.nonce,
+            stored,
+            ledgers: StoredLedgers::default(),
+            state: ControllerState::default(),
+            listed: BTreeMap::new(),
+            roster: EntryRoster::default(),
+            unseen: BTreeMap::new(),
+            moved_rows: 0,
+            record_stale: false,
+            ledgers_stale: true,
+            listed_at: None,
+            audited_at: None,
+            probed_at: BTreeMap::new(),
+            polled_at: BTreeMap::new(),
+        })
+    }
+
+    /// Returns the fencing number of the term.
+    pub fn epoch(&self) -> u64 {
+        self.stored.record.epoch
+    }
+
+    /// Makes one round; tells whether anything was written.
+    pub async fn round(
+        &mut self,
+        tools: &TermTools<'_>,
+        config: &VersionedConfig,
+        mut acks: BTreeMap<EntryName, EntryAck>,
+    ) -> Result<bool, FleetError> {
+        self.refresh_record(tools).await?;
+        self.refresh_lists(tools).await?;
+        self.move_audit(tools).await?;
+        for entry in self.roster.entries.keys() {
+            // An entry VM that the peers do not know counts as silent.
+            acks.entry(entry.clone()).or_default();
+        }
+        self.refresh_ledgers(tools, config, &acks).await?;
+        self.probe(tools, config, &acks).await;
+        let actions = self.with_view(tools, config, &acks, ControllerState::step);
+        self.carry_out(tools, actions).await
+    }
+
+    /// Returns what the term waits for.
+    pub fn report(
+        &mut self,
+        tools: &TermTools<'_>,
+        config: &VersionedConfig,
+        acks: &BTreeMap<EntryName, EntryAck>,
+    ) -> ControllerReport {
+        self.with_view(tools, config, acks, |state, view| {
+            let postponed = state.postponed().iter();
+            ControllerReport {
+                draining: state.waiting(view),
+                postponed: postponed
+                    .map(|(vm, stop)| (vm.clone(), stop.entries.clone()))
+                    .collect(),
+            }
+        })
+    }
+
+    fn with_view<T>(
+        &mut self,
+        tools: &TermTools<'_>,
+        config: &VersionedConfig,
+        acks: &BTreeMap<EntryName, EntryAck>,
+        decide: impl FnOnce(&mut ControllerState, &StepView<'_>) -> T,
+    ) -> T {
+        let unseen = self.unseen.values().flatten().cloned().collect();
+        let view = StepView {
+            dc: &tools.settings.dc,
+            author: &tools.settings.name,
+            config: &config.config,
+            config_version: config.version,
+            fleet: &self.stored.record,
+            ledgers: &self.ledgers.ledgers,
+            listed: &self.listed,
+            acks,
+            unseen: &unseen,
+            moved_rows: self.moved_rows,
+            now_ms: unix_ms(),
+        };
+        decide(&mut self.state, &view)
+    }
+
+    async fn refresh_record(&mut self, tools: &TermTools<'_>) -> Result<(), FleetError> {
+        if !self.record_stale {
+            return Ok(());
+        }
+        let epoch = self.epoch();
+        let stored = store::read_record(tools.client, &tools.settings.dc).await?;
+        let own = stored.record.nonce == self.nonce;
+        snafu::ensure!(own, DeposedSnafu { epoch });
+        take(tools.records, Arc::new(stored.record.clone()));
+        self.stored = stored;
+        self.record_stale = false;
+        Ok(())
+    }
+
+    /// Reads the list of VMs and the rosters once a period.
+    async fn refresh_lists(&mut self, tools: &TermTools<'_>) -> Result<(), FleetError> {
+        let period = tools.settings.control.list;
+        if self.listed_at.is_some_and(|at| at.elapsed() < period) {
+            return Ok(());
+        }
+        let listed = tools.client.list_vms(&tools.settings.dc).await;
+        let listed = listed.context(PlatformSnafu)?.into_iter();
+        self.listed = listed.map(|vm| (vm.name.clone(), vm)).collect();
+        self.state
+            .observe_list(&self.stored.record.vms, &self.listed);
+        let mut rosters = store::read_rosters(tools.client).await?;
+        self.roster = rosters.remove(&tools.settings.dc).unwrap_or_default();
+        self.find_unseen(tools, &rosters).await?;
+        self.listed_at = Some(Instant::now());
+        Ok(())
+    }
+
+    async fn find_unseen(
+        &mut self,
+        tools: &TermTools<'_>,
+        rosters: &BTreeMap<DcName, EntryRoster>,
+    ) -> Result<(), FleetError> {
+        let limit_ms = tools.settings.control.lease_ttl.as_millis() as u64 * UNSEEN_TTLS;
+        let oldest_ms = unix_ms().saturating_sub(limit_ms);
+        let stale = rosters
+            .iter()
+            .filter(|(_, roster)| roster.refreshed_ms < oldest_ms);
+        let stale: BTreeSet<_> = stale.map(|(dc, _)| dc).collect();
+        self.unseen.retain(|dc, _| stale.contains(dc));
+        for dc in stale {
+            if !self.unseen.contains_key(dc) {
+                log::warn!(event = "dc_unseen", dc:% = dc; "");
+                let vms = store::read_vms(tools.client, dc).await?;
+                self.unseen.insert(dc.clone(), vms);
+            }
+        }
+        Ok(())
+    }
+
+    async fn refresh_ledgers(
+        &mut self,
+        tools: &TermTools<'_>,
+        config: &VersionedConfig,
+        acks: &BTreeMap<EntryName, EntryAck>,
+    ) -> Result<(), FleetError> {
+        let wants = |state: &mut ControllerState, view: &StepView<'_>| state.wants_ledgers(view);
+        if self.ledgers_stale || self.with_view(tools, config, acks, wants) {
+            self.ledgers = store::read_ledgers(tools.client).await?;
+            self.ledgers_stale = false;
+        }
+        Ok(())
+    }
+
+    /// Moves audit rows out once a period, or sooner if there are many.
+    async fn move_audit(&mut self, tools: &TermTools<'_>) -> Result<(), FleetError> {
+        let rows = &mut self.stored.record.outbox.rows;
+        let period = tools.settings.control.list;
+        let recent = self.audited_at.is_some_and(|at| at.elapsed() < period);
+        let last = rows.back().map_or(0, |row| row.sequence);
+        if last <= self.moved_rows || recent && rows.len() < FULL_OUTBOX_ROWS {
+            return Ok(());
+        }
+        let rows = rows.make_contiguous();
+        let moved = audit::move_rows(tools.client, &tools.settings.dc, rows).await;
+        self.moved_rows = moved.context(AuditSnafu)?;
+        self.audited_at = Some(Instant::now());
+        Ok(())
+    }
+
+    /// Probes the VMs under suspicion, and the others in their turn.
+    async fn probe(
+        &mut self,
+        tools: &TermTools<'_>,
+        config: &VersionedConfig,
+        acks: &BTreeMap<EntryName, EntryAck>,
+    ) {
+        let now = Instant::now();
+        let control = &tools.settings.control;
+        let sweep = control.list * SWEEP_PERIODS;
+        let is_due = |vm: &VmName, period: Duration| {
+            let at = self.probed_at.get(vm);
+            at.is_none_or(|at| now.duration_since(*at) >= period)
+        };
+        let vms = self.stored.record.vms.iter();
+        let in_use = vms.filter(|(vm, record)| {
+            let used = matches!(record.state, VmState::Serving | VmState::Draining(_));
+            used && is_due(vm, sweep)
+        });
+        let mut chosen: BTreeSet<_> = in_use
+            .take(SWEEP_PROBES)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        let suspects = self.with_view(tools, config, acks, |state, view| state.suspects(view));
+        let at_of = |vm: &VmName| self.probed_at.get(vm);
+        chosen.extend(
+            suspects
+                .into_iter()
+                .filter(|vm| at_of(vm).is_none_or(|at| now.duration_since(*at) >= control.sync)),
+        );
+        let vms = &self.stored.record.vms;
+        let targets = chosen
+            .iter()
+            .filter_map(|vm| Some((vm.clone(), vms.get(vm)?.address)));
+        let limit = tools.settings.limits.connect_limit;
+        for (vm, answered) in operations::probe_all(targets.collect(), limit).await {
+            self.state.observe_probe(&vm, answered);
+            self.probed_at.insert(vm, now);
+        }
+        self.probed_at.retain(|vm, _| vms.contains_key(vm));
+    }
+
+    async fn carry_out(
+        &mut self,
+        tools: &TermTools<'_>,
+        actions: Vec<ControllerAction>,
+    ) -> Result<bool, FleetError> {
+        let mut wrote = false;
+        for action in actions {
+            self.check_lease(tools)?;
+            match action {
+                ControllerAction::WriteLedger { pool, ledger } => {
+                    self.ledgers_stale = true;
+                    let end = store::write_ledger(tools.client, &self.ledgers, &pool, &ledger);
+                    self.state.observe_ledger(&pool, end.await?);
+                    wrote = true;
+                }
+                ControllerAction::WriteFleet(record) => {
+                    self.record_stale = true;
+                    let (dc, revision) = (&tools.settings.dc, self.stored.revision);
+                    let end = store::write_record(tools.client, dc, revision, &record).await?;
+                    log_write(&record, end);
+                    wrote = true;
+                }
+                ControllerAction::Operate {
+                    vm,
+                    operation,
+                    kind,
+                } => self.operate(tools, &vm, &operation, kind).await?,
+            }
+        }
+        Ok(wrote)
+    }
+
+    /// Fails once the lease may have lapsed, by the time of this process.
+    fn check_lease(&self, tools: &TermTools<'_>) -> Result<(), FleetError> {
+        let lease = tools.lease.borrow();
+        let now = Instant::now();
+        let held = lease
+            .as_ref()
+            .is_some_and(|lease| lease.id == self.lease && now < lease.until);
+        let epoch = self.epoch();
+        snafu::ensure!(held, DeposedSnafu { epoch });
+        Ok(())
+    }
+
+    async fn operate(
+        &mut self,
+        tools: &TermTools<'_>,
+        vm: &VmName,
+        operation: &OperationId,
+        kind: OperationKind,
+    ) -> Result<(), FleetError> {
+        let period = tools.settings.control.list;
+        let polled = self.polled_at.get(operation);
+        if polled.is_some_and(|at| at.elapsed() < period) {
+            return Ok(());
+        }
+        let state = operations::operate(tools.client, vm, operation, kind).await;
+        if let Some(state) = state.context(PlatformSnafu)? {
+            self.state.observe_operation(operation, state);
+        }
+        self.polled_at
+            .retain(|_, at| at.elapsed() < period * SWEEP_PERIODS);
+        self.polled_at.insert(operation.clone(), Instant::now());
+        Ok(())
+    }
+}
+
+fn log_write(record: &crate::fleet::FleetRecord, end: WriteEnd) {
+    let outcome = match end {
+        WriteEnd::Written => "written",
+        WriteEnd::Overtaken => "overtaken",
+        WriteEnd::Unclear => "unclear",
+    };
+    log::info!(
+        event = "fleet_write", epoch = record.epoch, sequence = record.sequence,
+        outcome = outcome; ""
+    );
+}
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -27,6 +27,7 @@
 use crate::server;
 use crate::server::RunningServer;
 use crate::server::ServerAnswer;
+use crate::server::ServerGate;
 use crate::server::WholeRequest;
 
 /// Header by which a caller sets the service time, in microseconds.
@@ -107,6 +108,7 @@
     record: Mutex<BackendRecord>,
     rebooting: Mutex<bool>,
     resets: watch::Sender<u64>,
+    open: watch::Sender<bool>,
 }
 
 /// A backend server that runs until it is dropped.
@@ -125,16 +127,21 @@
 pub async fn start(settings: BackendSettings) -> io::Result<RunningBackend> {
     let listen = settings.listen;
     let resets = watch::Sender::new(0);
-    let view = resets.subscribe();
+    let open = watch::Sender::new(true);
+    let gate = ServerGate {
+        resets: resets.subscribe(),
+        open: open.subscribe(),
+    };
     let state = Arc::new(BackendState {
         settings,
         faults: Mutex::default(),
         record: Mutex::default(),
         rebooting: Mutex::new(false),
         resets,
+        open,
     });
     let shared = state.clone();
-    let server = server::start(listen, view, move |request| handle(shared.clone(), request));
+    let server = server::start(listen, gate, move |request| handle(shared.clone(), request));
     let server = server.await?;
     register(&state.settings, server.address).await?;
     Ok(RunningBackend { server, state })
@@ -303,10 +310,12 @@
     tokio::spawn(async move {
         // The answer to the reboot call goes out before its connection is dropped.
         sleep(Duration::from_millis(5)).await;
+        state.open.send_replace(false);
         state.resets.send_modify(|resets| *resets += 1);
         if let Some(time) = time {
             sleep(time).await;
             *lock(&state.rebooting) = false;
+            state.open.send_replace(true);
         }
     });
 }
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -22,6 +22,7 @@
 use crate::server;
 use crate::server::RunningServer;
 use crate::server::ServerAnswer;
+use crate::server::ServerGate;
 use crate::server::WholeRequest;
 
 use kv::KvState;
@@ -57,6 +58,7 @@
     faults: Mutex<PlatformFaults>,
     counts: Mutex<CallCounts>,
     changes: watch::Sender<u64>,
+    open: watch::Sender<bool>,
 }
 
 /// A platform that runs until it is dropped.
@@ -84,12 +86,14 @@
         faults: Mutex::default(),
         counts: Mutex::default(),
         changes: watch::Sender::new(0),
+        open: watch::Sender::new(true),
     });
     let shared = state.clone();
-    let resets = watch::Sender::new(0).subscribe();
-    let server = server::start(listen, resets, move |request| {
-        handle(shared.clone(), request)
-    });
+    let gate = ServerGate {
+        resets: watch::Sender::new(0).subscribe(),
+        open: state.open.subscribe(),
+    };
+    let server = server::start(listen, gate, move |request| handle(shared.clone(), request));
     let server = server.await?;
     Ok(RunningPlatform { server, state })
 }
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -45,14 +46,22 @@
     }
 }
 
-/// Starts a server; each change of `resets` drops all its connections.
+/// What a server's owner does to it from outside.
+pub struct ServerGate {
+    /// Each change drops all connections.
+    pub resets: watch::Receiver<u64>,
+    /// Whether connections are accepted; the socket is closed while not.
+    pub open: watch::Receiver<bool>,
+}
+
+/// Starts a server.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be listened on.
 pub async fn start<H, F>(
     address: SocketAddr,
-    resets: watch::Receiver<u64>,
+    gate: ServerGate,
     handle: H,
 ) -> io::Result<RunningServer>
 where
@@ -63,8 +72,18 @@
     let address = listener.local_addr()?;
     let handle = Arc::new(handle);
     let task = tokio::spawn(async move {
+        let ServerGate { resets, mut open } = gate;
+        let mut listener = Some(listener);
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let stream = tokio::select! {
+                stream = accept(&mut listener, address) => stream,
+                () = becomes(&mut open, false) => {
+                    listener = None;
+                    becomes(&mut open, true).await;
+                    continue;
+                }
+            };
+            let Ok(stream) = stream else {
                 continue;
             };
             let _ = stream.set_nodelay(true);
@@ -86,6 +105,24 @@
     Ok(RunningServer { address, task })
 }
 
+/// Waits until the gate is open or closed.
+async fn becomes(open: &mut watch::Receiver<bool>, wanted: bool) {
+    // An owner that is gone changes nothing any more.
+    if open.wait_for(|open| *open == wanted).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Accepts a connection; a closed socket is bound again.
+async fn accept(listener: &mut Option<TcpListener>, address: SocketAddr) -> io::Result<TcpStream> {
+    let bound = match listener.take() {
+        Some(bound) => bound,
+        None => TcpListener::bind(address).await?,
+    };
+    let (stream, _) = listener.insert(bound).accept().await?;
+    Ok(stream)
+}
+
 async fn whole<H, F>(
     handle: Arc<H>,
     request: Request<hyper::body::Incoming>,
