--- a/src/decide/controller/changes.rs
+++ b/src/decide/controller/changes.rs
@@ -3,35 +3,29 @@
 use std::collections::BTreeMap;
 
 use super::ControllerState;
-use super::PostponedStop;
 use super::StepView;
 use super::draft::RecordDraft;
 use super::draft::VmChange;
-use super::draft::row_pool;
+use super::drains::excess_of;
 use super::home_of;
-use super::quiet::in_progress;
-use super::rows::budget_of;
-use super::rows::out_of_service;
 use super::wave;
 use crate::fleet::DrainPurpose;
-use crate::fleet::OutageCause;
 use crate::fleet::VmRecord;
 use crate::fleet::VmState;
-use crate::names::EntryName;
 use crate::names::OperationId;
 use crate::names::PoolName;
 use crate::names::VmName;
 use crate::platform::OperationState;
 
 /// Milliseconds of a second.
-const SECOND_MS: u64 = 1000;
+pub(super) const SECOND_MS: u64 = 1000;
 
 /// What holds for all VMs in one step.
-struct StepFacts {
+pub(super) struct StepFacts {
     /// VMs that are unreachable or gone, with the reason.
-    lost: BTreeMap<VmName, &'static str>,
+    pub lost: BTreeMap<VmName, &'static str>,
     /// By how many VMs each pool is over its budget.
-    excess: BTreeMap<PoolName, usize>,
+    pub excess: BTreeMap<PoolName, usize>,
 }
 
 impl ControllerState {
@@ -103,13 +97,14 @@
         let after = change.next.as_ref().map(|vm| &vm.state);
         match (&before.state, after) {
             (VmState::Draining(_), Some(VmState::Stopped(_))) => wave::count_started(draft),
-            (VmState::Stopped(_), Some(VmState::Serving)) => wave::count_returned(draft),
+            (VmState::Stopped(_), Some(VmState::Serving)) => wave::count_returned(draft, before),
             (VmState::Stopped(operation), Some(VmState::Failed)) => {
+                // The platform may still begin it, for this controller or a former one.
                 if !self.has_ended(operation) {
                     let unfinished = &mut draft.record.unfinished;
                     unfinished.insert(change.vm.clone(), operation.clone());
                 }
-                wave::count_failed(view, draft);
+                wave::count_failed(view, draft, before);
             }
             (_, None) => {
                 draft.record.unfinished.remove(&change.vm);
@@ -151,79 +146,6 @@
         })
     }
 
-    fn follow_drain(
-        &mut self,
-        view: &StepView<'_>,
-        facts: &mut StepFacts,
-        name: &VmName,
-        vm: &VmRecord,
-        purpose: &DrainPurpose,
-    ) -> Option<VmChange> {
-        let quiet = self.is_quiet(view, name);
-        if *purpose == DrainPurpose::Leave {
-            return self.follow_leave(view, quiet, name, vm);
-        }
-        if let Some(reason) = facts.lost.get(name) {
-            return Some(enter(view, name, vm, VmState::Failed, *reason));
-        }
-        if is_leaving(view, name) {
-            let leave = VmState::Draining(DrainPurpose::Leave);
-            return Some(enter(view, name, vm, leave, "listed as leaving"));
-        }
-        if let Some(reason) = cancel_reason(view, facts, name, vm, purpose) {
-            return Some(enter(view, name, vm, VmState::Serving, reason));
-        }
-        if quiet {
-            return end_drain(view, name, vm, purpose);
-        }
-        self.postpone(view, name, vm, purpose)
-    }
-
-    fn follow_leave(
-        &self,
-        view: &StepView<'_>,
-        quiet: bool,
-        name: &VmName,
-        vm: &VmRecord,
-    ) -> Option<VmChange> {
-        let home = home_of(view.config, name);
-        if home.is_some() && !is_leaving(view, name) && view.listed.contains_key(name) {
-            return Some(enter(view, name, vm, VmState::Serving, "no longer leaving"));
-        }
-        if home.is_none() && (quiet || self.is_gone(name)) {
-            return Some(VmChange {
-                in_progress: Some(in_progress(view, name)),
-                ..removal(name, "in no pool")
-            });
-        }
-        let gone = self.is_gone(name);
-        gone.then(|| enter(view, name, vm, VmState::Failed, "gone"))
-    }
-
-    /// Puts a VM back into service whose drain takes too long.
-    fn postpone(
-        &mut self,
-        view: &StepView<'_>,
-        name: &VmName,
-        vm: &VmRecord,
-        purpose: &DrainPurpose,
-    ) -> Option<VmChange> {
-        let limit_ms = view.config.maintenance.drain_limit_s * SECOND_MS;
-        let late = view.now_ms >= vm.since_ms + limit_ms;
-        if !late || *purpose == DrainPurpose::Hold {
-            return None;
-        }
-        let entries = self.blockers(view, name);
-        let names: Vec<_> = entries.iter().map(EntryName::as_str).collect();
-        let text = format!("postponed, in use by {}", names.join(","));
-        let stop = PostponedStop {
-            until_ms: view.now_ms + limit_ms.max(SECOND_MS),
-            entries,
-        };
-        self.postponed.insert(name.clone(), stop);
-        Some(enter(view, name, vm, VmState::Serving, text))
-    }
-
     fn follow_stop(
         &self,
         view: &StepView<'_>,
@@ -234,9 +156,6 @@
         let state = self.operations.get(operation);
         let limit_ms = view.config.maintenance.return_limit_s * SECOND_MS;
         let late = view.now_ms >= vm.since_ms + limit_ms;
-        // Before the platform has the operation, a former controller's call could
-        // still begin it.
-        let known = state.is_some() || self.is_gone(name);
         let back = self.answers(name) && view.listed.contains_key(name);
         let change = match state {
             Some(OperationState::Done) if back => VmChange {
@@ -249,7 +168,7 @@
             Some(OperationState::Failed) => {
                 enter(view, name, vm, VmState::Failed, "operation failed")
             }
-            _ if late && known => enter(view, name, vm, VmState::Failed, "not back in time"),
+            _ if late => enter(view, name, vm, VmState::Failed, "not back in time"),
             _ => return None,
         };
         Some(VmChange {
@@ -288,82 +207,11 @@
     (!held).then(|| enter(view, name, vm, VmState::Serving, "hold ended"))
 }
 
-fn end_drain(
-    view: &StepView<'_>,
-    name: &VmName,
-    vm: &VmRecord,
-    purpose: &DrainPurpose,
-) -> Option<VmChange> {
-    let change = match purpose {
-        DrainPurpose::Maintain(operation) => {
-            // The row may have been lost; it is entered again before the stop.
-            let row = view.ledgers.get(&vm.pool)?.rows.get(name)?;
-            if row.cause != OutageCause::Planned(operation.clone()) {
-                return None;
-            }
-            let stopped = VmState::Stopped(operation.clone());
-            VmChange {
-                operation: Some(operation.clone()),
-                ..enter(view, name, vm, stopped, "")
-            }
-        }
-        DrainPurpose::Move(pool) => VmChange {
-            next: Some(VmRecord {
-                pool: pool.clone(),
-                ..entered(view, vm, VmState::Serving)
-            }),
-            ..enter(view, name, vm, VmState::Serving, "moved")
-        },
-        DrainPurpose::Hold => enter(view, name, vm, VmState::Held, ""),
-        DrainPurpose::Leave => return None,
-    };
-    Some(VmChange {
-        in_progress: Some(in_progress(view, name)),
-        ..change
-    })
-}
-
-/// Tells why a drain is to be given up; none if it goes on.
-fn cancel_reason(
-    view: &StepView<'_>,
-    facts: &mut StepFacts,
-    name: &VmName,
-    vm: &VmRecord,
-    purpose: &DrainPurpose,
-) -> Option<&'static str> {
-    let over_budget = |facts: &mut StepFacts| {
-        let excess = row_pool(vm).and_then(|pool| facts.excess.get_mut(pool));
-        let excess = excess.filter(|excess| **excess > 0);
-        excess.map(|excess| {
-            *excess -= 1;
-            "over budget"
-        })
-    };
-    match purpose {
-        DrainPurpose::Maintain(_) if !wave::is_due(view, vm) => Some("wave not running"),
-        DrainPurpose::Maintain(_) => over_budget(facts),
-        DrainPurpose::Move(pool) if home_of(view.config, name) != Some(pool) => {
-            Some("move called off")
-        }
-        DrainPurpose::Move(_) => over_budget(facts),
-        DrainPurpose::Hold if !view.config.drains.contains_key(name) => Some("hold ended"),
-        DrainPurpose::Hold | DrainPurpose::Leave => None,
-    }
-}
-
-fn excess_of(view: &StepView<'_>) -> BTreeMap<PoolName, usize> {
-    let excess = view.ledgers.iter().map(|(pool, ledger)| {
-        let out = out_of_service(view, pool, ledger);
-        (pool.clone(), out.saturating_sub(budget_of(view, pool)))
-    });
-    excess.collect()
-}
-
-fn is_leaving(view: &StepView<'_>, vm: &VmName) -> bool {
+pub(super) fn is_leaving(view: &StepView<'_>, vm: &VmName) -> bool {
     view.listed.get(vm).is_some_and(|listed| listed.leaving)
 }
 
-fn entered(view: &StepView<'_>, vm: &VmRecord, state: VmState) -> VmRecord {
+pub(super) fn entered(view: &StepView<'_>, vm: &VmRecord, state: VmState) -> VmRecord {
     VmRecord {
         state,
         since_ms: view.now_ms.max(vm.since_ms + 1),
@@ -371,7 +219,7 @@
     }
 }
 
-fn enter(
+pub(super) fn enter(
     view: &StepView<'_>,
     name: &VmName,
     vm: &VmRecord,
@@ -391,7 +239,7 @@
     }
 }
 
-fn removal(name: &VmName, text: &str) -> VmChange {
+pub(super) fn removal(name: &VmName, text: &str) -> VmChange {
     VmChange {
         vm: name.clone(),
         next: None,
--- a/src/decide/controller/mod.rs
+++ b/src/decide/controller/mod.rs
@@ -17,14 +17,16 @@
 //! had not begun are removed.
 //!
 //! A paused former controller cannot do harm. Its writes to the record fail,
-//! because taking over changes the record. A row that it wrote and did not use is
-//! not used by its successor, so no write that it may still make to a ledger
-//! takes away a row that a stop depends on. It calls the platform only with the
-//! operation that the record names, and a VM leaves `Stopped` only when the
-//! platform has that operation.
+//! because taking over changes the record. Each reading of the ledgers is followed
+//! by a reading of the record, so it never decides on rows of its successor; and a
+//! row that it wrote and did not use is not used by the successor. So no write that
+//! it may still make to a ledger takes away a row that a stop depends on. It calls the platform only with the
+//! operation that the record names, and a VM serves again only when that
+//! operation has ended there.
 
 mod changes;
 mod draft;
+mod drains;
 mod observe;
 mod quiet;
 mod rows;
--- a/src/decide/controller/wave.rs
+++ b/src/decide/controller/wave.rs
@@ -42,6 +42,7 @@
     }
     draft.record.wave = Some(WaveProgress {
         id: request.id.clone(),
+        since_ms: view.now_ms,
         ..WaveProgress::default()
     });
     let subject = format!("wave/{}", request.id);
@@ -56,16 +57,23 @@
     }
 }
 
-/// Counts a VM that is back.
-pub(super) fn count_returned(draft: &mut RecordDraft<'_>) {
-    if let Some(wave) = &mut draft.record.wave {
+/// Returns the wave that a stopped VM belongs to, if that is the present one.
+fn wave_of<'a>(draft: &'a mut RecordDraft<'_>, vm: &VmRecord) -> Option<&'a mut WaveProgress> {
+    let wave = draft.record.wave.as_mut();
+    wave.filter(|wave| vm.since_ms >= wave.since_ms)
+}
+
+/// Counts a stopped VM that is back.
+pub(super) fn count_returned(draft: &mut RecordDraft<'_>, vm: &VmRecord) {
+    if let Some(wave) = wave_of(draft, vm) {
         wave.returned += 1;
     }
 }
 
-/// Counts a VM that did not come back, and stops the wave if there are too many.
-pub(super) fn count_failed(view: &StepView<'_>, draft: &mut RecordDraft<'_>) {
-    let Some(wave) = &mut draft.record.wave else {
+/// Counts a stopped VM that did not come back, and stops the wave if there are
+/// too many.
+pub(super) fn count_failed(view: &StepView<'_>, draft: &mut RecordDraft<'_>, vm: &VmRecord) {
+    let Some(wave) = wave_of(draft, vm) else {
         return;
     };
     wave.failed += 1;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -115,6 +115,8 @@
 pub struct WaveProgress {
     /// Identifier from the operator's request.
     pub id: String,
+    /// When it was entered here, in milliseconds since the Unix epoch.
+    pub since_ms: u64,
     /// Planned stops started.
     pub started: u32,
     /// VMs back in service.
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -67,6 +67,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WaveProgressWire {
     pub id: String,
+    #[serde(default)]
+    pub since_ms: u64,
     pub started: u32,
     pub returned: u32,
     pub failed: u32,
@@ -240,6 +242,7 @@
     fn from(wave: &WaveProgress) -> Self {
         Self {
             id: wave.id.clone(),
+            since_ms: wave.since_ms,
             started: wave.started,
             returned: wave.returned,
             failed: wave.failed,
@@ -253,6 +256,7 @@
     fn from(wire: WaveProgressWire) -> Self {
         Self {
             id: wire.id,
+            since_ms: wire.since_ms,
             started: wire.started,
             returned: wire.returned,
             failed: wire.failed,
--- a/src/service/fleet/round.rs
+++ b/src/service/fleet/round.rs
@@ -190,6 +190,7 @@
         if !self.record_stale {
             return Ok(());
         }
+        // The nonce also tells whether another controller has claimed the record.
         let epoch = self.epoch();
         let stored = store::read_record(tools.client, &tools.settings.dc).await?;
         let own = stored.record.nonce == self.nonce;
@@ -250,6 +251,10 @@
         if self.ledgers_stale || self.with_view(tools, config, acks, wants) {
             self.ledgers = store::read_ledgers(tools.client).await?;
             self.ledgers_stale = false;
+            // A record that is still of this term tells that no successor had
+            // written rows when the ledgers were read.
+            self.record_stale = true;
+            self.refresh_record(tools).await?;
         }
         Ok(())
     }
--- a/tests/controller_wave.rs
+++ b/tests/controller_wave.rs
@@ -103,6 +103,7 @@
     let records = support::records(&backends);
     let summary = call::compare(&loaded, &records);
     assert!(records.iter().all(|record| record.reboots == 1));
+    println!("{summary}");
     assert!(!summary.is_broken(), "{summary}");
     all_serving(&platform).await;
 }
