--- a/src/bin/chicory/cmd/mod.rs
+++ b/src/bin/chicory/cmd/mod.rs
@@ -1,18 +1,27 @@
 //! Command line of the operators; one module a subcommand.
 
+mod audit;
 mod config;
+mod drain;
 mod patch;
+mod report;
 mod status;
+mod vms;
+mod wave;
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
 
 use crate::entry::EntryError;
+use crate::submission::PatchTerms;
 
 /// Drives a fleet through the control interface of any of its entry VMs.
+///
+/// Exit status: 0 done, 1 not reached or bad usage, 2 refused, 3 conflict with
+/// another patch, 4 not known whether a patch is accepted, 5 a condition of the
+/// report did not hold.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub struct OperatorCommand {
@@ -21,6 +30,9 @@
     entry: SocketAddr,
     /// Print JSON instead of a table.
     json: bool,
+    /// Operator's name for the audit trail; that of the login if absent.
+    #[bpaf(argument("NAME"), optional)]
+    author: Option<String>,
     #[bpaf(external)]
     action: Action,
 }
@@ -29,40 +41,60 @@
 enum Action {
     /// Submit a JSON merge patch against a version of the configuration.
     #[bpaf(command)]
-    Patch {
-        /// Version that the patch was made against.
-        #[bpaf(argument("N"))]
-        base: u64,
+    Patch(#[bpaf(external(patch::patch_options))] patch::PatchOptions),
+    /// Show the configuration or its versions.
+    #[bpaf(command)]
+    Config(#[bpaf(external(config::config_action))] config::ConfigAction),
+    /// Show the entry VMs, the versions in force and the state of the platform.
+    #[bpaf(command)]
+    Status,
+    /// Show the VMs of the entry VM's data centre.
+    #[bpaf(command)]
+    Vms,
+    /// Hold a VM out of service.
+    #[bpaf(command)]
+    Drain {
         /// Why, for the audit trail.
         #[bpaf(argument("TEXT"))]
         reason: String,
-        /// Operator's name; that of the login if absent.
-        #[bpaf(argument("NAME"), optional)]
-        author: Option<String>,
-        /// File with the patch.
-        #[bpaf(positional("FILE"))]
-        file: PathBuf,
+        /// VM.
+        #[bpaf(positional("VM"))]
+        vm: String,
     },
-    /// Show the configuration in force.
+    /// Let a held VM serve again.
     #[bpaf(command)]
-    Config,
-    /// Show the state of the entry VM.
+    Undrain {
+        /// Why, for the audit trail.
+        #[bpaf(argument("TEXT"), fallback("undrain".to_owned()))]
+        reason: String,
+        /// VM.
+        #[bpaf(positional("VM"))]
+        vm: String,
+    },
+    /// Start, follow or stop a maintenance wave.
     #[bpaf(command)]
-    Status,
+    Wave(#[bpaf(external(wave::wave_action))] wave::WaveAction),
+    /// List the audit rows of all data centres.
+    #[bpaf(command)]
+    Audit(#[bpaf(external(report::span_options))] report::SpanOptions),
+    /// Report whether each condition held.
+    #[bpaf(command)]
+    Report(#[bpaf(external(report::span_options))] report::SpanOptions),
 }
 
 impl OperatorCommand {
     /// Carries the command out.
     pub fn run(&self) -> ExitCode {
         let result = match &self.action {
-            Action::Patch {
-                base,
-                reason,
-                author,
-                file,
-            } => patch::run(self, *base, reason, author.as_deref(), file),
-            Action::Config => config::run(self),
+            Action::Patch(options) => patch::run(self, options),
+            Action::Config(action) => config::run(self, action),
             Action::Status => status::run(self),
+            Action::Vms => vms::run(self),
+            Action::Drain { reason, vm } => drain::run(self, vm, Some(reason), reason),
+            Action::Undrain { reason, vm } => drain::run(self, vm, None, reason),
+            Action::Wave(action) => wave::run(self, action),
+            Action::Audit(span) => audit::run(self, span),
+            Action::Report(span) => report::run(self, span),
         };
         match result {
             Ok(()) => ExitCode::SUCCESS,
@@ -72,13 +104,34 @@
             }
         }
     }
+
+    fn terms<'a>(&'a self, reason: &'a str) -> PatchTerms<'a> {
+        PatchTerms {
+            peer: self.entry,
+            author: self.author.as_deref(),
+            reason,
+        }
+    }
+
+    /// Tells of an accepted patch.
+    fn accepted(&self, version: u64) {
+        if self.json {
+            println!("{}", serde_json::json!({ "version": version }));
+        } else {
+            println!("version {version} accepted");
+        }
+    }
 }
 
-/// 1: not reached or unreadable, 2: refused, 3: conflict with another patch.
 fn exit_status(error: &EntryError) -> ExitCode {
     match error {
-        EntryError::Refused { status, .. } if status.as_u16() == 409 => ExitCode::from(3),
-        EntryError::Refused { .. } => ExitCode::from(2),
+        EntryError::Refused { body, .. } if body.current.is_some() => ExitCode::from(3),
+        EntryError::Refused {
+            status: 400..=499, ..
+        }
+        | EntryError::State { .. } => ExitCode::from(2),
+        EntryError::Unknown { .. } => ExitCode::from(4),
+        EntryError::NotHeld => ExitCode::from(5),
         _ => ExitCode::FAILURE,
     }
 }
--- a/src/bin/chicory/cmd/patch.rs
+++ b/src/bin/chicory/cmd/patch.rs
@@ -1,43 +1,44 @@
 //! `chicory patch`: submits a patch.
 
-use std::path::Path;
+use std::path::PathBuf;
 
-use chicorygauge::service::control::wire::PatchWire;
-use hyper::Method;
+use bpaf::Bpaf;
 use serde_json::Value;
 use snafu::ResultExt;
 
 use super::OperatorCommand;
 use crate::entry::EntryError;
 use crate::entry::ReadSnafu;
-use crate::entry::request;
+use crate::submission::new_patch_id;
+use crate::submission::submit;
 
-pub fn run(
-    command: &OperatorCommand,
+#[derive(Clone, Debug, Bpaf)]
+pub struct PatchOptions {
+    /// Version that the patch was made against.
+    #[bpaf(argument("N"))]
     base: u64,
-    reason: &str,
-    author: Option<&str>,
-    file: &Path,
-) -> Result<(), EntryError> {
+    /// Why, for the audit trail.
+    #[bpaf(argument("TEXT"))]
+    reason: String,
+    /// Identifier of an earlier submission of the same patch, to find out whether
+    /// that was accepted.
+    #[bpaf(argument("ID"), optional)]
+    patch_id: Option<String>,
+    /// File with the patch.
+    #[bpaf(positional("FILE"))]
+    file: PathBuf,
+}
+
+pub fn run(command: &OperatorCommand, options: &PatchOptions) -> Result<(), EntryError> {
+    let file = &options.file;
     let text = std::fs::read_to_string(file).context(ReadSnafu { file })?;
     let patch: Value = serde_json::from_str(&text).map_err(|error| EntryError::Read {
-        file: file.to_owned(),
+        file: file.clone(),
         source: error.into(),
     })?;
-    let login = std::env::var("USER").unwrap_or_else(|_| "operator".to_owned());
-    let wire = PatchWire {
-        base,
-        patch,
-        author: author.map_or(login, str::to_owned),
-        reason: reason.to_owned(),
-        patch_id: format!("{:032x}", rand::random::<u128>()),
-    };
-    let body = serde_json::to_value(wire).unwrap_or_default();
-    let answer = request(command.entry, Method::POST, "/v1/config/patch", Some(&body))?;
-    if command.json {
-        println!("{answer}");
-    } else {
-        println!("version {} accepted", answer["version"]);
-    }
+    let patch_id = options.patch_id.clone().unwrap_or_else(new_patch_id);
+    let terms = command.terms(&options.reason);
+    let version = submit(terms, options.base, &patch, &patch_id)?;
+    command.accepted(version);
     Ok(())
 }
--- a/src/bin/chicory/main.rs
+++ b/src/bin/chicory/main.rs
@@ -2,6 +2,8 @@
 
 mod cmd;
 mod entry;
+mod submission;
+mod table;
 
 use std::process::ExitCode;
 
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use snafu::ResultExt;
 use snafu::Snafu;
+use snafu::ensure;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::config::FleetConfig;
@@ -17,6 +18,9 @@
 /// Largest document, in bytes of JSON; the platform holds values up to 1 MB.
 pub const MAX_DOCUMENT_BYTES: usize = 900_000;
 
+/// Most faults that an error spells out.
+const MAX_SHOWN_FAULTS: usize = 32;
+
 /// A document that is not a valid configuration.
 #[derive(Debug, Snafu)]
 pub enum DocumentError {
@@ -26,6 +30,9 @@
         /// Where and what.
         source: serde_json::Error,
     },
+    /// The JSON is not an object.
+    #[snafu(display("not a configuration: accepted is a JSON object"))]
+    NotObject,
     /// Values or references are not accepted.
     #[snafu(display("{}", join_faults(faults)))]
     Faults {
@@ -41,8 +48,13 @@
 }
 
 fn join_faults(faults: &[ConfigFault]) -> String {
-    let faults = faults.iter().map(ToString::to_string);
-    faults.collect::<Vec<_>>().join("; ")
+    let shown = faults.iter().take(MAX_SHOWN_FAULTS);
+    let mut shown: Vec<_> = shown.map(ToString::to_string).collect();
+    if faults.len() > MAX_SHOWN_FAULTS {
+        let more = faults.len() - MAX_SHOWN_FAULTS;
+        shown.push(format!("and {more} more"));
+    }
+    shown.join("; ")
 }
 
 /// A version of the configuration with its document and its checked form.
@@ -79,6 +91,8 @@
     ///
     /// Fails if the document is not a valid configuration.
     pub fn new(version: ConfigVersion, document: Value) -> Result<Self, DocumentError> {
+        // A list would be read as the values of a configuration in their order.
+        ensure!(document.is_object(), NotObjectSnafu);
         let bytes = document.to_string().len();
         if bytes > MAX_DOCUMENT_BYTES {
             return TooLargeSnafu { bytes }.fail();
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -6,7 +6,9 @@
 
 pub mod document;
 pub mod head;
+pub mod patch;
 pub mod store;
+pub mod submit;
 pub mod validate;
 pub mod wire;
 
--- /dev/null
+++ b/src/config/patch.rs
@@ -0,0 +1,133 @@
+//! Patches: their bounds, and the fields that two of them both touch.
+
+use serde_json::Value;
+use snafu::Snafu;
+use snafu::ensure;
+
+use crate::config::ConfigVersion;
+
+/// Largest patch, in bytes of JSON; the platform holds values up to 1 MB.
+pub const MAX_PATCH_BYTES: usize = 900_000;
+/// Deepest nesting of a patch.
+pub const MAX_PATCH_DEPTH: usize = 16;
+/// Longest name of an operator, in bytes.
+pub const MAX_AUTHOR_BYTES: usize = 128;
+/// Longest reason, in bytes.
+pub const MAX_REASON_BYTES: usize = 2048;
+/// Longest identifier of a patch, in bytes.
+pub const MAX_PATCH_ID_BYTES: usize = 64;
+/// Most fields that a conflict names.
+pub const MAX_CONFLICT_FIELDS: usize = 32;
+
+/// A patch as an operator submits it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PatchRequest {
+    /// Version that it was made against.
+    pub base: ConfigVersion,
+    /// JSON merge patch (RFC 7396).
+    pub patch: Value,
+    /// Operator.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// Random identifier.
+    pub patch_id: String,
+}
+
+/// A submission that is refused before it is looked at.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{field}: {accepted}"))]
+pub struct RequestError {
+    field: &'static str,
+    accepted: String,
+}
+
+impl PatchRequest {
+    /// Checks the bounds of a submission.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the field and what is accepted.
+    pub fn check(&self) -> Result<(), RequestError> {
+        check_text("author", &self.author, MAX_AUTHOR_BYTES)?;
+        check_text("reason", &self.reason, MAX_REASON_BYTES)?;
+        check_text("patch_id", &self.patch_id, MAX_PATCH_ID_BYTES)?;
+        ensure!(
+            self.patch.is_object(),
+            RequestSnafu {
+                field: "patch",
+                accepted: "accepted is a JSON object",
+            }
+        );
+        ensure!(
+            is_flatter(&self.patch, MAX_PATCH_DEPTH),
+            RequestSnafu {
+                field: "patch",
+                accepted: format!("accepted are {MAX_PATCH_DEPTH} levels of nesting"),
+            }
+        );
+        let bytes = self.patch.to_string().len();
+        ensure!(
+            bytes <= MAX_PATCH_BYTES,
+            RequestSnafu {
+                field: "patch",
+                accepted: format!("{bytes} bytes, accepted are {MAX_PATCH_BYTES}"),
+            }
+        );
+        Ok(())
+    }
+}
+
+fn check_text(field: &'static str, text: &str, most: usize) -> Result<(), RequestError> {
+    let plain = !text.chars().any(char::is_control);
+    ensure!(
+        plain && (1..=most).contains(&text.len()),
+        RequestSnafu {
+            field,
+            accepted: format!("accepted are 1 to {most} bytes without control characters"),
+        }
+    );
+    Ok(())
+}
+
+fn is_flatter(value: &Value, levels: usize) -> bool {
+    match value {
+        Value::Object(map) => levels > 0 && map.values().all(|v| is_flatter(v, levels - 1)),
+        Value::Array(list) => levels > 0 && list.iter().all(|v| is_flatter(v, levels - 1)),
+        _ => true,
+    }
+}
+
+/// Returns the fields that two merge patches both touch, at most
+/// [`MAX_CONFLICT_FIELDS`] of them.
+#[must_use]
+pub fn common_fields(one: &Value, other: &Value) -> Vec<String> {
+    let mut fields = Vec::new();
+    collect_common(one, other, "", &mut fields);
+    fields.truncate(MAX_CONFLICT_FIELDS);
+    fields
+}
+
+fn collect_common(one: &Value, other: &Value, path: &str, fields: &mut Vec<String>) {
+    if let (Value::Object(one), Value::Object(other)) = (one, other) {
+        let nested = path.is_empty() || !one.is_empty() && !other.is_empty();
+        if nested {
+            for (key, value) in one {
+                if let Some(against) = other.get(key) {
+                    let path = join(path, key);
+                    collect_common(value, against, &path, fields);
+                }
+            }
+            return;
+        }
+    }
+    fields.push(path.to_owned());
+}
+
+fn join(path: &str, key: &str) -> String {
+    if path.is_empty() {
+        key.to_owned()
+    } else {
+        format!("{path}.{key}")
+    }
+}
--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -1,23 +1,31 @@
-//! Reading versions from the platform and submitting patches to it.
+//! Reading versions from the platform.
 
-use serde_json::Value;
+use serde::de::DeserializeOwned;
 use snafu::OptionExt;
 use snafu::ResultExt;
 use snafu::Snafu;
+use snafu::ensure;
 
 use crate::config::ConfigVersion;
 use crate::config::VersionedConfig;
 use crate::config::document::DocumentError;
+use crate::config::head::ArchiveWire;
 use crate::config::head::HEAD_KEY;
 use crate::config::head::HeadWire;
+use crate::config::head::LOG_SLOTS;
 use crate::config::head::SNAPSHOT_EVERY;
+use crate::config::head::SnapshotWire;
+use crate::config::head::TermsWire;
+use crate::config::head::VersionWire;
+use crate::config::head::archive_key;
 use crate::config::head::log_key;
 use crate::config::head::snapshot_key;
-use crate::platform::PlatformClient;
 use crate::platform::PlatformError;
+use crate::platform::repeat::RepeatClient;
 
-/// A version that could not be read or a patch that was not accepted.
+/// A version that could not be read.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum StoreError {
     /// The platform gave no usable answer.
     #[snafu(display("{source}"))]
@@ -33,11 +41,11 @@
         /// Cause.
         source: serde_json::Error,
     },
-    /// A version is missing from the history.
-    #[snafu(display("step=read key={key}: not there"))]
+    /// A version is not in the history: it is too old, or not there yet.
+    #[snafu(display("step=read version={version}: not in the history"))]
     Missing {
-        /// Key that was looked for.
-        key: String,
+        /// The version.
+        version: ConfigVersion,
     },
     /// The document of a version has another digest than its head states.
     #[snafu(display("step=digest version={version}: documents differ"))]
@@ -45,35 +53,30 @@
         /// The version.
         version: ConfigVersion,
     },
-    /// The document would not be a valid configuration.
+    /// The platform is at an older version than the one in force here: it was
+    /// made anew or restored from an old copy.
+    #[snafu(display("step=compare version={version} in_force={in_force}: platform is behind"))]
+    Behind {
+        /// Version at the platform.
+        version: ConfigVersion,
+        /// Version in force.
+        in_force: ConfigVersion,
+    },
+    /// A version in the history is not a valid configuration.
     #[snafu(display("step=validate {source}"))]
     Invalid {
         /// Faults.
         source: DocumentError,
     },
-    /// The patch was made against another version.
-    #[snafu(display("step=submit base={base} current={current}: versions differ"))]
-    Conflict {
-        /// Version that the patch was made against.
-        base: ConfigVersion,
-        /// Current version.
-        current: ConfigVersion,
-    },
 }
 
-/// A patch as an operator submits it.
+/// The current version as the platform has it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct PatchRequest {
-    /// Version that it was made against.
-    pub base: ConfigVersion,
-    /// JSON merge patch (RFC 7396).
-    pub patch: Value,
-    /// Operator.
-    pub author: String,
-    /// Why.
-    pub reason: String,
-    /// Random identifier.
-    pub patch_id: String,
+pub struct StoredHead {
+    /// The accepted patch.
+    pub head: HeadWire,
+    /// Revision of the key.
+    pub revision: u64,
 }
 
 /// Brings `known` up to the version of `head`.
@@ -82,44 +85,48 @@
 ///
 /// Fails if the history is not readable or does not fit the head.
 pub async fn follow(
-    client: &PlatformClient,
+    client: RepeatClient<'_>,
     known: &VersionedConfig,
     head: &HeadWire,
 ) -> Result<VersionedConfig, StoreError> {
     let gap = head.version.saturating_sub(known.version);
-    let mut current = if gap <= SNAPSHOT_EVERY {
+    let mut current = if gap <= SNAPSHOT_EVERY || head.snapshot <= known.version {
         known.clone()
     } else {
         read_snapshot(client, head.snapshot).await?
     };
     while current.version + 1 < head.version {
-        let key = log_key(current.version + 1);
-        let entry: HeadWire = read_json(client, &key).await?;
-        current = current.patched(&entry.patch).context(InvalidSnafu)?;
+        let entry = read_entry(client, current.version + 1).await?;
+        current = apply(&current, &entry)?;
     }
     if current.version < head.version {
-        current = current.patched(&head.patch).context(InvalidSnafu)?;
+        current = apply(&current, head)?;
     }
     let version = head.version;
-    snafu::ensure!(current.digest() == head.digest, DigestSnafu { version });
+    ensure!(current.digest() == head.digest, DigestSnafu { version });
     Ok(current)
 }
 
-/// Reads the current version.
+fn apply(current: &VersionedConfig, entry: &HeadWire) -> Result<VersionedConfig, StoreError> {
+    let version = entry.version;
+    let next = current.patched(&entry.patch).context(InvalidSnafu)?;
+    ensure!(next.digest() == entry.digest, DigestSnafu { version });
+    Ok(next)
+}
+
+/// Reads the current head; none before the first patch.
 ///
 /// # Errors
 ///
-/// Fails if the platform does not answer or the history is not readable.
-pub async fn read_current(
-    client: &PlatformClient,
-    known: &VersionedConfig,
-) -> Result<(VersionedConfig, Option<HeadWire>, u64), StoreError> {
+/// Fails if the platform gives no usable answer.
+pub async fn read_head(client: RepeatClient<'_>) -> Result<Option<StoredHead>, StoreError> {
     let Some(value) = client.get(HEAD_KEY).await.context(PlatformSnafu)? else {
-        return Ok((VersionedConfig::default(), None, 0));
+        return Ok(None);
     };
-    let head = decode_head(&value.value)?;
-    let current = follow(client, known, &head).await?;
-    Ok((current, Some(head), value.revision))
+    Ok(Some(StoredHead {
+        head: decode_head(&value.value)?,
+        revision: value.revision,
+    }))
 }
 
 /// Decodes the value of the head.
@@ -128,115 +135,168 @@
 ///
 /// Fails if the value is not a head.
 pub fn decode_head(value: &[u8]) -> Result<HeadWire, StoreError> {
-    serde_json::from_slice(value).context(DecodeSnafu { key: HEAD_KEY })
+    decode(HEAD_KEY, value)
 }
 
-/// Submits a patch and returns the version that it yields.
+/// Reads a past version from the log.
 ///
 /// # Errors
 ///
-/// Fails if the patch is not accepted, or if it is not known whether it is.
-pub async fn submit(
-    client: &PlatformClient,
-    known: &VersionedConfig,
-    request: &PatchRequest,
-    now_ms: u64,
-) -> Result<VersionedConfig, StoreError> {
-    let (current, head, revision) = read_current(client, known).await?;
-    if current.version != request.base {
-        return ConflictSnafu {
-            base: request.base,
-            current: current.version,
-        }
-        .fail();
-    }
-    let next = current.patched(&request.patch).context(InvalidSnafu)?;
-    let snapshot = keep_history(client, &current, head.as_ref()).await?;
-    let next_head = HeadWire {
-        version: next.version,
-        patch: request.patch.clone(),
-        patch_id: request.patch_id.clone(),
-        author: request.author.clone(),
-        reason: request.reason.clone(),
-        time_ms: now_ms,
-        digest: next.digest(),
-        snapshot,
-    };
-    let value = serde_json::to_vec(&next_head).context(DecodeSnafu { key: HEAD_KEY })?;
-    let written = client.compare_and_swap(HEAD_KEY, revision, value).await;
-    match written {
-        Ok(true) => Ok(next),
-        Err(error @ PlatformError::Refused { .. }) => Err(error).context(PlatformSnafu),
-        // The write may have taken effect, or an earlier attempt of it has.
-        Ok(false) | Err(_) => settle(client, request, next).await,
+/// Fails if the version is no longer or not yet in the log.
+pub async fn read_entry(
+    client: RepeatClient<'_>,
+    version: ConfigVersion,
+) -> Result<HeadWire, StoreError> {
+    let key = log_key(version);
+    let entry: Option<HeadWire> = read(client, &key).await?;
+    let entry = entry.filter(|entry| entry.version == version);
+    entry.context(MissingSnafu { version })
+}
+
+/// Reads the entry of a version, which may be the head.
+///
+/// # Errors
+///
+/// Fails as [`read_entry`] does.
+pub async fn read_accepted(
+    client: RepeatClient<'_>,
+    head: &HeadWire,
+    version: ConfigVersion,
+) -> Result<HeadWire, StoreError> {
+    if version == head.version {
+        return Ok(head.clone());
     }
+    read_entry(client, version).await
 }
 
-/// Finds out whether a patch was accepted after a write without a clear answer.
-async fn settle(
-    client: &PlatformClient,
-    request: &PatchRequest,
-    next: VersionedConfig,
+async fn read_snapshot(
+    client: RepeatClient<'_>,
+    version: ConfigVersion,
 ) -> Result<VersionedConfig, StoreError> {
-    let head: HeadWire = read_json(client, HEAD_KEY).await?;
-    let entry = if head.version > next.version {
-        read_json(client, &log_key(next.version)).await?
-    } else {
-        head.clone()
-    };
-    if entry.patch_id == request.patch_id {
-        return Ok(next);
-    }
-    ConflictSnafu {
-        base: request.base,
-        current: head.version,
+    if version == 0 {
+        return Ok(VersionedConfig::default());
     }
-    .fail()
+    let snapshot: Option<SnapshotWire> = read(client, &snapshot_key(version)).await?;
+    let snapshot = snapshot.filter(|snapshot| snapshot.version == version);
+    let snapshot = snapshot.context(MissingSnafu { version })?;
+    VersionedConfig::new(version, snapshot.document).context(InvalidSnafu)
 }
 
-/// Copies the head to the log and keeps a snapshot when one is due.
-async fn keep_history(
-    client: &PlatformClient,
-    current: &VersionedConfig,
-    head: Option<&HeadWire>,
-) -> Result<ConfigVersion, StoreError> {
-    let Some(head) = head else {
-        return Ok(0);
-    };
-    let key = log_key(head.version);
-    let value = serde_json::to_vec(head).context(DecodeSnafu { key: &key })?;
-    create(client, &key, value).await?;
-    if head.version < head.snapshot + SNAPSHOT_EVERY {
-        return Ok(head.snapshot);
+/// Rebuilds a version from its snapshot and the log.
+///
+/// # Errors
+///
+/// Fails if the history does not reach back to it or has no such version.
+pub async fn read_version(
+    client: RepeatClient<'_>,
+    version: ConfigVersion,
+) -> Result<VersionedConfig, StoreError> {
+    let head = read_head(client).await?.context(MissingSnafu { version })?;
+    let head = head.head;
+    ensure!(version <= head.version, MissingSnafu { version });
+    // The snapshot of the last 64 versions may not be there yet.
+    let snapshot = (version / SNAPSHOT_EVERY * SNAPSHOT_EVERY).min(head.snapshot);
+    let mut current = read_snapshot(client, snapshot).await?;
+    while current.version < version {
+        let entry = read_accepted(client, &head, current.version + 1).await?;
+        current = apply(&current, &entry)?;
     }
-    let key = snapshot_key(current.version);
-    let value = serde_json::to_vec(&current.document).context(DecodeSnafu { key: &key })?;
-    create(client, &key, value).await?;
-    Ok(current.version)
+    Ok(current)
 }
 
-/// Creates a key; one that is there already has the same value.
-async fn create(client: &PlatformClient, key: &str, value: Vec<u8>) -> Result<(), StoreError> {
-    let created = client.compare_and_swap(key, 0, value).await;
-    created.map(drop).context(PlatformSnafu)
+/// Accepted versions without their patches.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VersionHistory {
+    /// Versions, oldest first.
+    pub versions: Vec<VersionWire>,
+    /// Chain of the version before the first; empty for version 1.
+    pub chain: String,
+    /// Terms of the version before the first; none for version 1.
+    pub terms: Option<TermsWire>,
 }
 
-async fn read_snapshot(
-    client: &PlatformClient,
-    version: ConfigVersion,
-) -> Result<VersionedConfig, StoreError> {
-    if version == 0 {
-        return Ok(VersionedConfig::default());
+/// Reads the latest versions, oldest first, at most `most`.
+///
+/// # Errors
+///
+/// Fails if the history is not readable.
+pub async fn read_latest(
+    client: RepeatClient<'_>,
+    most: usize,
+) -> Result<Vec<VersionWire>, StoreError> {
+    let wanted = |versions: &[VersionWire]| versions.len() < most;
+    let mut versions = read_back(client, wanted).await?.versions;
+    versions.drain(..versions.len().saturating_sub(most));
+    Ok(versions)
+}
+
+/// Reads all versions accepted since `from_ms`, and some before them.
+///
+/// # Errors
+///
+/// Fails if the history is not readable.
+pub async fn read_history(
+    client: RepeatClient<'_>,
+    from_ms: u64,
+) -> Result<VersionHistory, StoreError> {
+    let wanted = |versions: &[VersionWire]| {
+        let oldest = versions.last();
+        oldest.is_none_or(|oldest| oldest.time_ms >= from_ms)
+    };
+    read_back(client, wanted).await
+}
+
+/// Reads back to the latest snapshot, and from there archives while `wanted`,
+/// which sees the versions read so far, newest first.
+async fn read_back(
+    client: RepeatClient<'_>,
+    wanted: impl Fn(&[VersionWire]) -> bool,
+) -> Result<VersionHistory, StoreError> {
+    let Some(stored) = read_head(client).await? else {
+        return Ok(VersionHistory::default());
+    };
+    let head = stored.head;
+    let mut versions = Vec::new();
+    for version in (head.snapshot + 1..=head.version).rev() {
+        let entry = read_accepted(client, &head, version).await?;
+        versions.push(VersionWire::from(&entry));
+    }
+    let mut before = head.snapshot;
+    let mut end = None;
+    while before > 0 {
+        let archive: Option<ArchiveWire> = read(client, &archive_key(before)).await?;
+        let archive = archive.context(MissingSnafu { version: before })?;
+        if !wanted(&versions) {
+            end = Some(archive);
+            break;
+        }
+        before = before.saturating_sub(SNAPSHOT_EVERY);
+        versions.extend(archive.versions.into_iter().rev());
     }
-    let document = read_json(client, &snapshot_key(version)).await?;
-    VersionedConfig::new(version, document).context(InvalidSnafu)
+    versions.reverse();
+    let last = end.as_ref().and_then(|archive| archive.versions.last());
+    Ok(VersionHistory {
+        versions,
+        chain: last.map(|last| last.chain.clone()).unwrap_or_default(),
+        terms: end.map(|archive| archive.terms),
+    })
 }
 
-async fn read_json<T: serde::de::DeserializeOwned>(
-    client: &PlatformClient,
+/// Tells whether a version is still in the log.
+#[must_use]
+pub fn is_in_log(head: &HeadWire, version: ConfigVersion) -> bool {
+    version <= head.version && version + LOG_SLOTS > head.version
+}
+
+pub(super) async fn read<T: DeserializeOwned>(
+    client: RepeatClient<'_>,
     key: &str,
-) -> Result<T, StoreError> {
+) -> Result<Option<T>, StoreError> {
     let value = client.get(key).await.context(PlatformSnafu)?;
-    let value = value.context(MissingSnafu { key })?;
-    serde_json::from_slice(&value.value).context(DecodeSnafu { key })
+    let value = value.map(|value| decode(key, &value.value));
+    value.transpose()
+}
+
+fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(value).context(DecodeSnafu { key })
 }
--- a/src/config/validate.rs
+++ b/src/config/validate.rs
@@ -25,6 +25,7 @@
 use crate::config::wire::WeightsWire;
 use crate::config::wire::WindowWire;
 use crate::names::VmName;
+use crate::names::is_valid;
 
 /// Most pools of a configuration.
 pub const MAX_POOLS: usize = 1024;
@@ -34,6 +35,14 @@
 pub const MAX_SLOTS: u32 = 4096;
 /// Largest queue limit.
 pub const MAX_QUEUE_LIMIT: u32 = 65_536;
+/// Most windows of one pool.
+pub const MAX_WINDOWS: usize = 64;
+/// Most jobs of one pool.
+pub const MAX_JOBS: usize = 1024;
+/// Longest reason of a drain, in bytes.
+pub const MAX_DRAIN_REASON_BYTES: usize = 2048;
+/// Longest text of a fault, in characters.
+const MAX_FAULT_CHARS: usize = 256;
 /// Minutes of a day.
 const DAY_MINUTES: u16 = 24 * 60;
 
@@ -60,9 +69,10 @@
 
 impl FaultList {
     fn add(&mut self, path: impl Into<String>, problem: impl fmt::Display) {
+        let shorten = |text: String| text.chars().take(MAX_FAULT_CHARS).collect();
         self.faults.push(ConfigFault {
-            path: path.into(),
-            problem: problem.to_string(),
+            path: shorten(path.into()),
+            problem: shorten(problem.to_string()),
         });
     }
 
@@ -105,7 +115,11 @@
         }
         let mut drains = BTreeMap::new();
         for (vm, reason) in &wire.drains {
-            if let Some(vm) = faults.parse(&format!("drains.{vm}"), vm) {
+            let path = format!("drains.{vm}");
+            let most = MAX_DRAIN_REASON_BYTES;
+            let problem = format!("accepted is a reason of at most {most} bytes");
+            faults.check(reason.len() <= most, &path, problem);
+            if let Some(vm) = faults.parse(&path, vm) {
                 drains.insert(vm, reason.clone());
             }
         }
@@ -155,22 +169,24 @@
         format!("{path}.queue_limit"),
         format!("accepted is 1 to {MAX_QUEUE_LIMIT}"),
     );
+    faults.check(
+        wire.windows.len() <= MAX_WINDOWS,
+        format!("{path}.windows"),
+        format!("at most {MAX_WINDOWS} windows are accepted"),
+    );
     let windows = wire.windows.iter().enumerate().map(|(index, window)| {
         let path = format!("{path}.windows[{index}]");
         read_window(faults, &path, window)
     });
     let windows = windows.collect();
-    let jobs = wire.jobs.iter().map(|job| {
-        let path = format!("{path}.jobs.{}", job.name);
-        read_job(faults, &path, job)
-    });
+    let jobs = read_jobs(faults, &format!("{path}.jobs"), &wire.jobs);
     PoolConfig {
         budget: wire.budget,
         vms,
         windows,
         queue_limit: wire.queue_limit,
         slots: wire.slots,
-        jobs: jobs.collect(),
+        jobs,
     }
 }
 
@@ -197,6 +213,19 @@
     }
 }
 
+fn read_jobs(faults: &mut FaultList, path: &str, wires: &[JobWire]) -> Vec<JobConfig> {
+    let problem = format!("at most {MAX_JOBS} jobs are accepted");
+    faults.check(wires.len() <= MAX_JOBS, path, problem);
+    let mut names = BTreeSet::new();
+    let jobs = wires.iter().map(|job| {
+        let path = format!("{path}.{}", job.name);
+        faults.check(names.insert(&job.name), &path, "the job stands twice");
+        faults.check(is_valid(&job.name), &path, "accepted is a name");
+        read_job(faults, &path, job)
+    });
+    jobs.collect()
+}
+
 fn read_job(faults: &mut FaultList, path: &str, wire: &JobWire) -> JobConfig {
     faults.check(
         wire.tasks >= 1,
@@ -259,6 +288,8 @@
 }
 
 fn read_wave(faults: &mut FaultList, wire: &WaveWire) -> WaveRequest {
+    let problem = "accepted is a name";
+    faults.check(is_valid(&wire.id), "wave.id", problem);
     let pools = wire.pools.iter();
     let pools = pools.filter_map(|pool| faults.parse("wave.pools", pool));
     WaveRequest {
@@ -295,15 +326,48 @@
         "pools",
         format!("at most {MAX_VMS} VMs are accepted"),
     );
+    if let Some(pool) = &config.spare_pool {
+        let known = config.pools.contains_key(pool);
+        faults.check(known, "spare_pool", format!("there is no pool {pool}"));
+    }
+    check_drains(faults, config, &homes);
+    check_wave(faults, config);
+}
+
+/// Checks that every held VM is known and that a pool's budget bears its own.
+fn check_drains(faults: &mut FaultList, config: &FleetConfig, homes: &BTreeMap<&VmName, &str>) {
+    let mut held: BTreeMap<&str, u32> = BTreeMap::new();
     for vm in config.drains.keys() {
-        let known = homes.contains_key(vm);
-        faults.check(known, format!("drains.{vm}"), "no pool has this VM");
+        match homes.get(vm) {
+            Some(pool) => *held.entry(pool).or_default() += 1,
+            None => faults.add(
+                format!("drains.{vm}"),
+                "no pool has this VM; a drained VM stays in its pool until it is undrained",
+            ),
+        }
     }
-    let spare = config.spare_pool.iter().map(|pool| ("spare_pool", pool));
-    let wave = config.wave.iter().flat_map(|wave| &wave.pools);
-    for (path, pool) in spare.chain(wave.map(|pool| ("wave.pools", pool))) {
-        let known = config.pools.contains_key(pool);
-        faults.check(known, path, format!("there is no pool {pool}"));
+    for (pool, held) in held {
+        let budget = config.pools.get(pool).map_or(0, |pool| pool.budget);
+        faults.check(
+            held <= budget,
+            format!("pools.{pool}.budget"),
+            format!("{held} of its VMs are drained, the budget is {budget}"),
+        );
+    }
+}
+
+/// Checks that a running wave can reach the pools that it names.
+fn check_wave(faults: &mut FaultList, config: &FleetConfig) {
+    let running = config.wave.as_ref().filter(|wave| wave.running);
+    for pool in running.iter().flat_map(|wave| &wave.pools) {
+        match config.pools.get(pool) {
+            None => faults.add("wave.pools", format!("there is no pool {pool}")),
+            Some(settings) => faults.check(
+                settings.budget > 0,
+                "wave.pools",
+                format!("the budget of pool {pool} is 0, so none of its VMs can be stopped"),
+            ),
+        }
     }
 }
 
--- a/src/names.rs
+++ b/src/names.rs
@@ -21,7 +21,9 @@
     name: String,
 }
 
-fn is_valid(name: &str) -> bool {
+/// Tells whether a text follows the rules of the module.
+#[must_use]
+pub fn is_valid(name: &str) -> bool {
     (1..=MAX_NAME_BYTES).contains(&name.len())
         && name
             .bytes()
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -51,7 +51,7 @@
         Self {
             address: SocketAddr::from(([127, 0, 0, 1], 8500)),
             call_limit: Duration::from_secs(2),
-            watch_wait: Duration::from_secs(30),
+            watch_wait: Duration::from_secs(5),
         }
     }
 }
@@ -78,6 +78,12 @@
         Self { settings }
     }
 
+    /// Returns the address of the platform.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.settings.address
+    }
+
     /// Reads a key.
     ///
     /// # Errors
@@ -123,7 +129,7 @@
     /// # Errors
     ///
     /// Fails if the platform gives no usable answer; unless the error is
-    /// [`PlatformError::Refused`], the write may have taken effect.
+    /// [final](PlatformError::is_final), the write may have taken effect.
     pub async fn compare_and_swap(
         &self,
         key: &str,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,7 +4,9 @@
 //! Consul's KV store and sessions: `GET`, `PUT` and `DELETE` on `/v1/kv/<key>`
 //! with `cas`, `acquire`, `index`, `wait` and `recurse`. A lease is a session.
 
+pub mod backoff;
 pub mod client;
+pub mod repeat;
 pub mod wire;
 
 use std::net::SocketAddr;
@@ -30,7 +32,8 @@
         /// Cause.
         source: CallError,
     },
-    /// The platform answered with an error. A write has not taken effect.
+    /// The platform answered with an error. A write may have taken effect if the
+    /// status is 500 or more.
     #[snafu(display("step={step} peer={peer}: status {status}"))]
     Refused {
         /// What was asked.
@@ -52,6 +55,21 @@
     },
 }
 
+impl PlatformError {
+    /// Tells whether a write has certainly not taken effect and repeating the call
+    /// cannot help.
+    #[must_use]
+    pub fn is_final(&self) -> bool {
+        matches!(
+            self,
+            Self::Refused {
+                status: 400..=499,
+                ..
+            }
+        )
+    }
+}
+
 /// A value of the key-value service and the revision of its last change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyValue {
--- /dev/null
+++ b/src/platform/repeat.rs
@@ -0,0 +1,123 @@
+//! Idempotent calls to the platform, repeated until a deadline.
+
+use serde::Deserialize;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::platform::KeyValue;
+use crate::platform::MalformedSnafu;
+use crate::platform::PlatformClient;
+use crate::platform::PlatformError;
+use crate::platform::backoff::BackoffState;
+
+/// A client that repeats idempotent calls with backoff and jitter.
+#[derive(Clone, Copy, Debug)]
+pub struct RepeatClient<'a> {
+    /// Makes the calls.
+    pub client: &'a PlatformClient,
+    /// No call is repeated after this time.
+    pub deadline: Instant,
+}
+
+/// The part that all numbered values share.
+#[derive(Deserialize)]
+struct NumberedWire {
+    version: u64,
+}
+
+impl RepeatClient<'_> {
+    /// Reads a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the last error if no usable answer comes before the deadline.
+    pub async fn get(&self, key: &str) -> Result<Option<KeyValue>, PlatformError> {
+        let mut backoff = BackoffState::default();
+        loop {
+            match self.client.get(key).await {
+                Ok(value) => return Ok(value),
+                Err(error) => self.wait(error, &mut backoff).await?,
+            }
+        }
+    }
+
+    /// Reads all keys that start with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::get`] does.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<KeyValue>, PlatformError> {
+        let mut backoff = BackoffState::default();
+        loop {
+            match self.client.list(prefix).await {
+                Ok(values) => return Ok(values),
+                Err(error) => self.wait(error, &mut backoff).await?,
+            }
+        }
+    }
+
+    /// Writes a numbered value unless the key holds that number or a larger one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no usable answer before the deadline, or if
+    /// the key holds something that has no number.
+    pub async fn put_newer(
+        &self,
+        key: &str,
+        version: u64,
+        value: &[u8],
+    ) -> Result<(), PlatformError> {
+        let mut backoff = BackoffState::default();
+        loop {
+            let stored = self.get(key).await?;
+            let revision = stored.as_ref().map_or(0, |stored| stored.revision);
+            if let Some(stored) = stored
+                && self.number_of(&stored)? >= version
+            {
+                return Ok(());
+            }
+            let written = self.client.compare_and_swap(key, revision, value.to_vec());
+            match written.await {
+                Ok(true) => return Ok(()),
+                // Another writer was first; the next round reads what it wrote.
+                Ok(false) => {}
+                Err(error) => self.wait(error, &mut backoff).await?,
+            }
+        }
+    }
+
+    /// Waits before a repetition, or fails with `error` if it would be too late.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the deadline would pass, or if repeating cannot help.
+    pub async fn wait(
+        &self,
+        error: PlatformError,
+        backoff: &mut BackoffState,
+    ) -> Result<(), PlatformError> {
+        let pause = backoff.pause(rand::random());
+        if error.is_final() || Instant::now() + pause >= self.deadline {
+            return Err(error);
+        }
+        sleep(pause).await;
+        Ok(())
+    }
+
+    fn number_of(&self, stored: &KeyValue) -> Result<u64, PlatformError> {
+        let wire: Result<NumberedWire, _> = serde_json::from_slice(&stored.value);
+        let wire = wire.map_err(|error| {
+            let problem = format!("key={}: {error}", stored.key);
+            let peer = self.client.address();
+            let step = "number";
+            MalformedSnafu {
+                step,
+                peer,
+                problem,
+            }
+            .build()
+        })?;
+        Ok(wire.version)
+    }
+}
--- a/src/report.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Evidence from the audit trail: whether each condition held.
--- /dev/null
+++ b/src/service/control/config.rs
@@ -0,0 +1,143 @@
+//! Handlers of the configuration: show, list, patch.
+
+use salvo::Depot;
+use salvo::Request;
+use salvo::Response;
+use salvo::Router;
+use salvo::handler;
+use salvo::http::StatusCode;
+
+use crate::config::patch::MAX_PATCH_BYTES;
+use crate::config::patch::PatchRequest;
+use crate::config::store;
+use crate::config::store::StoreError;
+use crate::config::submit::SubmitError;
+use crate::config::submit::SubmitSettings;
+use crate::config::submit::submit;
+use crate::service::unix_ms;
+
+use super::ControlError;
+use super::answer;
+use super::number;
+use super::state_of;
+use super::wire::ConfigWire;
+use super::wire::ErrorWire;
+use super::wire::LogWire;
+use super::wire::PatchAnswerWire;
+use super::wire::PatchWire;
+
+/// Largest body of a submission, in bytes; a patch that is not written densely
+/// may take up to twice its bytes.
+const MAX_BODY_BYTES: usize = 2 * MAX_PATCH_BYTES;
+/// Most versions that one listing shows.
+const MAX_LOG_VERSIONS: u64 = 1024;
+
+pub(super) fn routes() -> Router {
+    Router::with_path("config")
+        .get(show)
+        .push(Router::with_path("log").get(list))
+        .push(Router::with_path("patch").post(receive))
+}
+
+#[handler]
+async fn show(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    answer(response, read(request, depot).await);
+}
+
+async fn read(request: &Request, depot: &Depot) -> Result<ConfigWire, ControlError> {
+    let state = state_of(depot)?;
+    let config = state.config.borrow().clone();
+    let version = number(request, "version", config.version)?;
+    if version == config.version {
+        return Ok(config.as_ref().into());
+    }
+    match store::read_version(state.platform(), version).await {
+        Ok(config) => Ok((&config).into()),
+        Err(error @ StoreError::Missing { .. }) => {
+            Err(ControlError::new(StatusCode::NOT_FOUND, error))
+        }
+        Err(error) => Err(ControlError::unavailable(error)),
+    }
+}
+
+#[handler]
+async fn list(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    answer(response, read_log(request, depot).await);
+}
+
+async fn read_log(request: &Request, depot: &Depot) -> Result<LogWire, ControlError> {
+    let state = state_of(depot)?;
+    let most = number(request, "most", 20)?.clamp(1, MAX_LOG_VERSIONS);
+    let versions = store::read_latest(state.platform(), most as usize).await;
+    let versions = versions.map_err(ControlError::unavailable)?;
+    Ok(LogWire { versions })
+}
+
+#[handler]
+async fn receive(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    answer(response, accept(request, depot).await);
+}
+
+async fn accept(request: &mut Request, depot: &Depot) -> Result<PatchAnswerWire, ControlError> {
+    let state = state_of(depot)?;
+    let wire = request.parse_json_with_max_size::<PatchWire>(MAX_BODY_BYTES);
+    let wire = wire.await.map_err(ControlError::bad_request)?;
+    let patch = PatchRequest::from(wire);
+    let in_force = state.config.borrow().clone();
+    let limits = SubmitSettings::default();
+    let submitted = submit(&state.client, &in_force, &patch, limits, unix_ms());
+    match submitted.await {
+        Ok(version) => {
+            log::info!(
+                event = "patch_accepted", version = version, patch_id = patch.patch_id,
+                author = patch.author, reason = patch.reason; ""
+            );
+            Ok(PatchAnswerWire { version })
+        }
+        Err(error) => {
+            log::warn!(
+                event = "patch_failed", patch_id = patch.patch_id, author = patch.author,
+                error:% = error; ""
+            );
+            Err(refusal(error))
+        }
+    }
+}
+
+fn refusal(error: SubmitError) -> ControlError {
+    let text = error.to_string();
+    let (status, body) = match error {
+        SubmitError::Conflict {
+            current, fields, ..
+        } => {
+            let current = Some(current);
+            (
+                StatusCode::CONFLICT,
+                ErrorWire {
+                    current,
+                    fields,
+                    ..ErrorWire::default()
+                },
+            )
+        }
+        SubmitError::Unknown { patch_id, .. } => {
+            let unknown = Some(patch_id);
+            (
+                StatusCode::GATEWAY_TIMEOUT,
+                ErrorWire {
+                    unknown,
+                    ..ErrorWire::default()
+                },
+            )
+        }
+        SubmitError::Invalid { .. } | SubmitError::Request { .. } | SubmitError::Reused { .. } => {
+            (StatusCode::UNPROCESSABLE_ENTITY, ErrorWire::default())
+        }
+        SubmitError::Store { .. } => (StatusCode::SERVICE_UNAVAILABLE, ErrorWire::default()),
+    };
+    let body = ErrorWire {
+        error: text,
+        ..body
+    };
+    ControlError { status, body }
+}
--- a/src/service/control/mod.rs
+++ b/src/service/control/mod.rs
@@ -1,5 +1,15 @@
 //! Service `control`: the HTTP interface for operators and peers.
+//!
+//! One module holds the handlers of one group of paths.
 
+pub mod wire;
+
+mod config;
+mod fleet;
+mod record;
+mod status;
+
+use std::fmt;
 use std::sync::Arc;
 
 use salvo::Depot;
@@ -12,61 +22,73 @@
 use salvo::http::StatusCode;
 use salvo::prelude::affix_state;
 use salvo::writing::Json;
+use serde::Serialize;
+use tokio::time::Instant;
 
-use crate::config::store;
-use crate::config::store::PatchRequest;
-use crate::config::store::StoreError;
+use crate::kernel::LookupError;
 use crate::kernel::ServiceKernel;
 use crate::kernel::ServiceName;
 use crate::kernel::ShutdownPhase;
 use crate::kernel::reached;
 use crate::metrics;
 use crate::platform::PlatformClient;
+use crate::platform::repeat::RepeatClient;
 use crate::service::config::ConfigView;
+use crate::service::config::FollowView;
 use crate::service::fleet::FleetView;
-use crate::service::unix_ms;
+use crate::service::peers::PeerView;
 use crate::settings::DaemonSettings;
 
-pub mod wire;
-
 use wire::ErrorWire;
-use wire::PatchAnswerWire;
-use wire::PatchWire;
-use wire::StatusWire;
 
 /// Name of the service.
 pub const NAME: ServiceName = "control";
-/// Largest patch, in bytes.
-const MAX_PATCH_BYTES: usize = 1 << 20;
 
 /// What the handlers share.
 struct ControlState {
     settings: DaemonSettings,
     client: PlatformClient,
     config: ConfigView,
+    follow: FollowView,
     fleet: FleetView,
+    peers: PeerView,
+}
+
+impl ControlState {
+    /// Makes a client for calls that answer one request.
+    fn platform(&self) -> RepeatClient<'_> {
+        RepeatClient {
+            client: &self.client,
+            deadline: Instant::now() + self.settings.platform.call_limit,
+        }
+    }
 }
 
 /// Starts the service on a bound socket.
+///
+/// # Errors
+///
+/// Fails if a service that it shows is not started.
 pub fn start(
     kernel: &ServiceKernel,
     settings: &DaemonSettings,
     acceptor: TcpAcceptor,
     client: PlatformClient,
-    config: ConfigView,
-    fleet: FleetView,
-) {
+) -> Result<(), LookupError> {
     let state = Arc::new(ControlState {
         settings: settings.clone(),
         client,
-        config,
-        fleet,
+        config: kernel.find(crate::service::config::NAME)?,
+        follow: kernel.find(crate::service::config::NAME)?,
+        fleet: kernel.find(crate::service::fleet::NAME)?,
+        peers: kernel.find(crate::service::peers::NAME)?,
     });
     let operators = Router::with_path("v1")
         .hoop(affix_state::inject(state))
-        .push(Router::with_path("status").get(show_status))
-        .push(Router::with_path("config").get(show_config))
-        .push(Router::with_path("config/patch").post(patch_config));
+        .push(status::routes())
+        .push(config::routes())
+        .push(fleet::routes())
+        .push(record::routes());
     let router = Router::new()
         .push(operators)
         .push(Router::with_path("metrics").get(show_metrics));
@@ -84,80 +106,62 @@
             () = stop => {}
         }
     });
+    Ok(())
 }
 
-fn state_of(depot: &Depot) -> Option<Arc<ControlState>> {
-    depot.get_typed::<Arc<ControlState>>().ok().cloned()
+/// An answer that tells of a failure.
+struct ControlError {
+    status: StatusCode,
+    body: ErrorWire,
 }
 
-fn fail(response: &mut Response, status: StatusCode, error: impl ToString) {
-    response.status_code(status);
-    response.render(Json(ErrorWire {
-        error: error.to_string(),
-    }));
-}
+impl ControlError {
+    fn new(status: StatusCode, error: impl fmt::Display) -> Self {
+        let error = error.to_string();
+        Self {
+            status,
+            body: ErrorWire {
+                error,
+                ..ErrorWire::default()
+            },
+        }
+    }
 
-#[handler]
-async fn show_metrics(response: &mut Response) {
-    response.render(metrics::render());
-}
+    /// The platform, or what is kept there, cannot be read.
+    fn unavailable(error: impl fmt::Display) -> Self {
+        Self::new(StatusCode::SERVICE_UNAVAILABLE, error)
+    }
 
-#[handler]
-async fn show_status(depot: &mut Depot, response: &mut Response) {
-    let Some(state) = state_of(depot) else {
-        return;
-    };
-    let fleet = state.fleet.borrow().clone();
-    response.render(Json(StatusWire {
-        name: state.settings.name.to_string(),
-        dc: state.settings.dc.to_string(),
-        config_version: state.config.borrow().version,
-        fleet_sequence: fleet.as_ref().map_or(0, |fleet| fleet.sequence),
-        vms: fleet.as_ref().map_or(0, |fleet| fleet.vms.len()),
-    }));
+    fn bad_request(error: impl fmt::Display) -> Self {
+        Self::new(StatusCode::BAD_REQUEST, error)
+    }
 }
 
-#[handler]
-async fn show_config(depot: &mut Depot, response: &mut Response) {
-    let Some(state) = state_of(depot) else {
-        return;
-    };
-    let config = state.config.borrow().clone();
-    response.render(Json(&config.document));
+fn state_of(depot: &Depot) -> Result<Arc<ControlState>, ControlError> {
+    let state = depot.get_typed::<Arc<ControlState>>().ok().cloned();
+    state.ok_or_else(|| ControlError::new(StatusCode::INTERNAL_SERVER_ERROR, "no state"))
 }
 
-#[handler]
-async fn patch_config(request: &mut Request, depot: &mut Depot, response: &mut Response) {
-    let Some(state) = state_of(depot) else {
-        return;
-    };
-    let patch = request.parse_json_with_max_size::<PatchWire>(MAX_PATCH_BYTES);
-    let patch = match patch.await {
-        Ok(patch) => PatchRequest::from(patch),
-        Err(error) => return fail(response, StatusCode::BAD_REQUEST, error),
-    };
-    let known = state.config.borrow().clone();
-    match store::submit(&state.client, &known, &patch, unix_ms()).await {
-        Ok(next) => {
-            log::info!(
-                event = "patch_accepted", version = next.version,
-                author = patch.author, reason = patch.reason; ""
-            );
-            response.render(Json(PatchAnswerWire {
-                version: next.version,
-            }));
-        }
+fn answer<T: Serialize + Send>(response: &mut Response, result: Result<T, ControlError>) {
+    match result {
+        Ok(value) => response.render(Json(value)),
         Err(error) => {
-            log::warn!(event = "patch_failed", author = patch.author, error:% = error; "");
-            fail(response, status_of(&error), error);
+            response.status_code(error.status);
+            response.render(Json(error.body));
         }
     }
 }
 
-fn status_of(error: &StoreError) -> StatusCode {
-    match error {
-        StoreError::Conflict { .. } => StatusCode::CONFLICT,
-        StoreError::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    }
+/// Reads a number from the query; `default` if it is absent.
+fn number(request: &Request, name: &str, default: u64) -> Result<u64, ControlError> {
+    let Some(text) = request.queries().get(name) else {
+        return Ok(default);
+    };
+    let number = text.parse();
+    number.map_err(|_| ControlError::bad_request(format!("{name}={text:?}: not a number")))
+}
+
+#[handler]
+async fn show_metrics(response: &mut Response) {
+    response.render(metrics::render());
 }
--- /dev/null
+++ b/src/service/control/record.rs
@@ -0,0 +1,64 @@
+//! Handlers of the record: audit rows and the report for the insurer.
+
+use salvo::Depot;
+use salvo::Request;
+use salvo::Response;
+use salvo::Router;
+use salvo::handler;
+
+use crate::report;
+use crate::report::ReportSpan;
+use crate::report::wire::ReportWire;
+use crate::service::evidence;
+use crate::service::unix_ms;
+
+use super::ControlError;
+use super::answer;
+use super::number;
+use super::state_of;
+use super::wire::AuditListWire;
+
+/// Span of a report that states no start, in milliseconds.
+const DEFAULT_SPAN_MS: u64 = 24 * 3600 * 1000;
+
+pub(super) fn routes() -> Router {
+    Router::new()
+        .push(Router::with_path("audit").get(show_audit))
+        .push(Router::with_path("report").get(show_report))
+}
+
+#[handler]
+async fn show_audit(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    answer(response, read_audit(request, depot).await);
+}
+
+async fn read_audit(request: &Request, depot: &Depot) -> Result<AuditListWire, ControlError> {
+    let state = state_of(depot)?;
+    let span = read_span(request)?;
+    let trails = evidence::read_trails(state.platform()).await;
+    let trails = trails.map_err(ControlError::unavailable)?;
+    Ok(AuditListWire::new(&trails, span))
+}
+
+#[handler]
+async fn show_report(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    answer(response, make_report(request, depot).await);
+}
+
+async fn make_report(request: &Request, depot: &Depot) -> Result<ReportWire, ControlError> {
+    let state = state_of(depot)?;
+    let span = read_span(request)?;
+    let evidence = evidence::read(state.platform(), span).await;
+    let evidence = evidence.map_err(ControlError::unavailable)?;
+    Ok((&report::make(&evidence, span)).into())
+}
+
+fn read_span(request: &Request) -> Result<ReportSpan, ControlError> {
+    let now_ms = unix_ms();
+    let to_ms = number(request, "to", now_ms)?;
+    let from_ms = number(request, "from", to_ms.saturating_sub(DEFAULT_SPAN_MS))?;
+    if from_ms >= to_ms {
+        return Err(ControlError::bad_request("the span ends before it starts"));
+    }
+    Ok(ReportSpan { from_ms, to_ms })
+}
--- a/src/service/control/wire.rs
+++ b/src/service/control/wire.rs
@@ -4,7 +4,14 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::config::store::PatchRequest;
+use crate::config::VersionedConfig;
+use crate::config::head::VersionWire;
+use crate::config::patch::PatchRequest;
+use crate::fleet::wire::AuditWire;
+use crate::fleet::wire::VmWire;
+use crate::fleet::wire::WaveProgressWire;
+use crate::report::AuditTrail;
+use crate::report::ReportSpan;
 
 /// A patch as an operator submits it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -35,7 +42,31 @@
     pub version: u64,
 }
 
-/// State of one entry VM.
+/// A version with its document.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ConfigWire {
+    pub version: u64,
+    pub digest: String,
+    pub document: Value,
+}
+
+impl From<&VersionedConfig> for ConfigWire {
+    fn from(config: &VersionedConfig) -> Self {
+        Self {
+            version: config.version,
+            digest: config.digest(),
+            document: config.document.clone(),
+        }
+    }
+}
+
+/// Accepted versions, oldest first.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct LogWire {
+    pub versions: Vec<VersionWire>,
+}
+
+/// State of one entry VM and what it knows of the others.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StatusWire {
     pub name: String,
@@ -43,10 +74,90 @@
     pub config_version: u64,
     pub fleet_sequence: u64,
     pub vms: usize,
+    pub trusted: bool,
+    pub watching: bool,
+    pub platform_reachable: bool,
+    pub platform_error: String,
+    pub confirmed_age_ms: Option<u64>,
+    pub entries: Vec<EntryStatusWire>,
+    pub data_centres: Vec<RemoteStatusWire>,
 }
 
-/// An error for an operator.
+/// Another entry VM of the same data centre.
 #[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct EntryStatusWire {
+    pub name: String,
+    pub address: String,
+    pub config_version: u64,
+    pub fleet_sequence: u64,
+    pub in_progress: u32,
+}
+
+/// Another data centre.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RemoteStatusWire {
+    pub dc: String,
+    pub entries: usize,
+}
+
+/// VMs of a data centre.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct VmsWire {
+    pub dc: String,
+    pub sequence: u64,
+    pub vms: Vec<VmStatusWire>,
+    pub wave: Option<WaveProgressWire>,
+}
+
+/// One VM.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct VmStatusWire {
+    pub name: String,
+    pub record: VmWire,
+}
+
+/// Audit rows of all data centres.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AuditListWire {
+    pub trails: Vec<AuditTrailWire>,
+}
+
+/// Audit rows of one data centre.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AuditTrailWire {
+    pub dc: String,
+    pub rows: Vec<AuditWire>,
+}
+
+impl AuditListWire {
+    /// Lists the rows of a span.
+    #[must_use]
+    pub fn new(trails: &[AuditTrail], span: ReportSpan) -> Self {
+        let trails = trails.iter().map(|trail| {
+            let rows = trail.rows.iter();
+            let rows = rows.filter(|row| span.holds(row.time_ms));
+            AuditTrailWire {
+                dc: trail.dc.clone(),
+                rows: rows.map(Into::into).collect(),
+            }
+        });
+        Self {
+            trails: trails.collect(),
+        }
+    }
+}
+
+/// An error for an operator.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct ErrorWire {
     pub error: String,
+    /// Current version, if the patch was made against another.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub current: Option<u64>,
+    /// Fields that this patch and another both touch, as far as that is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fields: Option<Vec<String>>,
+    /// Identifier of a patch of which it is not known whether it is accepted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub unknown: Option<String>,
 }
--- a/src/service/daemon.rs
+++ b/src/service/daemon.rs
@@ -107,7 +107,7 @@
         fleet.clone(),
         peers,
     );
-    control::start(&kernel, settings, acceptor, client, config, fleet);
+    control::start(&kernel, settings, acceptor, client).context(LookupSnafu)?;
     log::info!(
         event = "daemon_started", name:% = settings.name, dc:% = settings.dc,
         listen:% = entry_address, control_listen:% = control_address; ""
--- /dev/null
+++ b/src/service/evidence.rs
@@ -0,0 +1,117 @@
+//! Reads from the platform what a report is made from.
+
+use std::collections::BTreeMap;
+
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::audit::AuditRow;
+use crate::config::store;
+use crate::config::store::StoreError;
+use crate::fleet::wire::AuditWire;
+use crate::fleet::wire::OutboxWire;
+use crate::platform::KeyValue;
+use crate::platform::PlatformError;
+use crate::platform::repeat::RepeatClient;
+use crate::report::AuditTrail;
+use crate::report::ReportEvidence;
+use crate::report::ReportSpan;
+
+/// Prefix of the segments of audit rows.
+const AUDIT_PREFIX: &str = "audit/";
+/// Prefix of the fleet records, which hold the latest rows.
+const FLEET_PREFIX: &str = "fleet/";
+
+/// Evidence that could not be read.
+#[derive(Debug, Snafu)]
+pub enum EvidenceError {
+    /// The platform gave no usable answer.
+    #[snafu(display("{source}"))]
+    Platform {
+        /// Cause.
+        source: PlatformError,
+    },
+    /// The versions could not be read.
+    #[snafu(display("{source}"))]
+    Versions {
+        /// Cause.
+        source: StoreError,
+    },
+    /// A value is not what it should be.
+    #[snafu(display("step=decode key={key}: {source}"))]
+    Decode {
+        /// Key of the value.
+        key: String,
+        /// Cause.
+        source: serde_json::Error,
+    },
+}
+
+/// The part of a fleet record that holds audit rows.
+#[derive(serde::Deserialize)]
+struct RecordWire {
+    #[serde(default)]
+    outbox: OutboxWire,
+}
+
+/// Reads all that a report of `span` is made from.
+///
+/// # Errors
+///
+/// Fails if the platform gives no usable answer or holds something unreadable.
+pub async fn read(
+    client: RepeatClient<'_>,
+    span: ReportSpan,
+) -> Result<ReportEvidence, EvidenceError> {
+    let history = store::read_history(client, span.from_ms).await;
+    let history = history.context(VersionsSnafu)?;
+    Ok(ReportEvidence {
+        terms: history.terms.unwrap_or_default(),
+        chain: history.chain,
+        versions: history.versions,
+        trails: read_trails(client).await?,
+    })
+}
+
+/// Reads the audit rows of all data centres.
+///
+/// # Errors
+///
+/// Fails as [`read`] does.
+pub async fn read_trails(client: RepeatClient<'_>) -> Result<Vec<AuditTrail>, EvidenceError> {
+    // Records first: a row that is moved meanwhile is then seen twice, not never.
+    let records = client.list(FLEET_PREFIX).await.context(PlatformSnafu)?;
+    let segments = client.list(AUDIT_PREFIX).await.context(PlatformSnafu)?;
+    let mut trails: BTreeMap<String, Vec<AuditRow>> = BTreeMap::new();
+    for value in &records {
+        let Some(dc) = value.key.strip_prefix(FLEET_PREFIX) else {
+            continue;
+        };
+        let record: RecordWire = decode(value)?;
+        let rows = record.outbox.rows.into_iter().map(AuditRow::from);
+        trails.entry(dc.to_owned()).or_default().extend(rows);
+    }
+    for value in &segments {
+        let Some((dc, _)) = value
+            .key
+            .strip_prefix(AUDIT_PREFIX)
+            .and_then(|rest| rest.split_once('/'))
+        else {
+            continue;
+        };
+        let rows: Vec<AuditWire> = decode(value)?;
+        let rows = rows.into_iter().map(AuditRow::from);
+        trails.entry(dc.to_owned()).or_default().extend(rows);
+    }
+    let trails = trails.into_iter().map(|(dc, mut rows)| {
+        rows.sort_by_key(|row| row.sequence);
+        // Copies of a row are equal; others stay and break the chain.
+        rows.dedup();
+        AuditTrail { dc, rows }
+    });
+    Ok(trails.collect())
+}
+
+fn decode<T: serde::de::DeserializeOwned>(value: &KeyValue) -> Result<T, EvidenceError> {
+    serde_json::from_slice(&value.value).context(DecodeSnafu { key: &value.key })
+}
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod daemon;
 pub mod entry;
+pub mod evidence;
 pub mod fleet;
 pub mod peers;
 
