--- a/src/report/budget.rs
+++ b/src/report/budget.rs
@@ -1,6 +1,7 @@
 //! Budgets: how many VMs of each pool were out of service at each moment.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -47,15 +48,37 @@
     Terms(&'a TermsWire),
 }
 
-/// State of the fleet at one moment of the record.
+/// One VM at a moment of the record.
+#[derive(Default)]
+struct VmMoment<'a> {
+    pool: &'a str,
+    /// Cause, if its state is out of service.
+    state: Option<BreachCause>,
+    /// Pool and cause of its row in a ledger.
+    row: Option<(&'a str, BreachCause)>,
+    /// Pool whose budget it has been counted against.
+    counted: Option<&'a str>,
+}
+
+impl<'a> VmMoment<'a> {
+    /// Returns the pool whose budget it uses and why; a ledger goes before a state.
+    fn charge(&self) -> Option<(&'a str, BreachCause)> {
+        self.row.or(self.state.map(|cause| (self.pool, cause)))
+    }
+}
+
+/// The fleet at a moment of the record.
 #[derive(Default)]
 struct FleetMoment<'a> {
     budgets: BTreeMap<&'a str, u32>,
-    /// Pool of each VM and whether it is out of service.
-    vms: BTreeMap<&'a str, (&'a str, bool)>,
+    vms: BTreeMap<&'a str, VmMoment<'a>>,
+    /// VMs out of service by pool.
+    out: BTreeMap<&'a str, u32>,
     open: BTreeMap<&'a str, BudgetBreach>,
-    /// Causes that apply to a pool in the current millisecond.
-    causes: BTreeMap<&'a str, BreachCause>,
+    /// VMs that changed in the current millisecond.
+    changed: BTreeSet<&'a str>,
+    /// Pools whose budget went down in the current millisecond.
+    lowered: BTreeSet<&'a str>,
 }
 
 /// Finds the times at which a pool was over its budget.
@@ -66,7 +89,10 @@
     let mut breaches = Vec::new();
     let mut events = timeline(evidence, span).into_iter().peekable();
     while let Some((time_ms, event)) = events.next() {
-        moment.apply(&event);
+        match event {
+            TimelineEvent::Terms(terms) => moment.set_terms(terms),
+            TimelineEvent::Row(row) => moment.apply(row),
+        }
         // Changes of one millisecond count together.
         if events.peek().is_none_or(|(next, _)| *next != time_ms) {
             breaches.extend(moment.settle(time_ms));
@@ -89,7 +115,7 @@
         let terms = version.terms.as_ref()?;
         Some((version.time_ms, TimelineEvent::Terms(terms)))
     });
-    let mut events: Vec<_> = rows.chain(terms).collect();
+    let mut events: Vec<_> = terms.chain(rows).collect();
     events.retain(|(time_ms, _)| *time_ms < span.to_ms);
     events.sort_by_key(|(time_ms, _)| *time_ms);
     events
@@ -97,99 +123,106 @@
 
 impl<'a> FleetMoment<'a> {
     fn set_terms(&mut self, terms: &'a TermsWire) {
-        let budgets = terms.budgets.iter();
-        self.budgets = budgets
-            .map(|(pool, budget)| (pool.as_str(), *budget))
-            .collect();
-    }
-
-    fn apply(&mut self, event: &TimelineEvent<'a>) {
-        match event {
-            TimelineEvent::Terms(terms) => {
-                let before = std::mem::take(&mut self.budgets);
-                self.set_terms(terms);
-                for (pool, budget) in &self.budgets {
-                    if before.get(pool).is_some_and(|before| before > budget) {
-                        blame(&mut self.causes, pool, BreachCause::BudgetLowered);
-                    }
-                }
-            }
-            TimelineEvent::Row(row) => self.apply_row(row),
+        let before = std::mem::take(&mut self.budgets);
+        for (pool, budget) in &terms.budgets {
+            self.budgets.insert(pool, *budget);
         }
+        let now = &self.budgets;
+        let lowered = before.iter();
+        let lowered = lowered.filter(|(pool, before)| now.get(*pool).is_none_or(|b| b < before));
+        self.lowered.extend(lowered.map(|(pool, _)| *pool));
     }
 
-    fn apply_row(&mut self, row: &'a AuditRow) {
-        let Some(vm) = vm_of(row) else { return };
-        match row.action.as_str() {
-            "state" if row.to.is_empty() => {
-                self.vms.remove(vm);
-            }
-            "state" => {
-                let known = self.vms.get(vm).map(|(pool, _)| *pool);
-                let Some(pool) = pair(row, "pool").or(known) else {
-                    return;
-                };
-                let was_out = self.vms.get(vm).is_some_and(|(_, out)| *out);
-                let out = row.to != "serving";
-                self.vms.insert(vm, (pool, out));
-                if out && !was_out {
-                    blame(&mut self.causes, pool, cause_of(&row.to));
+    fn apply(&mut self, row: &'a AuditRow) {
+        if let Some(vm) = vm_of(row) {
+            self.changed.insert(vm);
+            let vm = self.vms.entry(vm).or_default();
+            match row.action.as_str() {
+                "state" => {
+                    vm.pool = pair(row, "pool").unwrap_or(vm.pool);
+                    vm.state = cause_of(&row.to);
                 }
+                "pool" => vm.pool = &row.to,
+                _ => {}
             }
-            "pool" => {
-                let out = self.vms.get(vm).is_some_and(|(_, out)| *out);
-                self.vms.insert(vm, (&row.to, out));
-            }
-            _ => {}
+        } else if let Some(pool) = row.subject.strip_prefix("ledger/") {
+            let entered = row.action == "out";
+            let vm = if entered { &row.to } else { &row.from };
+            self.changed.insert(vm);
+            let planned = pair(row, "operation").is_some();
+            let cause = if planned {
+                BreachCause::Planned
+            } else {
+                BreachCause::Failure
+            };
+            self.vms.entry(vm).or_default().row = entered.then_some((pool, cause));
         }
     }
 
     /// Opens, widens and closes breaches after the changes of one millisecond.
     fn settle(&mut self, time_ms: u64) -> Vec<BudgetBreach> {
-        let mut out: BTreeMap<&str, u32> = BTreeMap::new();
-        for (pool, is_out) in self.vms.values() {
-            *out.entry(pool).or_default() += u32::from(*is_out);
+        let mut causes: BTreeMap<&str, BreachCause> = BTreeMap::new();
+        for pool in std::mem::take(&mut self.lowered) {
+            causes.insert(pool, BreachCause::BudgetLowered);
         }
-        let over = |pool: &str| {
-            let budget = self.budgets.get(pool).copied().unwrap_or(0);
-            let out = out.get(pool).copied().unwrap_or(0);
-            (out > budget).then_some((budget, out))
-        };
-        let ended = self.open.extract_if(.., |pool, _| over(pool).is_none());
-        let ended = ended.map(|(_, breach)| BudgetBreach {
-            to_ms: time_ms,
-            ..breach
-        });
-        let ended = ended.collect();
-        for pool in out.keys() {
-            let Some((budget, out)) = over(pool) else {
+        for vm in std::mem::take(&mut self.changed) {
+            let Some((pool, cause)) = self.count(vm) else {
                 continue;
             };
-            let cause = self.causes.get(pool).copied();
+            let worst = causes.entry(pool).or_insert(cause);
+            *worst = cause.max(*worst);
+        }
+        let mut ended = Vec::new();
+        for (pool, out) in &self.out {
+            let budget = self.budgets.get(pool).copied().unwrap_or(0);
+            if *out <= budget {
+                let closed = self.open.remove(pool);
+                ended.extend(closed.map(|breach| BudgetBreach {
+                    to_ms: time_ms,
+                    ..breach
+                }));
+                continue;
+            }
+            let cause = causes.get(pool).copied().unwrap_or(BreachCause::Failure);
             let breach = self.open.entry(pool).or_insert_with(|| BudgetBreach {
                 pool: (*pool).to_owned(),
                 from_ms: time_ms,
                 to_ms: time_ms,
                 budget,
-                out,
-                cause: BreachCause::Failure,
+                out: *out,
+                cause,
             });
-            breach.out = breach.out.max(out);
-            breach.cause = breach.cause.max(cause.unwrap_or(BreachCause::Failure));
+            breach.out = breach.out.max(*out);
+            breach.cause = breach.cause.max(cause);
         }
-        self.causes.clear();
         ended
     }
-}
 
-fn blame<'a>(causes: &mut BTreeMap<&'a str, BreachCause>, pool: &'a str, cause: BreachCause) {
-    let worst = causes.entry(pool).or_insert(cause);
-    *worst = cause.max(*worst);
+    /// Counts a VM against the pool that it is charged to now; returns pool and
+    /// cause if it was not before.
+    fn count(&mut self, name: &str) -> Option<(&'a str, BreachCause)> {
+        let vm = self.vms.get_mut(name)?;
+        let charge = vm.charge();
+        let pool = charge.map(|(pool, _)| pool);
+        if pool == vm.counted {
+            return None;
+        }
+        if let Some(before) = vm.counted {
+            *self.out.entry(before).or_default() -= 1;
+        }
+        if let Some(pool) = pool {
+            *self.out.entry(pool).or_default() += 1;
+        }
+        vm.counted = pool;
+        charge
+    }
 }
 
-fn cause_of(state: &str) -> BreachCause {
+/// Returns why a state counts as out of service; none if it does not.
+fn cause_of(state: &str) -> Option<BreachCause> {
     match state {
-        "failed" | "draining_to_leave" => BreachCause::Failure,
-        _ => BreachCause::Planned,
+        "serving" | "" => None,
+        "failed" | "draining_to_leave" => Some(BreachCause::Failure),
+        _ => Some(BreachCause::Planned),
     }
 }
