--- a/tests/config_submit.rs
+++ b/tests/config_submit.rs
@@ -274,13 +274,12 @@
 #[tokio::test]
 async fn history_ring() {
     let (platform, client) = start_platform().await;
-    let mut known = 0;
-    for number in 1..=131 {
-        assert_eq!(
-            insist(&client, &format!("p-{number}"), &mut known).await,
-            number
-        );
-        known = number;
+    let mut current = VersionedConfig::default();
+    for base in 0..131 {
+        let next = request(base, "p", &format!("p-{base}"));
+        let version = submit(&client, &current, &next, LIMIT, 1).await;
+        assert_eq!(version.expect("accepted"), base + 1);
+        current = current.patched(&next.patch).expect("valid");
     }
     let snapshot = platform.state.peek(&snapshot_key(128)).expect("snapshot");
     let snapshot: SnapshotWire = serde_json::from_slice(&snapshot).expect("snapshot");
