Stand-in of a link that can be cut or stalled

Cause: cuts between data centres, entry VMs and the platform have to be brought about in tests without tools of the system. Change: standin::relay passes TCP connections on; a state says up, cut or stalled. Conclusion: tests can point any address of the settings at a link.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod backend;
 pub mod call;
 pub mod platform;
+pub mod relay;
 pub mod server;
