Demo: the main job as tasks of one process

Cause: the README's first command has to show the product at work. Change: both first users' shapes, started on loopback; a patch, a wave and bursts under load; buffer cost, roll-out time, moves and the callers' line.

--- a/standin/src/cmd/mod.rs
+++ b/standin/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod call;
+mod demo;
 mod platform;
 
 use std::io;
@@ -14,6 +15,8 @@
 use backend::backend_options;
 use call::CallOptions;
 use call::call_options;
+use demo::DemoOptions;
+use demo::demo_options;
 use platform::PlatformOptions;
 use platform::platform_options;
 
@@ -30,6 +33,9 @@
     /// Puts an open-loop load on a pool and ends with one line of results.
     #[bpaf(command)]
     Call(#[bpaf(external(call_options))] CallOptions),
+    /// Runs the main job in one process: a patch, a maintenance wave and bursts under load.
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo_options))] DemoOptions),
 }
 
 impl StandinCommand {
@@ -39,6 +45,7 @@
             Self::Platform(options) => runtime.block_on(platform::run(options)),
             Self::Backend(options) => runtime.block_on(backend::run(options)),
             Self::Call(options) => runtime.block_on(call::run(options)),
+            Self::Demo(options) => runtime.block_on(demo::run(options)),
         });
         exit_code(result)
     }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod backend;
 pub mod call;
+pub mod demo;
+pub mod deployment;
 pub mod platform;
 pub mod relay;
 pub mod server;
--- a/standin/src/platform/kv.rs
+++ b/standin/src/platform/kv.rs
@@ -50,6 +50,14 @@
         self.values.get(key).map(|stored| stored.value.clone())
     }
 
+    pub fn values(&self, prefix: &str) -> Vec<(String, Vec<u8>)> {
+        let values = self.values.iter();
+        let values = values.filter(|(key, _)| key.starts_with(prefix));
+        values
+            .map(|(key, stored)| (key.clone(), stored.value.clone()))
+            .collect()
+    }
+
     /// Deletes what lapsed sessions hold.
     fn expire(&mut self) {
         let now = Instant::now();
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -112,6 +112,12 @@
         lock(&self.kv).value(key)
     }
 
+    /// Reads all values under a prefix past all faults.
+    #[must_use]
+    pub fn peek_all(&self, prefix: &str) -> Vec<(String, Vec<u8>)> {
+        lock(&self.kv).values(prefix)
+    }
+
     fn count(&self, kind: &str) {
         *lock(&self.counts).entry(kind.to_owned()).or_default() += 1;
     }
