Graceful shutdown that cuts no request on an idle connection

Cause: at shutdown hyper closes idle connections at once, so that a request sent at that moment is cut; the balancer was not told either, and a request whose caller had gone was not waited for. Ruled out: closing later without refusing, which only moves the moment. Change: a health page that turns to 503 first, Connection: close on answers from then on, the end of listening after announce_ms, and idle connections that stay open for as long again and refuse as not run; exchanges whose callers have gone are waited for. Conclusion: a planned stop of an entry VM answers every request it has read.

--- a/src/service/control/mod.rs
+++ b/src/service/control/mod.rs
@@ -12,6 +12,7 @@
 use salvo::http::StatusCode;
 use salvo::prelude::affix_state;
 use salvo::writing::Json;
+use tokio::sync::watch;
 
 use crate::config::store;
 use crate::config::store::PatchRequest;
@@ -69,7 +70,12 @@
         .push(Router::with_path("config/patch").post(patch_config));
     let router = Router::new()
         .push(operators)
-        .push(Router::with_path("metrics").get(show_metrics));
+        .push(Router::with_path("metrics").get(show_metrics))
+        .push(
+            Router::with_path("health")
+                .hoop(affix_state::inject(kernel.phase()))
+                .get(show_health),
+        );
     let mut phase = kernel.phase();
     kernel.spawn(NAME, async move {
         let server = Server::new(acceptor);
@@ -97,6 +103,19 @@
     }));
 }
 
+/// Tells the balancer whether to send callers here.
+#[handler]
+async fn show_health(depot: &mut Depot, response: &mut Response) {
+    let phase = depot.get_typed::<watch::Receiver<ShutdownPhase>>();
+    let running = phase.is_ok_and(|phase| *phase.borrow() == ShutdownPhase::Running);
+    if running {
+        response.render("running\n");
+    } else {
+        response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        response.render("shutting down\n");
+    }
+}
+
 #[handler]
 async fn show_metrics(response: &mut Response) {
     response.render(metrics::render());
--- a/src/service/daemon.rs
+++ b/src/service/daemon.rs
@@ -11,6 +11,8 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
+use tokio::time::sleep;
 
 use crate::kernel::LookupError;
 use crate::kernel::ServiceKernel;
@@ -21,15 +23,20 @@
 use crate::service::config::ConfigView;
 use crate::service::control;
 use crate::service::entry;
+use crate::service::entry::DispatchInbox;
 use crate::service::fleet;
 use crate::service::fleet::FleetView;
 use crate::service::peers;
 use crate::service::peers::PeerView;
 use crate::settings::DaemonSettings;
+use crate::settings::EntryLimits;
 
 /// Time for the tasks to end once requests in progress have had theirs.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time between two looks at the requests in progress.
+const BACKEND_POLL: Duration = Duration::from_millis(20);
+
 /// A daemon that could not be started.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -70,7 +77,7 @@
     /// Where operators and peers reach it.
     pub control_address: SocketAddr,
     kernel: ServiceKernel,
-    shutdown_limit: Duration,
+    limits: EntryLimits,
 }
 
 /// Starts all services of a daemon.
@@ -116,20 +123,45 @@
         entry_address,
         control_address,
         kernel,
-        shutdown_limit: settings.limits.shutdown_limit,
+        limits: settings.limits.clone(),
     })
 }
 
 impl RunningDaemon {
     /// Stops gracefully: requests in progress finish, new ones are refused as not run.
+    ///
+    /// Callers are first told to go elsewhere, by the health page and by closing
+    /// their connections after an answer; only then does the listening end.
     pub async fn stop(self) {
         log::info!(event = "shutdown_started"; "");
         self.kernel.advance(ShutdownPhase::Announced);
+        sleep(self.limits.announce).await;
         self.kernel.advance(ShutdownPhase::Draining);
-        let drained = self.kernel.join_named(entry::NAME, self.shutdown_limit);
+        let drained = self
+            .kernel
+            .join_named(entry::NAME, self.limits.shutdown_limit);
         drained.await;
+        self.wait_for_backends().await;
         self.kernel.advance(ShutdownPhase::Stopped);
         self.kernel.join(STOP_LIMIT).await;
         log::info!(event = "shutdown_ended"; "");
     }
+
+    /// Waits for requests whose callers have gone but which still run.
+    async fn wait_for_backends(&self) {
+        let Ok(inbox) = self.kernel.find::<DispatchInbox>(entry::NAME) else {
+            return;
+        };
+        let deadline = Instant::now() + self.limits.shutdown_limit;
+        while let Some(ack) = inbox.report().await {
+            if ack.in_use.is_empty() {
+                return;
+            }
+            if Instant::now() > deadline {
+                log::warn!(event = "shutdown_limit_passed", vms = ack.in_use.len(); "");
+                return;
+            }
+            sleep(BACKEND_POLL).await;
+        }
+    }
 }
--- a/src/service/entry/handler.rs
+++ b/src/service/entry/handler.rs
@@ -57,21 +57,29 @@
     gate: Arc<EntryGate>,
     request: Request<Incoming>,
 ) -> Result<CallerResponse, Infallible> {
+    let mut response = answer_request(&gate, request).await;
+    if *gate.phase.borrow() >= ShutdownPhase::Announced {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    count(&response);
+    Ok(response)
+}
+
+async fn answer_request(gate: &Arc<EntryGate>, request: Request<Incoming>) -> CallerResponse {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let terms = match RequestTerms::parse(&parts.headers) {
         Ok(terms) => terms,
         Err(error) => {
-            let refusal = refuse(RefuseReason::BadRequest, Duration::ZERO, &error.to_string());
-            return Ok(refusal);
+            return refuse(RefuseReason::BadRequest, Duration::ZERO, &error.to_string());
         }
     };
-    let response = match admit(&gate, &terms, body, arrived).await {
-        Ok(body) => run(&gate, &terms, &parts, body, arrived + terms.deadline).await,
+    let response = match admit(gate, &terms, body, arrived).await {
+        Ok(body) => run(gate, &terms, &parts, body, arrived + terms.deadline).await,
         Err(refusal) => refusal,
     };
-    count(&response);
-    Ok(with_request_id(response, &terms))
+    with_request_id(response, &terms)
 }
 
 fn count(response: &CallerResponse) {
--- a/src/service/entry/mod.rs
+++ b/src/service/entry/mod.rs
@@ -124,6 +124,7 @@
         log::debug!(event = "nodelay_failed", peer:% = caller, error:% = error; "");
     }
     let mut phase = gate.phase.clone();
+    let announce = gate.limits.announce;
     let handle = service_fn(move |request| handler::handle(gate.clone(), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -132,7 +133,7 @@
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = reached(&mut phase, ShutdownPhase::Draining) => {
+        () = linger(&mut phase, announce) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -141,3 +142,13 @@
         log::debug!(event = "caller_connection_failed", peer:% = caller, error:% = error; "");
     }
 }
+
+/// Waits until an idle connection may be closed.
+///
+/// A request that a caller sends while its connection is being closed would be
+/// cut, so connections stay open for a while after the listening has ended; a
+/// request on one of them is refused as not run.
+async fn linger(phase: &mut watch::Receiver<ShutdownPhase>, time: Duration) {
+    reached(phase, ShutdownPhase::Draining).await;
+    sleep(time).await;
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -56,6 +56,9 @@
     pub connections: usize,
     /// Limit on a connection attempt to a backend server.
     pub connect_limit: Duration,
+    /// Time between telling the balancer and closing the socket at shutdown;
+    /// idle connections stay open for as long again.
+    pub announce: Duration,
     /// Time that requests in progress get at shutdown.
     pub shutdown_limit: Duration,
 }
@@ -67,6 +70,7 @@
             answer_bytes: 4 << 20,
             connections: 4096,
             connect_limit: Duration::from_millis(250),
+            announce: Duration::from_secs(5),
             shutdown_limit: Duration::from_secs(30),
         }
     }
@@ -133,6 +137,7 @@
             "answer_bytes",
             "connections",
             "connect_limit_ms",
+            "announce_ms",
             "shutdown_limit_ms",
         ],
     ),
@@ -346,6 +351,7 @@
         answer_bytes: reader.number("limits", "answer_bytes", BYTES, defaults.answer_bytes),
         connections: reader.number("limits", "connections", CONNECTIONS, defaults.connections),
         connect_limit: reader.millis("limits", "connect_limit_ms", defaults.connect_limit),
+        announce: reader.millis("limits", "announce_ms", defaults.announce),
         shutdown_limit: reader.millis("limits", "shutdown_limit_ms", defaults.shutdown_limit),
     }
 }
--- a/standin/src/deployment.rs
+++ b/standin/src/deployment.rs
@@ -204,7 +204,10 @@
                     address: platform,
                     ..PlatformSettings::default()
                 },
-                limits: EntryLimits::default(),
+                limits: EntryLimits {
+                    announce: Duration::from_millis(200),
+                    ..EntryLimits::default()
+                },
                 control: ControlPeriods {
                     sync: Duration::from_millis(200),
                     list: Duration::from_millis(500),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -75,7 +75,8 @@
             "[entry]\nname={}\ndc={}\nlisten={}\ncontrol_listen={}\n\
              [peers]\ncontrol={}\n[platform]\naddress={platform}\ncall_limit_ms=1000\n\
              watch_wait_ms=2000\n[control]\nsync_ms=100\nlease_ttl_ms=2000\nlist_ms=200\n\
-             list_lag_ms=500\n{}",
+             list_lag_ms=500\n\
+             [limits]\nannounce_ms=1000\n{}",
             plan.name,
             plan.dc,
             plan.entry,
