Plan whole waves by weights, racks, windows and data centres

Cause: the planner took whatever a ledger left free. It ignored windows and VMs that are out of service without a row, could stop a data centre's last VM of a pool, and let all controllers race for the same free row.

Change: the reserve of a wave (VMs out at once, over all pools) follows from the weights of buffer and roll-out; pools with the most stops left for their budget go first; racks with failures go last. Each controller takes, on average, its VMs' part of what is free. wave_should_stop judges a wave's failures.

--- a/src/decide/planner.rs
+++ b/src/decide/planner.rs
@@ -1,14 +1,47 @@
 //! Choice of the VMs that a maintenance wave stops next.
+//!
+//! A wave maintains VMs in place, within each pool's budget; it moves none. How
+//! many VMs it takes out of service at once, over all pools, follows from the
+//! weights: more of them shorten the roll-out, and each of them is spare capacity
+//! that the fleet has to hold back. See docs/DESIGN.md for the measures.
+//!
+//! The controllers of all data centres call [`next_stops`] without talking to
+//! each other. Each takes, on average, its own VMs' part of what is free, so that
+//! few writes to a ledger race; a lost race costs one write and is tried again
+//! in the next round.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::config::FleetConfig;
+use crate::config::MaintenanceRules;
+use crate::config::MaintenanceWindow;
+use crate::config::PoolConfig;
+use crate::config::WaveRequest;
 use crate::fleet::FleetRecord;
+use crate::fleet::OutageCause;
 use crate::fleet::PoolLedger;
+use crate::fleet::VmRecord;
+use crate::fleet::VmState;
+use crate::fleet::WaveProgress;
 use crate::names::PoolName;
+use crate::names::RackName;
 use crate::names::VmName;
 
+/// Minutes of a day.
+const DAY_MINUTES: u64 = 24 * 60;
+/// Minutes of a week.
+const WEEK_MINUTES: u64 = 7 * DAY_MINUTES;
+/// Milliseconds of a minute.
+const MINUTE_MS: u64 = 60_000;
+/// Day of the week of the Unix epoch, a Thursday; Monday is 0.
+const EPOCH_WEEKDAY: u64 = 3;
+/// Fewest finished stops against which failed ones are judged.
+pub const MIN_JUDGED_STOPS: u32 = 10;
+
 /// What the planner of one data centre sees.
 #[derive(Clone, Copy, Debug)]
 pub struct WaveView<'a> {
@@ -31,21 +64,252 @@
 /// that has been overtaken costs a failed write and no promise.
 #[must_use]
 pub fn next_stops(view: &WaveView<'_>) -> Vec<VmName> {
-    let Some(wave) = view.config.wave.as_ref().filter(|wave| wave.running) else {
+    let wave = view.config.wave.as_ref().filter(|wave| wave.running);
+    let Some(wave) = wave else {
         return Vec::new();
     };
+    let mut plans = pool_plans(view, wave);
+    plans.sort_by(|a, b| b.rounds_left.total_cmp(&a.rounds_left));
+    let mut left = own_reserve(view, wave);
+    let mut racks = RackUse::of(view.fleet);
     let mut stops = Vec::new();
-    for (name, pool) in &view.config.pools {
-        if !wave.pools.is_empty() && !wave.pools.contains(name) {
-            continue;
-        }
-        let rows = view.ledgers.get(name).map_or(0, |ledger| ledger.rows.len());
-        let unseen = pool.vms.intersection(view.unseen).count();
-        let free = (pool.budget as usize).saturating_sub(rows + unseen);
-        let due = view.fleet.vms.iter().filter(|(_, vm)| {
-            vm.pool == *name && vm.state.takes_work() && vm.maintained_ms < wave.started_ms
-        });
-        stops.extend(due.take(free).map(|(vm, _)| vm.clone()));
+    for plan in &plans {
+        let picks = pick_vms(plan, plan.free.min(left), &mut racks);
+        left -= picks.len();
+        stops.extend(picks);
     }
     stops
 }
+
+/// Returns how many VMs a wave takes out of service at once, over all pools.
+///
+/// It is the number with the least weighted sum of buffer cost and roll-out
+/// time, each relative to the wave that uses all budgets, among the numbers that
+/// end the wave within the maintenance period.
+#[must_use]
+pub fn wave_reserve(config: &FleetConfig, wave: &WaveRequest) -> usize {
+    let pools: Vec<_> = wave_pools(config, wave).map(|(_, pool)| pool).collect();
+    let budgets: usize = pools.iter().map(|pool| pool.budget as usize).sum();
+    let stops: usize = pools.iter().map(|pool| pool.vms.len()).sum();
+    let shortest = pools.iter().map(|pool| pool_rounds(pool));
+    let shortest = shortest.max().unwrap_or(0).max(1) as f64;
+    // The last stops begin together and end one stop later.
+    let rounds = |reserve: usize| (stops as f64 / reserve as f64 + 1.0).max(shortest);
+    let weights = config.weights;
+    let cost = |reserve: usize| {
+        weights.buffer * reserve as f64 / budgets as f64
+            + weights.rollout * rounds(reserve) / shortest
+    };
+    let limit = period_rounds(config, &pools);
+    let in_time = (1..=budgets).filter(|reserve| rounds(*reserve) <= limit);
+    let best = in_time.min_by(|a, b| cost(*a).total_cmp(&cost(*b)));
+    let unweighted = weights.buffer <= 0.0;
+    best.filter(|_| !unweighted).unwrap_or(budgets)
+}
+
+/// Tells whether so many stops have failed that the wave has to stop itself.
+///
+/// Stops are judged against [`MIN_JUDGED_STOPS`] at least, so that the very
+/// first failure of a large wave does not stop it.
+#[must_use]
+pub fn wave_should_stop(progress: &WaveProgress, rules: &MaintenanceRules) -> bool {
+    let judged = (progress.returned + progress.failed).max(MIN_JUDGED_STOPS);
+    f64::from(progress.failed) > rules.failure_stop_share * f64::from(judged)
+}
+
+/// Tells whether planned stops may start at a time.
+#[must_use]
+pub fn window_open(windows: &[MaintenanceWindow], now_ms: u64) -> bool {
+    let minute = now_ms / MINUTE_MS + EPOCH_WEEKDAY * DAY_MINUTES;
+    let minute = minute % WEEK_MINUTES;
+    windows.is_empty()
+        || windows.iter().any(|window| {
+            window.days.iter().any(|day| {
+                let opens = u64::from(*day) * DAY_MINUTES + u64::from(window.start_minute);
+                let since = (minute + WEEK_MINUTES - opens % WEEK_MINUTES) % WEEK_MINUTES;
+                since < u64::from(window.minutes)
+            })
+        })
+}
+
+/// What may be stopped in one pool.
+struct PoolPlan<'a> {
+    /// Stops that this data centre may start now.
+    free: usize,
+    /// VMs of this data centre that the wave has still to maintain.
+    due: Vec<(&'a VmName, &'a VmRecord)>,
+    /// Stops left for each unit of the budget, over all data centres.
+    rounds_left: f64,
+}
+
+fn wave_pools<'a>(
+    config: &'a FleetConfig,
+    wave: &'a WaveRequest,
+) -> impl Iterator<Item = (&'a PoolName, &'a PoolConfig)> {
+    let pools = config.pools.iter();
+    pools.filter(|(name, _)| wave.pools.is_empty() || wave.pools.contains(*name))
+}
+
+fn pool_plans<'a>(view: &WaveView<'a>, wave: &'a WaveRequest) -> Vec<PoolPlan<'a>> {
+    let mut local: BTreeMap<&PoolName, Vec<_>> = BTreeMap::new();
+    for (name, vm) in &view.fleet.vms {
+        local.entry(&vm.pool).or_default().push((name, vm));
+    }
+    let pools = wave_pools(view.config, wave);
+    let open = pools.filter(|(_, pool)| window_open(&pool.windows, view.now_ms));
+    let plans = open.filter_map(|(name, pool)| {
+        let local = local.get(name)?;
+        pool_plan(view, wave, (name, pool), local)
+    });
+    plans.collect()
+}
+
+fn pool_plan<'a>(
+    view: &WaveView<'_>,
+    wave: &WaveRequest,
+    (name, pool): (&PoolName, &PoolConfig),
+    local: &[(&'a VmName, &'a VmRecord)],
+) -> Option<PoolPlan<'a>> {
+    let serving = local.iter().filter(|(_, vm)| vm.state.takes_work());
+    let due = serving.clone();
+    let due: Vec<_> = due
+        .filter(|(_, vm)| vm.maintained_ms < wave.started_ms)
+        .copied()
+        .collect();
+    let free = (pool.budget as usize).saturating_sub(out_of_service(view, name, pool, local));
+    if due.is_empty() || free == 0 {
+        return None;
+    }
+    let size = pool.vms.len().max(local.len());
+    let turn = own_turn(view, name.as_str(), free, local.len(), size);
+    // A data centre that is cut off has only its own VMs to serve with.
+    let spared = usize::from(local.len() > 1);
+    let stops_left = due.len() as f64 * size as f64 / local.len() as f64;
+    Some(PoolPlan {
+        free: turn.min(serving.count().saturating_sub(spared)),
+        due,
+        rounds_left: stops_left / f64::from(pool.budget),
+    })
+}
+
+/// Counts the VMs of a pool that are out of service or must be taken as such.
+fn out_of_service(
+    view: &WaveView<'_>,
+    name: &PoolName,
+    pool: &PoolConfig,
+    local: &[(&VmName, &VmRecord)],
+) -> usize {
+    let rows = view.ledgers.get(name).map(|ledger| &ledger.rows);
+    let listed = |vm: &VmName| rows.is_some_and(|rows| rows.contains_key(vm));
+    let unseen = view.unseen.iter();
+    let unseen = unseen.filter(|vm| pool.vms.contains(*vm) && !listed(vm));
+    let idle = local.iter();
+    let idle = idle.filter(|(vm, record)| !record.state.takes_work() && !listed(vm));
+    rows.map_or(0, BTreeMap::len) + unseen.count() + idle.count()
+}
+
+/// Returns how many stops this data centre may start by the wave's reserve.
+fn own_reserve(view: &WaveView<'_>, wave: &WaveRequest) -> usize {
+    let mut planned = 0;
+    let mut size = 0;
+    for (name, pool) in wave_pools(view.config, wave) {
+        let rows = view.ledgers.get(name).into_iter();
+        let rows = rows.flat_map(|ledger| ledger.rows.values());
+        planned += rows
+            .filter(|row| matches!(row.cause, OutageCause::Planned(_)))
+            .count();
+        size += pool.vms.len();
+    }
+    let free = wave_reserve(view.config, wave).saturating_sub(planned);
+    let local = view.fleet.vms.values();
+    let local = local.filter(|vm| wave.pools.is_empty() || wave.pools.contains(&vm.pool));
+    own_turn(view, &wave.id, free, local.count(), size)
+}
+
+/// Returns the part of `free` that falls to this data centre in this round.
+///
+/// The fraction is rounded up or down at random, in proportion, so that every
+/// data centre gets its turn however little is free. The random number is drawn
+/// from the view, which keeps the decision a function of it.
+fn own_turn(view: &WaveView<'_>, salt: &str, free: usize, own: usize, all: usize) -> usize {
+    if own >= all {
+        return free;
+    }
+    let share = free as f64 * own as f64 / all as f64;
+    let first = view.fleet.vms.keys().next().map_or("", VmName::as_str);
+    let seed = xxh3_64_with_seed(first.as_bytes(), view.now_ms);
+    let draw = xxh3_64_with_seed(salt.as_bytes(), seed) as f64 / u64::MAX as f64;
+    let extra = usize::from(draw < share.fract());
+    share as usize + extra
+}
+
+/// VMs of each rack that are out of service, and whether any failed.
+struct RackUse<'a>(BTreeMap<&'a RackName, (bool, usize)>);
+
+impl<'a> RackUse<'a> {
+    fn of(fleet: &'a FleetRecord) -> Self {
+        let mut racks: BTreeMap<_, (bool, usize)> = BTreeMap::new();
+        for vm in fleet.vms.values().filter(|vm| !vm.state.takes_work()) {
+            let rack = racks.entry(&vm.rack).or_default();
+            rack.0 |= vm.state == VmState::Failed;
+            rack.1 += 1;
+        }
+        Self(racks)
+    }
+
+    fn of_vm(&self, vm: &VmRecord) -> (bool, usize) {
+        self.0.get(&vm.rack).copied().unwrap_or_default()
+    }
+
+    fn take(&mut self, vm: &'a VmRecord) {
+        self.0.entry(&vm.rack).or_default().1 += 1;
+    }
+}
+
+/// Picks VMs from racks without failures first, then from those with the fewest
+/// VMs out of service, then those maintained longest ago.
+///
+/// A rack whose VMs do not come back is thus known after few of them are lost.
+fn pick_vms<'a>(plan: &PoolPlan<'a>, count: usize, racks: &mut RackUse<'a>) -> Vec<VmName> {
+    let mut due = plan.due.clone();
+    due.sort_by_key(|(name, vm)| Reverse((vm.maintained_ms, *name)));
+    let mut picks = Vec::new();
+    while picks.len() < count {
+        let best = (0..due.len()).rev().min_by_key(|i| racks.of_vm(due[*i].1));
+        let Some(best) = best else {
+            break;
+        };
+        let (name, vm) = due.remove(best);
+        racks.take(vm);
+        picks.push(name.clone());
+    }
+    picks
+}
+
+/// Rounds of stops that a pool needs at its whole budget.
+fn pool_rounds(pool: &PoolConfig) -> usize {
+    match pool.budget {
+        0 => 0,
+        budget => pool.vms.len().div_ceil(budget as usize),
+    }
+}
+
+/// Rounds of stops that fit into the maintenance period, each as long as the
+/// rules allow, while the windows are open.
+fn period_rounds(config: &FleetConfig, pools: &[&PoolConfig]) -> f64 {
+    let rules = &config.maintenance;
+    let open = pools.iter().map(|pool| open_share(&pool.windows));
+    let open = open.fold(1.0, f64::min);
+    let stop_s = rules.drain_limit_s + rules.return_limit_s;
+    rules.period_s as f64 * open / stop_s as f64
+}
+
+/// Share of the week in which some window is open, overlaps counted twice.
+fn open_share(windows: &[MaintenanceWindow]) -> f64 {
+    if windows.is_empty() {
+        return 1.0;
+    }
+    let minutes = windows.iter();
+    let minutes = minutes.map(|window| window.days.len() as u64 * u64::from(window.minutes));
+    (minutes.sum::<u64>() as f64 / WEEK_MINUTES as f64).min(1.0)
+}
