--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -43,8 +43,10 @@
 const BURST: f64 = 5.0;
 const LULL: f64 = 0.05;
 /// Length of a burst and of the lull after it.
-const BURST_LENGTH: Duration = Duration::from_millis(1500);
+const BURST_LENGTH: Duration = Duration::from_millis(2500);
 const LULL_LENGTH: Duration = Duration::from_millis(500);
+/// Deadline of a request.
+const DEADLINE: Duration = Duration::from_millis(500);
 /// Length of one stretch of steady load.
 const STRETCH: Duration = Duration::from_millis(500);
 /// Time a reboot takes.
@@ -284,7 +286,7 @@
         pool: pool.to_owned(),
         rate,
         length,
-        deadline: Duration::from_secs(1),
+        deadline: DEADLINE,
         prefix,
         ..LoadSettings::default()
     };
@@ -308,13 +310,15 @@
     records
 }
 
-/// Answered requests of bursts as a share of what the pools hold in that time.
+/// Answered requests of bursts as a share of what the pools hold from the start
+/// of the burst to the last deadline.
 fn burst_goodput(records: &[LoadRecord]) -> f64 {
+    let span = (BURST_LENGTH + DEADLINE).as_secs_f64() / BURST_LENGTH.as_secs_f64();
     let mut answered = 0.0;
     let mut held = 0.0;
     for record in records.iter().filter(|record| record.is_burst()) {
         answered += record.latency.len() as f64;
-        held += record.ends.len() as f64 / (BURST * MEAN_LOAD);
+        held += record.ends.len() as f64 / (BURST * MEAN_LOAD) * span;
     }
     answered / held
 }
