--- a/src/service/control/mod.rs
+++ b/src/service/control/mod.rs
@@ -23,6 +23,7 @@
 use salvo::prelude::affix_state;
 use salvo::writing::Json;
 use serde::Serialize;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::kernel::LookupError;
@@ -91,7 +92,12 @@
         .push(record::routes());
     let router = Router::new()
         .push(operators)
-        .push(Router::with_path("metrics").get(show_metrics));
+        .push(Router::with_path("metrics").get(show_metrics))
+        .push(
+            Router::with_path("health")
+                .hoop(affix_state::inject(kernel.phase()))
+                .get(show_health),
+        );
     let mut phase = kernel.phase();
     kernel.spawn(NAME, async move {
         let server = Server::new(acceptor);
@@ -161,6 +167,19 @@
     number.map_err(|_| ControlError::bad_request(format!("{name}={text:?}: not a number")))
 }
 
+/// Tells the balancer whether to send callers here.
+#[handler]
+async fn show_health(depot: &mut Depot, response: &mut Response) {
+    let phase = depot.get_typed::<watch::Receiver<ShutdownPhase>>();
+    let running = phase.is_ok_and(|phase| *phase.borrow() == ShutdownPhase::Running);
+    if running {
+        response.render("running\n");
+    } else {
+        response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        response.render("shutting down\n");
+    }
+}
+
 #[handler]
 async fn show_metrics(response: &mut Response) {
     response.render(metrics::render());
