--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 //! One function reads one setting. All faults of a file are reported at once;
 //! an unknown section or key is a fault.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use ini::Ini;
+use ini::Properties;
 
 use crate::names::DcName;
 use crate::names::EntryName;
@@ -233,8 +235,13 @@
     fn check_keys(&mut self) {
         let ini = self.ini;
         let sections = KNOWN_KEYS.map(|(section, _)| section).join(", ");
+        let mut seen = BTreeSet::new();
         for (section, properties) in ini {
             let section = section.unwrap_or("");
+            if !seen.insert(section) {
+                // The library keeps both and reads the first only.
+                self.fault(section, "", "", "each section once");
+            }
             let known = KNOWN_KEYS.iter().find(|(name, _)| *name == section);
             let Some((_, keys)) = known else {
                 if !section.is_empty() || !properties.is_empty() {
@@ -242,10 +249,17 @@
                 }
                 continue;
             };
-            for (key, value) in properties {
-                if !keys.contains(&key) {
-                    self.fault(section, key, value, &format!("keys {}", keys.join(", ")));
-                }
+            self.check_section(section, properties, keys);
+        }
+    }
+
+    fn check_section(&mut self, section: &str, properties: &Properties, keys: &[&str]) {
+        let mut seen = BTreeSet::new();
+        for (key, value) in properties {
+            if !keys.contains(&key) {
+                self.fault(section, key, value, &format!("keys {}", keys.join(", ")));
+            } else if !seen.insert(key) {
+                self.fault(section, key, value, "each key once");
             }
         }
     }
