Membership of entry VMs: layouts of places that change in two writes

Shares were computed from settings, so a restarted or added entry VM could put the sum of shares over a worker's slots. The roster now carries the layout in force and the layout to come; between the two writes each entry VM uses the smaller of its shares. The rest of a VM's slots is dealt out by a hash of its name instead of its position in the record, which differs between entry VMs that have different records in force.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -128,11 +128,15 @@
     Failed,
 }
 
-/// The live entry VMs of a data centre.
+/// The entry VMs of a data centre that may be serving, and their places.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EntryRoster {
     /// Counts the changes of membership; it only grows.
     pub generation: u64,
+    /// Number of places among which slots are shared.
+    pub places: u32,
+    /// Number of places of the layout that is being changed to; 0 if none is.
+    pub next_places: u32,
     /// When it was last written, in milliseconds since the Unix epoch.
     pub refreshed_ms: u64,
     /// Entry VMs by name.
@@ -146,6 +150,12 @@
     pub entry_address: SocketAddr,
     /// Where peers and operators reach it.
     pub control_address: SocketAddr,
+    /// Random number of the process; a restarted one has another.
+    pub incarnation: u64,
+    /// Its place; none before its join has taken effect.
+    pub place: Option<u32>,
+    /// Its place in the layout that is being changed to.
+    pub next: Option<u32>,
     /// Configuration version in force there.
     pub config_version: u64,
     /// Sequence of the fleet record in force there.
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -109,6 +109,8 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct RosterWire {
     pub generation: u64,
+    pub places: u32,
+    pub next_places: u32,
     pub refreshed_ms: u64,
     pub entries: BTreeMap<String, EntryWire>,
 }
@@ -118,6 +120,9 @@
 pub struct EntryWire {
     pub entry_address: SocketAddr,
     pub control_address: SocketAddr,
+    pub incarnation: u64,
+    pub place: Option<u32>,
+    pub next: Option<u32>,
     pub config_version: u64,
     pub fleet_sequence: u64,
 }
@@ -350,6 +355,8 @@
         let entries = roster.entries.iter();
         Self {
             generation: roster.generation,
+            places: roster.places,
+            next_places: roster.next_places,
             refreshed_ms: roster.refreshed_ms,
             entries: entries
                 .map(|(name, entry)| (name.to_string(), entry.into()))
@@ -366,6 +373,8 @@
         let entries = entries.map(|(name, entry)| Ok((name.parse()?, entry.into())));
         Ok(Self {
             generation: wire.generation,
+            places: wire.places,
+            next_places: wire.next_places,
             refreshed_ms: wire.refreshed_ms,
             entries: entries.collect::<Result<_, NameError>>()?,
         })
@@ -377,6 +386,9 @@
         Self {
             entry_address: entry.entry_address,
             control_address: entry.control_address,
+            incarnation: entry.incarnation,
+            place: entry.place,
+            next: entry.next,
             config_version: entry.config_version,
             fleet_sequence: entry.fleet_sequence,
         }
@@ -388,6 +400,9 @@
         Self {
             entry_address: wire.entry_address,
             control_address: wire.control_address,
+            incarnation: wire.incarnation,
+            place: wire.place,
+            next: wire.next,
             config_version: wire.config_version,
             fleet_sequence: wire.fleet_sequence,
         }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::decide::slots::smaller_share;
 use crate::names::DcName;
 use crate::names::EntryName;
 use crate::names::PoolName;
@@ -37,6 +38,14 @@
     pub index: u32,
 }
 
+impl SharePlace {
+    /// Place of an entry VM that gets no slots.
+    pub const NONE: Self = Self {
+        entries: 0,
+        index: 0,
+    };
+}
+
 /// What this entry VM knows of the others.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PeerState {
@@ -44,6 +53,12 @@
     pub generation: u64,
     /// Own place among the members.
     pub place: SharePlace,
+    /// Own place in the layout that is being changed to; until the change has
+    /// taken effect, the smaller share of both counts.
+    pub next: Option<SharePlace>,
+    /// Age of the state when it was taken over from a peer while the platform
+    /// was away; none if it came from the controller or the platform.
+    pub stale: Option<Duration>,
     /// Whether the state is fresh enough to serve with; if not, requests are
     /// refused as not run.
     pub trusted: bool,
@@ -53,6 +68,14 @@
     pub remotes: BTreeMap<DcName, RemoteState>,
 }
 
+impl PeerState {
+    /// Returns how many of `slots` of a VM this entry VM may use.
+    #[must_use]
+    pub fn share_of(&self, vm: &VmName, slots: u32) -> u32 {
+        smaller_share(vm, slots, self.place, self.next)
+    }
+}
+
 /// A member of this data centre's entry VMs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MemberState {
--- a/src/service/entry/dispatcher.rs
+++ b/src/service/entry/dispatcher.rs
@@ -20,12 +20,11 @@
 use crate::decide::dispatch::SlotRequest;
 use crate::decide::dispatch::TicketId;
 use crate::decide::dispatch::VmTarget;
-use crate::decide::slots::equal_share;
 use crate::fleet::FleetRecord;
 use crate::names::PoolName;
 use crate::names::VmName;
 use crate::peer::EntryAck;
-use crate::peer::SharePlace;
+use crate::peer::PeerState;
 use crate::request::RefuseReason;
 use crate::request::RequestClass;
 use crate::service::config::ConfigView;
@@ -180,14 +179,14 @@
         let pools = config.config.pools.iter();
         let pools = pools.map(|(name, pool)| (name, pool.queue_limit));
         self.state.set_pools(pools);
+        self.ack.generation = peers.generation;
         let Some(record) = fleet.borrow_and_update().clone() else {
             return;
         };
         self.has_state = config.version > 0 && peers.trusted;
         self.ack.config_version = config.version;
         self.ack.fleet_sequence = record.sequence;
-        self.ack.generation = peers.generation;
-        let targets = targets(&record, &config.config, peers.place);
+        let targets = targets(&record, &config.config, &peers);
         self.state.set_vms(targets);
         self.idle.retain(|vm, _| record.vms.contains_key(vm));
     }
@@ -285,16 +284,15 @@
     }
 }
 
-fn targets(record: &Arc<FleetRecord>, config: &FleetConfig, share: SharePlace) -> Vec<VmTarget> {
-    let vms = record.vms.iter().zip(0..);
-    let targets = vms.map(|((name, vm), vm_index)| {
+fn targets(record: &FleetRecord, config: &FleetConfig, peers: &PeerState) -> Vec<VmTarget> {
+    let targets = record.vms.iter().map(|(name, vm)| {
         let pool = config.pools.get(&vm.pool);
         let slots = pool.map_or(DEFAULT_SLOTS, |pool| pool.slots);
         VmTarget {
             name: name.clone(),
             pool: vm.pool.clone(),
             address: vm.address,
-            share: equal_share(slots, share.entries, share.index, vm_index),
+            share: peers.share_of(name, slots),
             takes_work: vm.state.takes_work(),
         }
     });
--- a/src/service/peers.rs
+++ b/src/service/peers.rs
@@ -24,6 +24,8 @@
     let state = PeerState {
         generation: 1,
         place: settings_place(settings),
+        next: None,
+        stale: None,
         trusted: true,
         members: BTreeMap::new(),
         remotes: BTreeMap::new(),
