--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -4,6 +4,8 @@
 //! centre pushes the state to the members; each answers with an [`EntryAck`],
 //! which says what is in force there and what is in progress.
 
+pub mod diff;
+pub mod message;
 pub mod wire;
 
 use std::collections::BTreeMap;
