Exchange of state between entry VMs: pushes, acknowledgements, roster

The place of an entry VM came from its settings and nobody acknowledged anything. The controller now pushes to each member what it lacks, at once on a change and once a period, and a member answers when it is in force at its dispatcher. The roster is written by compare-and-swap and pushed only once it is known to be written. A member that is pushed to ends its own watches; one that is not reads the platform, then peers, with backoff. A process that was paused serves again only after it has asked for the state anew. A graceful shutdown takes the entry VM off the roster once nothing is in progress.

The status now shows the share, and tests and demo wait for it.

--- a/src/bin/chicory/cmd/status.rs
+++ b/src/bin/chicory/cmd/status.rs
@@ -28,6 +28,10 @@
         status.fleet_sequence, status.vms
     );
     println!("trusted         {}", status.trusted);
+    println!("sharing slots   {}", status.sharing);
+    if let Some(age) = status.stale_ms {
+        println!("state from peer {age} ms old");
+    }
     let rows = status.entries.into_iter().map(|entry| {
         let version = entry.config_version.to_string();
         let fleet = entry.fleet_sequence.to_string();
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::names::EntryName;
 use crate::names::PoolName;
 use crate::names::TeamName;
 use crate::names::VmName;
@@ -39,6 +40,8 @@
     pub wave: Option<WaveRequest>,
     /// VMs that operators want out of service, with the reason.
     pub drains: BTreeMap<VmName, String>,
+    /// Entry VMs that operators say to go on without, with the reason.
+    pub without: BTreeMap<EntryName, String>,
 }
 
 /// One pool of VMs.
--- a/src/config/validate.rs
+++ b/src/config/validate.rs
@@ -123,6 +123,12 @@
                 drains.insert(vm, reason.clone());
             }
         }
+        let mut without = BTreeMap::new();
+        for (entry, reason) in &wire.without {
+            if let Some(entry) = faults.parse(&format!("without.{entry}"), entry) {
+                without.insert(entry, reason.clone());
+            }
+        }
         let spare_pool = wire.spare_pool.as_deref();
         let config = Self {
             pools,
@@ -132,6 +138,7 @@
             weights: read_weights(&mut faults, wire.weights),
             wave: wire.wave.as_ref().map(|wave| read_wave(&mut faults, wave)),
             drains,
+            without,
         };
         check_references(&mut faults, &config);
         if faults.faults.is_empty() {
--- a/src/config/wire.rs
+++ b/src/config/wire.rs
@@ -25,6 +25,7 @@
     pub weights: WeightsWire,
     pub wave: Option<WaveWire>,
     pub drains: BTreeMap<String, String>,
+    pub without: BTreeMap<String, String>,
 }
 
 /// JSON form of [`crate::config::PoolConfig`].
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -42,6 +42,8 @@
     Announced,
     /// No new work; requests in progress finish.
     Draining,
+    /// Nothing is in progress any more; peers are told so.
+    Drained,
     /// All tasks end.
     Stopped,
 }
--- a/src/service/control/mod.rs
+++ b/src/service/control/mod.rs
@@ -92,6 +92,7 @@
         .push(record::routes());
     let router = Router::new()
         .push(operators)
+        .push(crate::service::peers::routes(kernel)?)
         .push(Router::with_path("metrics").get(show_metrics))
         .push(
             Router::with_path("health")
--- a/src/service/control/wire.rs
+++ b/src/service/control/wire.rs
@@ -75,6 +75,13 @@
     pub fleet_sequence: u64,
     pub vms: usize,
     pub trusted: bool,
+    /// Generation of the membership in force.
+    pub generation: u64,
+    /// Number of entry VMs that share the slots, with this one; 0 if it has no
+    /// share.
+    pub sharing: u32,
+    /// Age of a state that was taken over from a peer, in milliseconds.
+    pub stale_ms: Option<u64>,
     pub watching: bool,
     pub platform_reachable: bool,
     pub platform_error: String,
--- a/src/service/daemon.rs
+++ b/src/service/daemon.rs
@@ -27,6 +27,7 @@
 use crate::service::fleet;
 use crate::service::fleet::FleetView;
 use crate::service::peers;
+use crate::service::peers::BoundAddresses;
 use crate::service::peers::PeerView;
 use crate::settings::DaemonSettings;
 use crate::settings::EntryLimits;
@@ -104,7 +105,11 @@
     let config: ConfigView = kernel.find(config::NAME).context(LookupSnafu)?;
     fleet::start(&kernel, settings, client.clone(), config.clone());
     let fleet: FleetView = kernel.find(fleet::NAME).context(LookupSnafu)?;
-    peers::start(&kernel, settings);
+    let addresses = BoundAddresses {
+        entry: entry_address,
+        control: control_address,
+    };
+    peers::start(&kernel, settings, client.clone(), addresses).context(LookupSnafu)?;
     let peers: PeerView = kernel.find(peers::NAME).context(LookupSnafu)?;
     entry::start(
         &kernel,
@@ -142,6 +147,8 @@
             .join_named(entry::NAME, self.limits.shutdown_limit);
         drained.await;
         self.wait_for_backends().await;
+        self.kernel.advance(ShutdownPhase::Drained);
+        self.kernel.join_named(peers::LEAVE, STOP_LIMIT).await;
         self.kernel.advance(ShutdownPhase::Stopped);
         self.kernel.join(STOP_LIMIT).await;
         log::info!(event = "shutdown_ended"; "");
--- /dev/null
+++ b/src/service/peers/leave.rs
@@ -0,0 +1,56 @@
+//! Announcement of the own shutdown.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use super::PeerTools;
+use super::client;
+use super::exchange;
+use super::lead::LeadMessage;
+use crate::kernel::ShutdownPhase;
+use crate::kernel::reached;
+use crate::peer::message::LeaveRequest;
+
+/// Time that one peer gets to take an announcement.
+const LEAVE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Waits until nothing is in progress any more and tells the controller.
+///
+/// If no controller can be told, this entry VM keeps its share on the roster,
+/// as one that died does.
+pub(super) async fn run(tools: &PeerTools, mut phase: watch::Receiver<ShutdownPhase>) {
+    reached(&mut phase, ShutdownPhase::Drained).await;
+    let ack = exchange::answer(tools).await.report.ack;
+    if !ack.in_use.is_empty() {
+        log::warn!(event = "leave_withheld", vms = ack.in_use.len(); "");
+        return;
+    }
+    let request = LeaveRequest {
+        name: tools.identity.name.clone(),
+        incarnation: tools.identity.incarnation,
+    };
+    let (reply, written) = oneshot::channel();
+    let message = LeadMessage::Leave {
+        request: request.clone(),
+        reply,
+    };
+    // A full inbox drops the reply, which refuses the request.
+    let _ = tools.lead.try_send(message);
+    if written.await.unwrap_or(false) {
+        return;
+    }
+    let controller = tools.need.borrow().controller;
+    let entries = tools.roster.borrow().clone();
+    let entries = entries.entries.values().map(|entry| entry.control_address);
+    let own = tools.identity.control_address;
+    let peers: BTreeSet<_> = tools.near().chain(entries).collect();
+    for peer in controller.into_iter().chain(peers) {
+        if peer != own && client::leave(peer, &request, LEAVE_LIMIT).await.is_ok() {
+            return;
+        }
+    }
+    log::warn!(event = "leave_not_written"; "");
+}
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -182,7 +182,9 @@
         for peer in deployment.controls() {
             let status = status(peer).await;
             let status = status.filter(|status| status["config_version"].as_u64() >= Some(version));
-            ready += usize::from(status.is_some_and(|status| status["vms"].as_u64() > Some(0)));
+            ready += usize::from(status.is_some_and(|status| {
+                status["vms"].as_u64() > Some(0) && status["sharing"].as_u64() > Some(0)
+            }));
         }
         let records = fleets(&deployment.platform.state, shape);
         let known: usize = records.iter().map(|record| record.vms.len()).sum();
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -31,7 +31,9 @@
     for daemon in &daemons {
         support::eventually("state in force", || async {
             let status = daemon.get("/v1/status").await;
-            status.is_some_and(|status| status["config_version"] == 1 && status["vms"] == 2)
+            status.is_some_and(|status| {
+                status["config_version"] == 1 && status["vms"] == 2 && status["sharing"] == 2
+            })
         })
         .await;
     }
