Give well used pools a limit of their own; drive whole waves

Change: a plan for a number of rounds; a pool that uses its limit in three quarters of them has it for itself, the others share. src/decide/reserve.rs derives it from the configuration alone. benches/planner.rs drives whole waves, failures by rack, against four other ways in one run.

--- /dev/null
+++ b/benches/support/mod.rs
@@ -0,0 +1,168 @@
+//! Fleets on which the decisions are measured.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use chicorygauge::config::FleetConfig;
+use chicorygauge::config::MeasureWeights;
+use chicorygauge::config::PoolConfig;
+use chicorygauge::config::WaveRequest;
+use chicorygauge::config::wire::DEFAULT_QUEUE_LIMIT;
+use chicorygauge::config::wire::DEFAULT_SLOTS;
+use chicorygauge::fleet::FleetRecord;
+use chicorygauge::fleet::VmRecord;
+use chicorygauge::fleet::VmState;
+use chicorygauge::names::PoolName;
+use chicorygauge::names::VmName;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+
+/// Workers of a rack.
+const RACK_WORKERS: usize = 4;
+/// Most data centres over which a made-up pool spreads.
+const POOL_DCS: usize = 3;
+/// Time at which waves start, in milliseconds since the Unix epoch.
+pub const START_MS: u64 = 1_000_000_000;
+
+/// Sizes of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetShape {
+    pub name: &'static str,
+    pub dcs: usize,
+    /// Workers and budget of each pool.
+    pub pools: Vec<(usize, u32)>,
+    pub seed: u64,
+}
+
+/// A configuration and the fleet record of each data centre.
+#[derive(Clone, Debug, Default)]
+pub struct MadeFleet {
+    pub config: FleetConfig,
+    pub dcs: Vec<FleetRecord>,
+}
+
+/// Weights of a user who weighs moves and roll-out time most.
+pub fn evasapu_weights() -> MeasureWeights {
+    MeasureWeights {
+        buffer: 1.0,
+        rollout: 4.0,
+        moves: 4.0,
+    }
+}
+
+/// Weights of a user who weighs buffer cost most.
+pub fn nilebench_weights() -> MeasureWeights {
+    MeasureWeights {
+        buffer: 4.0,
+        rollout: 1.0,
+        moves: 1.0,
+    }
+}
+
+/// Shape of both first users: five pools, the last one spare, two VMs of budget.
+pub fn first_user(name: &'static str) -> FleetShape {
+    FleetShape {
+        name,
+        dcs: 3,
+        pools: [9, 9, 11, 12, 8].map(|size| (size, 2)).to_vec(),
+        seed: 1,
+    }
+}
+
+/// Made-up fleet: sizes from a third to five thirds of the mean, budgets of 4 to
+/// 12 % of the pool.
+pub fn made_up(name: &'static str, workers: usize, pools: usize, dcs: usize) -> FleetShape {
+    let mut rng = StdRng::seed_from_u64(workers as u64);
+    let mean = workers as f64 / pools as f64;
+    let mut sizes: Vec<_> = (0..pools)
+        .map(|_| (mean * rng.random_range(0.34..1.66)) as usize)
+        .collect();
+    let total: usize = sizes.iter().sum();
+    sizes[0] = (sizes[0] + workers).saturating_sub(total).max(3);
+    let pools = sizes.into_iter().map(|size| {
+        let budget = (size as f64 * rng.random_range(0.04..0.12)).round() as u32;
+        (size, budget.max(1))
+    });
+    FleetShape {
+        name,
+        dcs,
+        pools: pools.collect(),
+        seed: workers as u64,
+    }
+}
+
+/// Fleets from the first users' size to the size to come.
+pub fn all_shapes() -> Vec<FleetShape> {
+    vec![
+        first_user("first"),
+        made_up("500", 500, 20, 6),
+        made_up("2000", 2000, 50, 12),
+        made_up("7100", 7100, 133, 24),
+    ]
+}
+
+pub fn pool_name(pool: usize) -> PoolName {
+    PoolName::new(&format!("pool-{pool:03}")).expect("name")
+}
+
+/// Builds the fleet of a shape; racks mix the pools of a data centre.
+pub fn make_fleet(shape: &FleetShape, weights: MeasureWeights) -> MadeFleet {
+    let mut rng = StdRng::seed_from_u64(shape.seed);
+    let mut placed: Vec<Vec<usize>> = vec![Vec::new(); shape.dcs];
+    let mut pools = BTreeMap::new();
+    for (pool, (size, budget)) in shape.pools.iter().enumerate() {
+        for vm in 0..*size {
+            placed[(pool + vm % POOL_DCS) % shape.dcs].push(pool);
+        }
+        let config = PoolConfig {
+            budget: *budget,
+            queue_limit: DEFAULT_QUEUE_LIMIT,
+            slots: DEFAULT_SLOTS,
+            ..PoolConfig::default()
+        };
+        pools.insert(pool_name(pool), config);
+    }
+    let mut dcs = Vec::new();
+    for (dc, vms) in placed.iter_mut().enumerate() {
+        vms.shuffle(&mut rng);
+        let mut record = FleetRecord::default();
+        for (index, pool) in vms.iter().enumerate() {
+            let name = VmName::new(&format!("vm-{dc:02}-{index:04}")).expect("name");
+            let pool = pool_name(*pool);
+            let config = pools.get_mut(&pool).expect("pool");
+            config.vms.insert(name.clone());
+            record.vms.insert(name, make_vm(pool, dc, index));
+        }
+        dcs.push(record);
+    }
+    let config = FleetConfig {
+        spare_pool: Some(pool_name(shape.pools.len() - 1)),
+        pools,
+        weights,
+        wave: Some(WaveRequest {
+            id: "wave-1".to_owned(),
+            pools: BTreeSet::new(),
+            running: true,
+            started_ms: START_MS,
+        }),
+        ..FleetConfig::default()
+    };
+    MadeFleet { config, dcs }
+}
+
+fn make_vm(pool: PoolName, dc: usize, index: usize) -> VmRecord {
+    let host = index as u32 + 1;
+    let address = 0x0a00_0000 + ((dc as u32) << 16) + host;
+    VmRecord {
+        pool,
+        address: (address.to_be_bytes(), 8080).into(),
+        rack: format!("rack-{:03}", index / RACK_WORKERS)
+            .parse()
+            .expect("name"),
+        state: VmState::Serving,
+        since_ms: START_MS - 1,
+        maintained_ms: 0,
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,5 +11,6 @@
 pub mod membership;
 pub mod placement;
 pub mod planner;
+pub mod reserve;
 pub mod retry;
 pub mod slots;
--- a/src/decide/planner.rs
+++ b/src/decide/planner.rs
@@ -1,9 +1,8 @@
 //! Choice of the VMs that a maintenance wave stops next.
 //!
 //! A wave maintains VMs in place, within each pool's budget; it moves none. How
-//! many VMs it takes out of service at once, over all pools, follows from the
-//! weights: more of them shorten the roll-out, and each of them is spare capacity
-//! that the fleet has to hold back. See docs/DESIGN.md for the measures.
+//! many VMs it takes out of service at once follows from its
+//! [`WavePlan`].
 //!
 //! The controllers of all data centres call [`next_stops`] without talking to
 //! each other. Each takes, on average, its own VMs' part of what is free, so that
@@ -21,6 +20,8 @@
 use crate::config::MaintenanceWindow;
 use crate::config::PoolConfig;
 use crate::config::WaveRequest;
+use crate::decide::reserve::PoolShare;
+use crate::decide::reserve::WavePlan;
 use crate::fleet::FleetRecord;
 use crate::fleet::OutageCause;
 use crate::fleet::PoolLedger;
@@ -34,7 +35,7 @@
 /// Minutes of a day.
 const DAY_MINUTES: u64 = 24 * 60;
 /// Minutes of a week.
-const WEEK_MINUTES: u64 = 7 * DAY_MINUTES;
+pub(super) const WEEK_MINUTES: u64 = 7 * DAY_MINUTES;
 /// Milliseconds of a minute.
 const MINUTE_MS: u64 = 60_000;
 /// Day of the week of the Unix epoch, a Thursday; Monday is 0.
@@ -68,43 +69,21 @@
     let Some(wave) = wave else {
         return Vec::new();
     };
-    let mut plans = pool_plans(view, wave);
-    plans.sort_by(|a, b| b.rounds_left.total_cmp(&a.rounds_left));
-    let mut left = own_reserve(view, wave);
+    let plan = WavePlan::new(view.config, wave);
+    let mut stops = pool_stops(view, wave, &plan);
+    stops.sort_by(|a, b| b.rounds_left.total_cmp(&a.rounds_left));
+    let mut shared = shared_turn(view, &plan);
     let mut racks = RackUse::of(view.fleet);
-    let mut stops = Vec::new();
-    for plan in &plans {
-        let picks = pick_vms(plan, plan.free.min(left), &mut racks);
-        left -= picks.len();
-        stops.extend(picks);
+    let mut names = Vec::new();
+    for pool in &stops {
+        let limit = if pool.shares { shared } else { pool.free };
+        let picks = pick_vms(pool, pool.free.min(limit), &mut racks);
+        if pool.shares {
+            shared -= picks.len();
+        }
+        names.extend(picks);
     }
-    stops
-}
-
-/// Returns how many VMs a wave takes out of service at once, over all pools.
-///
-/// It is the number with the least weighted sum of buffer cost and roll-out
-/// time, each relative to the wave that uses all budgets, among the numbers that
-/// end the wave within the maintenance period.
-#[must_use]
-pub fn wave_reserve(config: &FleetConfig, wave: &WaveRequest) -> usize {
-    let pools: Vec<_> = wave_pools(config, wave).map(|(_, pool)| pool).collect();
-    let budgets: usize = pools.iter().map(|pool| pool.budget as usize).sum();
-    let stops: usize = pools.iter().map(|pool| pool.vms.len()).sum();
-    let shortest = pools.iter().map(|pool| pool_rounds(pool));
-    let shortest = shortest.max().unwrap_or(0).max(1) as f64;
-    // The last stops begin together and end one stop later.
-    let rounds = |reserve: usize| (stops as f64 / reserve as f64 + 1.0).max(shortest);
-    let weights = config.weights;
-    let cost = |reserve: usize| {
-        weights.buffer * reserve as f64 / budgets as f64
-            + weights.rollout * rounds(reserve) / shortest
-    };
-    let limit = period_rounds(config, &pools);
-    let in_time = (1..=budgets).filter(|reserve| rounds(*reserve) <= limit);
-    let best = in_time.min_by(|a, b| cost(*a).total_cmp(&cost(*b)));
-    let unweighted = weights.buffer <= 0.0;
-    best.filter(|_| !unweighted).unwrap_or(budgets)
+    names
 }
 
 /// Tells whether so many stops have failed that the wave has to stop itself.
@@ -133,62 +112,63 @@
 }
 
 /// What may be stopped in one pool.
-struct PoolPlan<'a> {
+struct PoolStops<'a> {
     /// Stops that this data centre may start now.
     free: usize,
+    /// Whether they count against the shared part of the reserve.
+    shares: bool,
     /// VMs of this data centre that the wave has still to maintain.
     due: Vec<(&'a VmName, &'a VmRecord)>,
-    /// Stops left for each unit of the budget, over all data centres.
+    /// Stops left for each VM that may be out, over all data centres.
     rounds_left: f64,
 }
 
-fn wave_pools<'a>(
-    config: &'a FleetConfig,
-    wave: &'a WaveRequest,
-) -> impl Iterator<Item = (&'a PoolName, &'a PoolConfig)> {
-    let pools = config.pools.iter();
-    pools.filter(|(name, _)| wave.pools.is_empty() || wave.pools.contains(*name))
-}
-
-fn pool_plans<'a>(view: &WaveView<'a>, wave: &'a WaveRequest) -> Vec<PoolPlan<'a>> {
+fn pool_stops<'a>(
+    view: &WaveView<'a>,
+    wave: &WaveRequest,
+    plan: &WavePlan<'_>,
+) -> Vec<PoolStops<'a>> {
     let mut local: BTreeMap<&PoolName, Vec<_>> = BTreeMap::new();
     for (name, vm) in &view.fleet.vms {
         local.entry(&vm.pool).or_default().push((name, vm));
     }
-    let pools = wave_pools(view.config, wave);
-    let open = pools.filter(|(_, pool)| window_open(&pool.windows, view.now_ms));
-    let plans = open.filter_map(|(name, pool)| {
+    let pools = plan.pools.iter();
+    let open = pools.filter(|(_, pool)| window_open(&pool.config.windows, view.now_ms));
+    let stops = open.filter_map(|(name, pool)| {
         let local = local.get(name)?;
-        pool_plan(view, wave, (name, pool), local)
+        stops_of_pool(view, wave, (name, pool), local)
     });
-    plans.collect()
+    stops.collect()
 }
 
-fn pool_plan<'a>(
+fn stops_of_pool<'a>(
     view: &WaveView<'_>,
     wave: &WaveRequest,
-    (name, pool): (&PoolName, &PoolConfig),
+    (name, pool): (&PoolName, &PoolShare<'_>),
     local: &[(&'a VmName, &'a VmRecord)],
-) -> Option<PoolPlan<'a>> {
+) -> Option<PoolStops<'a>> {
     let serving = local.iter().filter(|(_, vm)| vm.state.takes_work());
     let due = serving.clone();
     let due: Vec<_> = due
         .filter(|(_, vm)| vm.maintained_ms < wave.started_ms)
         .copied()
         .collect();
-    let free = (pool.budget as usize).saturating_sub(out_of_service(view, name, pool, local));
+    let out = out_of_service(view, name, pool.config, local);
+    let free = (pool.config.budget as usize).saturating_sub(out);
+    let free = free.min(pool.limit.saturating_sub(planned_rows(view, name)));
     if due.is_empty() || free == 0 {
         return None;
     }
-    let size = pool.vms.len().max(local.len());
+    let size = pool.config.vms.len().max(local.len());
     let turn = own_turn(view, name.as_str(), free, local.len(), size);
     // A data centre that is cut off has only its own VMs to serve with.
     let spared = usize::from(local.len() > 1);
     let stops_left = due.len() as f64 * size as f64 / local.len() as f64;
-    Some(PoolPlan {
+    Some(PoolStops {
         free: turn.min(serving.count().saturating_sub(spared)),
+        shares: pool.shares,
         due,
-        rounds_left: stops_left / f64::from(pool.budget),
+        rounds_left: stops_left / pool.limit as f64,
     })
 }
 
@@ -208,22 +188,22 @@
     rows.map_or(0, BTreeMap::len) + unseen.count() + idle.count()
 }
 
-/// Returns how many stops this data centre may start by the wave's reserve.
-fn own_reserve(view: &WaveView<'_>, wave: &WaveRequest) -> usize {
-    let mut planned = 0;
-    let mut size = 0;
-    for (name, pool) in wave_pools(view.config, wave) {
-        let rows = view.ledgers.get(name).into_iter();
-        let rows = rows.flat_map(|ledger| ledger.rows.values());
-        planned += rows
-            .filter(|row| matches!(row.cause, OutageCause::Planned(_)))
-            .count();
-        size += pool.vms.len();
-    }
-    let free = wave_reserve(view.config, wave).saturating_sub(planned);
-    let local = view.fleet.vms.values();
-    let local = local.filter(|vm| wave.pools.is_empty() || wave.pools.contains(&vm.pool));
-    own_turn(view, &wave.id, free, local.count(), size)
+fn planned_rows(view: &WaveView<'_>, pool: &PoolName) -> usize {
+    let rows = view.ledgers.get(pool).into_iter();
+    let rows = rows.flat_map(|ledger| ledger.rows.values());
+    let planned = rows.filter(|row| matches!(row.cause, OutageCause::Planned(_)));
+    planned.count()
+}
+
+/// Returns how many stops this data centre may start in the pools that share.
+fn shared_turn(view: &WaveView<'_>, plan: &WavePlan<'_>) -> usize {
+    let sharing = plan.pools.iter().filter(|(_, pool)| pool.shares);
+    let planned = sharing.clone().map(|(name, _)| planned_rows(view, name));
+    let free = plan.shared.saturating_sub(planned.sum());
+    let size = sharing.map(|(_, pool)| pool.config.vms.len()).sum();
+    let shares = |pool| plan.pools.get(pool).is_some_and(|pool| pool.shares);
+    let local = view.fleet.vms.values().filter(|vm| shares(&vm.pool));
+    own_turn(view, "", free, local.count(), size)
 }
 
 /// Returns the part of `free` that falls to this data centre in this round.
@@ -270,8 +250,8 @@
 /// VMs out of service, then those maintained longest ago.
 ///
 /// A rack whose VMs do not come back is thus known after few of them are lost.
-fn pick_vms<'a>(plan: &PoolPlan<'a>, count: usize, racks: &mut RackUse<'a>) -> Vec<VmName> {
-    let mut due = plan.due.clone();
+fn pick_vms<'a>(pool: &PoolStops<'a>, count: usize, racks: &mut RackUse<'a>) -> Vec<VmName> {
+    let mut due = pool.due.clone();
     due.sort_by_key(|(name, vm)| Reverse((vm.maintained_ms, *name)));
     let mut picks = Vec::new();
     while picks.len() < count {
@@ -285,31 +265,3 @@
     }
     picks
 }
-
-/// Rounds of stops that a pool needs at its whole budget.
-fn pool_rounds(pool: &PoolConfig) -> usize {
-    match pool.budget {
-        0 => 0,
-        budget => pool.vms.len().div_ceil(budget as usize),
-    }
-}
-
-/// Rounds of stops that fit into the maintenance period, each as long as the
-/// rules allow, while the windows are open.
-fn period_rounds(config: &FleetConfig, pools: &[&PoolConfig]) -> f64 {
-    let rules = &config.maintenance;
-    let open = pools.iter().map(|pool| open_share(&pool.windows));
-    let open = open.fold(1.0, f64::min);
-    let stop_s = rules.drain_limit_s + rules.return_limit_s;
-    rules.period_s as f64 * open / stop_s as f64
-}
-
-/// Share of the week in which some window is open, overlaps counted twice.
-fn open_share(windows: &[MaintenanceWindow]) -> f64 {
-    if windows.is_empty() {
-        return 1.0;
-    }
-    let minutes = windows.iter();
-    let minutes = minutes.map(|window| window.days.len() as u64 * u64::from(window.minutes));
-    (minutes.sum::<u64>() as f64 / WEEK_MINUTES as f64).min(1.0)
-}
