--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -24,8 +24,14 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct FleetWire {
     pub epoch: u64,
+    #[serde(default)]
+    pub nonce: u64,
     pub sequence: u64,
     pub vms: BTreeMap<String, VmWire>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub unfinished: BTreeMap<String, String>,
+    #[serde(default)]
+    pub config_version: u64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub wave: Option<WaveProgressWire>,
     #[serde(default)]
@@ -66,6 +72,8 @@
     pub failed: u32,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stopped: Option<String>,
+    #[serde(default)]
+    pub ended: bool,
 }
 
 /// JSON form of [`AuditOutbox`].
@@ -125,12 +133,18 @@
 impl From<&FleetRecord> for FleetWire {
     fn from(record: &FleetRecord) -> Self {
         let vms = record.vms.iter();
+        let unfinished = record.unfinished.iter();
         Self {
             epoch: record.epoch,
+            nonce: record.nonce,
             sequence: record.sequence,
             vms: vms
                 .map(|(name, vm)| (name.to_string(), vm.into()))
                 .collect(),
+            unfinished: unfinished
+                .map(|(vm, operation)| (vm.to_string(), operation.to_string()))
+                .collect(),
+            config_version: record.config_version,
             wave: record.wave.as_ref().map(Into::into),
             outbox: (&record.outbox).into(),
         }
@@ -143,10 +157,15 @@
     fn try_from(wire: FleetWire) -> Result<Self, NameError> {
         let vms = wire.vms.into_iter();
         let vms = vms.map(|(name, vm)| Ok((name.parse()?, vm.try_into()?)));
+        let unfinished = wire.unfinished.into_iter();
+        let unfinished = unfinished.map(|(vm, operation)| Ok((vm.parse()?, operation.parse()?)));
         Ok(Self {
             epoch: wire.epoch,
+            nonce: wire.nonce,
             sequence: wire.sequence,
             vms: vms.collect::<Result<_, NameError>>()?,
+            unfinished: unfinished.collect::<Result<_, NameError>>()?,
+            config_version: wire.config_version,
             wave: wire.wave.map(Into::into),
             outbox: wire.outbox.into(),
         })
@@ -225,6 +244,7 @@
             returned: wave.returned,
             failed: wave.failed,
             stopped: wave.stopped.clone(),
+            ended: wave.ended,
         }
     }
 }
@@ -237,6 +257,7 @@
             returned: wire.returned,
             failed: wire.failed,
             stopped: wire.stopped,
+            ended: wire.ended,
         }
     }
 }
--- /dev/null
+++ b/src/service/fleet/mod.rs
@@ -0,0 +1,103 @@
+//! Service `fleet`: holds the fleet record of the data centre.
+//!
+//! One entry VM of the data centre holds the controller's lease and keeps the
+//! record; the others follow it. The parts: [`lease`] bids for the lease and
+//! renews it, [`controller`] runs the terms, [`round`] carries out what
+//! [`crate::decide::controller`] decides, [`store`] reads and writes records and
+//! ledgers, [`operations`] calls the platform and probes VMs, [`follow`] puts
+//! records in force.
+
+mod backoff;
+mod controller;
+mod follow;
+mod lease;
+mod messages;
+mod operations;
+mod round;
+mod store;
+
+use std::sync::Arc;
+
+use snafu::Snafu;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::kernel::ServiceKernel;
+use crate::kernel::ServiceName;
+use crate::kernel::ShutdownPhase;
+use crate::kernel::reached;
+use crate::names::NameError;
+use crate::platform::PlatformClient;
+use crate::platform::PlatformError;
+use crate::service::audit::AuditError;
+use crate::service::config::ConfigView;
+use crate::settings::DaemonSettings;
+
+use controller::ControllerSenders;
+use round::TermTools;
+
+pub use messages::ControllerReport;
+pub use messages::ControllerTerm;
+pub use messages::ControllerView;
+pub use messages::FleetInbox;
+pub use messages::FleetMessage;
+pub use messages::FleetView;
+pub use messages::ReportView;
+
+/// Name of the service.
+pub const NAME: ServiceName = "fleet";
+
+/// A round of the controller that could not be completed.
+#[derive(Debug, Snafu)]
+enum FleetError {
+    #[snafu(display("{source}"))]
+    Platform { source: PlatformError },
+    #[snafu(display("{source}"))]
+    Audit { source: AuditError },
+    #[snafu(display("step=decode key={key}: {source}"))]
+    Decode {
+        key: String,
+        source: serde_json::Error,
+    },
+    #[snafu(display("step=read key={key}: {source}"))]
+    Name { key: String, source: NameError },
+    #[snafu(display("step=fence epoch={epoch}: no longer the controller"))]
+    Deposed { epoch: u64 },
+}
+
+/// Starts the service.
+pub fn start(
+    kernel: &ServiceKernel,
+    settings: &DaemonSettings,
+    client: PlatformClient,
+    config: ConfigView,
+) {
+    let (records, view) = watch::channel(None);
+    kernel.register::<FleetView>(NAME, view);
+    let (inbox, messages) = mpsc::channel(messages::INBOX_LIMIT);
+    kernel.register::<FleetInbox>(NAME, inbox);
+    let (term, view) = watch::channel(ControllerTerm::default());
+    kernel.register::<ControllerView>(NAME, view);
+    let (report, view) = watch::channel(Arc::default());
+    kernel.register::<ReportView>(NAME, view);
+    let (lease, lease_view) = watch::channel(None);
+    let senders = ControllerSenders { term, report };
+    let mut phase = kernel.phase();
+    let lease_phase = kernel.phase();
+    let settings = settings.clone();
+    let shared = kernel.clone();
+    kernel.spawn(NAME, async move {
+        let tools = TermTools {
+            settings: &settings,
+            client: &client,
+            lease: &lease_view,
+            records: &records,
+        };
+        tokio::select! {
+            () = lease::run(&settings, &client, &lease, lease_phase) => {}
+            () = controller::run(&shared, &tools, config, &senders) => {}
+            () = follow::run(&settings, &client, &records, messages) => {}
+            () = reached(&mut phase, ShutdownPhase::Stopped) => {}
+        }
+    });
+}
