The planner passes over VMs that have a row already

Cause: a serving VM whose ledger row is written and whose drain has not begun was picked again, which used up the turn, and counted as serving when the last VM of a data centre was spared.

--- a/src/decide/planner.rs
+++ b/src/decide/planner.rs
@@ -147,7 +147,11 @@
     (name, pool): (&PoolName, &PoolShare<'_>),
     local: &[(&'a VmName, &'a VmRecord)],
 ) -> Option<PoolStops<'a>> {
-    let serving = local.iter().filter(|(_, vm)| vm.state.takes_work());
+    // A VM with a row is about to be drained.
+    let rows = view.ledgers.get(name).map(|ledger| &ledger.rows);
+    let serving = local.iter().filter(|(vm, record)| {
+        record.state.takes_work() && rows.is_none_or(|rows| !rows.contains_key(*vm))
+    });
     let due = serving.clone();
     let due: Vec<_> = due
         .filter(|(_, vm)| vm.maintained_ms < wave.started_ms)
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -122,6 +122,11 @@
         WavePlan::new(&self.config, self.config.wave.as_ref().expect("wave"))
     }
 
+    fn has_row(&self, pool: &PoolName, vm: &VmName) -> bool {
+        let ledger = self.ledgers.get(pool);
+        ledger.is_some_and(|ledger| ledger.rows.contains_key(vm))
+    }
+
     fn rows(&self, pool: &PoolName) -> usize {
         self.ledgers.get(pool).map_or(0, |ledger| ledger.rows.len())
     }
@@ -180,9 +185,10 @@
             if !picks.is_empty() {
                 prop_assert!(fleet.out(0, pool) + picks.len() <= rules.budget as usize);
             }
-            for vm in picks {
-                let vm = &fleet.dcs[0].vms[vm];
+            for name in picks {
+                let vm = &fleet.dcs[0].vms[name];
                 prop_assert!(vm.state.takes_work() && vm.maintained_ms < START_MS);
+                prop_assert!(!fleet.has_row(&vm.pool, name));
             }
         }
     }
@@ -225,7 +231,8 @@
             let own = fleet.dcs[0].vms.iter().filter(|(_, vm)| vm.pool == *pool);
             let own: Vec<_> = own.collect();
             let left = own.iter().filter(|(name, vm)| {
-                vm.state.takes_work() && !stops.contains(*name)
+                let idle = stops.contains(*name) || fleet.has_row(pool, name);
+                vm.state.takes_work() && !idle
             });
             let stopped = own.iter().any(|(name, _)| stops.contains(*name));
             prop_assert!(!stopped || own.len() == 1 || left.count() >= 1);
