--- a/src/service/daemon.rs
+++ b/src/service/daemon.rs
@@ -11,6 +11,8 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
+use tokio::time::sleep;
 
 use crate::kernel::LookupError;
 use crate::kernel::ServiceKernel;
@@ -21,15 +23,21 @@
 use crate::service::config::ConfigView;
 use crate::service::control;
 use crate::service::entry;
+use crate::service::entry::DispatchInbox;
 use crate::service::fleet;
 use crate::service::fleet::FleetView;
 use crate::service::peers;
+use crate::service::peers::BoundAddresses;
 use crate::service::peers::PeerView;
 use crate::settings::DaemonSettings;
+use crate::settings::EntryLimits;
 
 /// Time for the tasks to end once requests in progress have had theirs.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time between two looks at the requests in progress.
+const BACKEND_POLL: Duration = Duration::from_millis(20);
+
 /// A daemon that could not be started.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -70,7 +78,7 @@
     /// Where operators and peers reach it.
     pub control_address: SocketAddr,
     kernel: ServiceKernel,
-    shutdown_limit: Duration,
+    limits: EntryLimits,
 }
 
 /// Starts all services of a daemon.
@@ -97,7 +105,11 @@
     let config: ConfigView = kernel.find(config::NAME).context(LookupSnafu)?;
     fleet::start(&kernel, settings, client.clone(), config.clone());
     let fleet: FleetView = kernel.find(fleet::NAME).context(LookupSnafu)?;
-    peers::start(&kernel, settings);
+    let addresses = BoundAddresses {
+        entry: entry_address,
+        control: control_address,
+    };
+    peers::start(&kernel, settings, client.clone(), addresses).context(LookupSnafu)?;
     let peers: PeerView = kernel.find(peers::NAME).context(LookupSnafu)?;
     entry::start(
         &kernel,
@@ -107,7 +119,7 @@
         fleet.clone(),
         peers,
     );
-    control::start(&kernel, settings, acceptor, client, config, fleet);
+    control::start(&kernel, settings, acceptor, client).context(LookupSnafu)?;
     log::info!(
         event = "daemon_started", name:% = settings.name, dc:% = settings.dc,
         listen:% = entry_address, control_listen:% = control_address; ""
@@ -116,20 +128,47 @@
         entry_address,
         control_address,
         kernel,
-        shutdown_limit: settings.limits.shutdown_limit,
+        limits: settings.limits.clone(),
     })
 }
 
 impl RunningDaemon {
     /// Stops gracefully: requests in progress finish, new ones are refused as not run.
+    ///
+    /// Callers are first told to go elsewhere, by the health page and by closing
+    /// their connections after an answer; only then does the listening end.
     pub async fn stop(self) {
         log::info!(event = "shutdown_started"; "");
         self.kernel.advance(ShutdownPhase::Announced);
+        sleep(self.limits.announce).await;
         self.kernel.advance(ShutdownPhase::Draining);
-        let drained = self.kernel.join_named(entry::NAME, self.shutdown_limit);
+        let drained = self
+            .kernel
+            .join_named(entry::NAME, self.limits.shutdown_limit);
         drained.await;
+        self.wait_for_backends().await;
+        self.kernel.advance(ShutdownPhase::Drained);
+        self.kernel.join_named(peers::LEAVE, STOP_LIMIT).await;
         self.kernel.advance(ShutdownPhase::Stopped);
         self.kernel.join(STOP_LIMIT).await;
         log::info!(event = "shutdown_ended"; "");
     }
+
+    /// Waits for requests whose callers have gone but which still run.
+    async fn wait_for_backends(&self) {
+        let Ok(inbox) = self.kernel.find::<DispatchInbox>(entry::NAME) else {
+            return;
+        };
+        let deadline = Instant::now() + self.limits.shutdown_limit;
+        while let Some(ack) = inbox.report().await {
+            if ack.in_use.is_empty() {
+                return;
+            }
+            if Instant::now() > deadline {
+                log::warn!(event = "shutdown_limit_passed", vms = ack.in_use.len(); "");
+                return;
+            }
+            sleep(BACKEND_POLL).await;
+        }
+    }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 //! One function reads one setting. All faults of a file are reported at once;
 //! an unknown section or key is a fault.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use ini::Ini;
+use ini::Properties;
 
 use crate::names::DcName;
 use crate::names::EntryName;
@@ -56,6 +58,9 @@
     pub connections: usize,
     /// Limit on a connection attempt to a backend server.
     pub connect_limit: Duration,
+    /// Time between telling the balancer and closing the socket at shutdown;
+    /// idle connections stay open for as long again.
+    pub announce: Duration,
     /// Time that requests in progress get at shutdown.
     pub shutdown_limit: Duration,
 }
@@ -67,6 +72,7 @@
             answer_bytes: 4 << 20,
             connections: 4096,
             connect_limit: Duration::from_millis(250),
+            announce: Duration::from_secs(5),
             shutdown_limit: Duration::from_secs(30),
         }
     }
@@ -133,6 +139,7 @@
             "answer_bytes",
             "connections",
             "connect_limit_ms",
+            "announce_ms",
             "shutdown_limit_ms",
         ],
     ),
@@ -228,8 +235,13 @@
     fn check_keys(&mut self) {
         let ini = self.ini;
         let sections = KNOWN_KEYS.map(|(section, _)| section).join(", ");
+        let mut seen = BTreeSet::new();
         for (section, properties) in ini {
             let section = section.unwrap_or("");
+            if !seen.insert(section) {
+                // The library keeps both and reads the first only.
+                self.fault(section, "", "", "each section once");
+            }
             let known = KNOWN_KEYS.iter().find(|(name, _)| *name == section);
             let Some((_, keys)) = known else {
                 if !section.is_empty() || !properties.is_empty() {
@@ -237,10 +249,17 @@
                 }
                 continue;
             };
-            for (key, value) in properties {
-                if !keys.contains(&key) {
-                    self.fault(section, key, value, &format!("keys {}", keys.join(", ")));
-                }
+            self.check_section(section, properties, keys);
+        }
+    }
+
+    fn check_section(&mut self, section: &str, properties: &Properties, keys: &[&str]) {
+        let mut seen = BTreeSet::new();
+        for (key, value) in properties {
+            if !keys.contains(&key) {
+                self.fault(section, key, value, &format!("keys {}", keys.join(", ")));
+            } else if !seen.insert(key) {
+                self.fault(section, key, value, "each key once");
             }
         }
     }
@@ -346,6 +365,7 @@
         answer_bytes: reader.number("limits", "answer_bytes", BYTES, defaults.answer_bytes),
         connections: reader.number("limits", "connections", CONNECTIONS, defaults.connections),
         connect_limit: reader.millis("limits", "connect_limit_ms", defaults.connect_limit),
+        announce: reader.millis("limits", "announce_ms", defaults.announce),
         shutdown_limit: reader.millis("limits", "shutdown_limit_ms", defaults.shutdown_limit),
     }
 }
