--- a/src/decide/controller/wave.rs
+++ b/src/decide/controller/wave.rs
@@ -3,6 +3,7 @@
 use super::StepView;
 use super::draft::RecordDraft;
 use crate::config::WaveRequest;
+use crate::decide::planner::wave_should_stop;
 use crate::fleet::DrainPurpose;
 use crate::fleet::VmRecord;
 use crate::fleet::VmState;
@@ -77,8 +78,7 @@
         return;
     };
     wave.failed += 1;
-    let share = view.config.maintenance.failure_stop_share;
-    let exceeded = f64::from(wave.failed) > share * f64::from(wave.started);
+    let exceeded = wave_should_stop(wave, &view.config.maintenance);
     if !exceeded || wave.stopped.is_some() {
         return;
     }
