Process tests of maintenance waves with failures in mid-wave

Under load from two entry VMs; controller killed and replaced, frozen past its lease and resumed; answers to 30 % of writes lost; platform down past the lease; reboots that never return, then resumed under a new id; calls of an idle data centre with and without load.

--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -174,6 +174,12 @@
         *lock(&self.faults) = faults;
     }
 
+    /// Ends a reboot that would last for ever.
+    pub fn end_reboot(&self) {
+        *lock(&self.rebooting) = false;
+        self.open.send_replace(true);
+    }
+
     /// Returns what was recorded so far.
     #[must_use]
     pub fn record(&self) -> BackendRecord {
--- a/tests/controller_wave.rs
+++ b/tests/controller_wave.rs
@@ -1,109 +1,204 @@
-//! Maintenance waves with real processes.
+//! Maintenance waves with real processes under load, with failures in mid-wave.
 
 mod support;
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chicorygauge::audit::AuditRow;
+use chicorygauge::audit::find_break;
+use chicorygauge::fleet::wire::AuditWire;
 use serde_json::Value;
 use serde_json::json;
-use standin::call;
-use standin::call::LoadSettings;
 use standin::platform::PlatformFaults;
-use standin::platform::RunningPlatform;
+use tokio::time::sleep;
 
-use support::DaemonPlan;
 use support::DaemonProcess;
+use support::fleet::REBOOT_MS;
+use support::fleet::TestFleet;
+use support::fleet::VMS;
 
-const VMS: [&str; 4] = ["vm-1", "vm-2", "vm-3", "vm-4"];
-
-fn document() -> Value {
-    json!({
-        "pools": {"intake": {"budget": 1, "vms": VMS}},
-        "maintenance": {"return_limit_s": 30, "drain_limit_s": 30},
-    })
+fn rules() -> Value {
+    json!({"return_limit_s": 60, "drain_limit_s": 60})
 }
 
-fn wave(id: &str) -> Value {
-    json!({"wave": {"id": id, "running": true, "started_ms": unix_ms() + 1}})
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_under_load() {
+    let fleet = TestFleet::start(2, rules(), 1).await;
+    let load = fleet.start_load(&[0, 1], Duration::from_secs(8));
+    fleet.start_wave("w-1").await;
+    fleet.wave_done().await;
+    let summary = fleet.check_load(load).await;
+    assert_eq!(summary.answered, summary.sent, "{summary}");
+    check_audit(&fleet);
 }
 
-fn unix_ms() -> u64 {
-    chicorygauge::service::unix_ms()
+/// Each stop stands in the audit rows with nothing in progress, in one chain.
+fn check_audit(fleet: &TestFleet) {
+    let rows = fleet.audit();
+    let stops = rows
+        .iter()
+        .filter(|row| row["to"] == "stopped" && row["action"] == "state");
+    let reasons: Vec<_> = stops.map(|row| row["reason"].to_string()).collect();
+    assert_eq!(reasons.len(), VMS.len(), "{reasons:?}");
+    assert!(
+        reasons
+            .iter()
+            .all(|reason| reason.contains("in_progress=0"))
+    );
+    let rows = rows.into_iter().map(|row| {
+        let wire: AuditWire = serde_json::from_value(row).expect("audit row");
+        AuditRow::from(wire)
+    });
+    let rows: Vec<_> = rows.collect();
+    assert_eq!(find_break(&AuditRow::default(), &rows), None);
 }
 
-fn record(platform: &RunningPlatform) -> Value {
-    let value = platform.state.peek("fleet/dc-1").unwrap_or_default();
-    serde_json::from_slice(&value).unwrap_or_default()
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_controller_killed() {
+    let mut fleet = TestFleet::start(3, rules(), 1).await;
+    let controller = fleet.controller().await;
+    let others: Vec<_> = (0..3).filter(|index| *index != controller).collect();
+    let load = fleet.start_load(&others, Duration::from_secs(12));
+    fleet.start_wave("w-1").await;
+    fleet.first_reboot().await;
+    drop(fleet.daemons.remove(controller));
+    // The entry VM is replaced by a new one with the same name.
+    let (plan, address) = (&fleet.plans[controller], fleet.platform.server.address);
+    let daemon = DaemonProcess::start(plan, &fleet.plans, address);
+    fleet.daemons.insert(controller, daemon);
+    fleet.wave_done().await;
+    fleet.check_load(load).await;
+    check_audit(&fleet);
 }
 
-/// Submits a patch to any daemon that accepts it.
-async fn patch(daemons: &[DaemonProcess], base: u64, patch: Value) {
-    support::eventually("patch accepted", || async {
-        for daemon in daemons {
-            let answer = support::patch(daemon.control, base, patch.clone()).await;
-            if answer.is_some_and(|(status, _)| status == 200) {
-                return true;
-            }
-        }
-        false
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_controller_frozen() {
+    let fleet = TestFleet::start(3, rules(), 1).await;
+    let controller = fleet.controller().await;
+    let others: Vec<_> = (0..3).filter(|index| *index != controller).collect();
+    let load = fleet.start_load(&others, Duration::from_secs(12));
+    fleet.start_wave("w-1").await;
+    fleet.first_reboot().await;
+    fleet.daemons[controller].signal("STOP");
+    support::eventually("successor claims", || async {
+        fleet.record()["epoch"] == 2
     })
     .await;
+    fleet.daemons[controller].signal("CONT");
+    fleet.wave_done().await;
+    fleet.check_load(load).await;
+    check_audit(&fleet);
 }
 
-async fn start_entries(platform: &RunningPlatform, count: usize) -> Vec<DaemonProcess> {
-    let plans: Vec<_> = (1..=count)
-        .map(|number| DaemonPlan::new(&format!("e-{number}"), "dc-1"))
-        .collect();
-    let address = platform.server.address;
-    let daemons = plans
-        .iter()
-        .map(|plan| DaemonProcess::start(plan, &plans, address));
-    daemons.collect()
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_answers_lost() {
+    let fleet = TestFleet::start(2, rules(), 1).await;
+    fleet.start_wave("w-1").await;
+    fleet.set_faults(PlatformFaults {
+        lose_share: 0.3,
+        ..PlatformFaults::default()
+    });
+    let most = watch_ledger(&fleet);
+    fleet.wave_done().await;
+    assert!(most.load(Ordering::Relaxed) <= 1, "rows over the budget");
+    check_audit(&fleet);
 }
 
-async fn all_serving(platform: &RunningPlatform) {
-    support::eventually("all VMs serving", || async {
-        let vms = record(platform)["vms"].clone();
-        let vms = vms.as_object().cloned().unwrap_or_default();
-        vms.len() == VMS.len() && vms.values().all(|vm| vm["state"] == "serving")
-    })
-    .await;
+/// Samples the ledger and keeps the most rows seen.
+fn watch_ledger(fleet: &TestFleet) -> Arc<AtomicUsize> {
+    let most = Arc::new(AtomicUsize::new(0));
+    let (state, seen) = (fleet.platform.state.clone(), most.clone());
+    tokio::spawn(async move {
+        loop {
+            let value = state.peek("ledger/intake").unwrap_or_default();
+            let ledger: Value = serde_json::from_slice(&value).unwrap_or_default();
+            let rows = ledger["rows"].as_object().map_or(0, serde_json::Map::len);
+            seen.fetch_max(rows, Ordering::Relaxed);
+            sleep(Duration::from_millis(1)).await;
+        }
+    });
+    most
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn wave_under_load() {
-    let platform = support::start_platform().await;
-    platform.state.set_faults(PlatformFaults {
-        reboot_ms: 300,
+async fn wave_platform_down() {
+    let fleet = TestFleet::start(2, rules(), 1).await;
+    let load = fleet.start_load(&[0, 1], Duration::from_secs(12));
+    fleet.start_wave("w-1").await;
+    fleet.first_reboot().await;
+    fleet.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    // Past the lease, so that the term ends in mid-wave.
+    sleep(Duration::from_secs(4)).await;
+    let down = fleet.reboots();
+    fleet.set_faults(PlatformFaults::default());
+    assert!(
+        down < VMS.len() as u64,
+        "plans went on without the platform"
+    );
+    fleet.wave_done().await;
+    let summary = fleet.check_load(load).await;
+    assert_eq!(summary.answered, summary.sent, "{summary}");
+    check_audit(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_reboot_fails() {
+    let rules = json!({"return_limit_s": 60, "drain_limit_s": 60, "failure_stop_share": 0.05});
+    let fleet = TestFleet::start(1, rules, 2).await;
+    fleet.set_faults(PlatformFaults {
+        reboot_fails: VMS.map(str::to_owned).to_vec(),
         ..PlatformFaults::default()
     });
-    let backends = support::start_backends(&platform, "dc-1", &VMS).await;
-    let daemons = start_entries(&platform, 1).await;
-    patch(&daemons, 0, document()).await;
-    all_serving(&platform).await;
-    support::eventually("state in force", || async {
-        let status = daemons[0].get("/v1/status").await;
-        status.is_some_and(|status| status["vms"] == VMS.len())
+    fleet.start_wave("w-1").await;
+    support::eventually("wave stops itself", || async {
+        fleet.record()["wave"]["stopped"].is_string()
     })
     .await;
-    let load = tokio::spawn(call::run(LoadSettings {
-        entries: daemons.iter().map(|daemon| daemon.entry).collect(),
-        pool: "intake".to_owned(),
-        rate: 200.0,
-        length: Duration::from_secs(8),
-        service: Some(Duration::from_millis(40)),
-        ..LoadSettings::default()
-    }));
-    patch(&daemons, 1, wave("w-1")).await;
+    let stopped = Duration::from_millis(REBOOT_MS * 5);
+    sleep(stopped).await;
+    assert!(fleet.reboots() <= 2, "stops beyond the budget of 2");
+    // The VMs come back, and an operator resumes under a new identifier.
+    fleet.set_faults(PlatformFaults::default());
+    for backend in &fleet.backends {
+        backend.state.end_reboot();
+    }
+    fleet.all_serving().await;
+    fleet.start_wave("w-2").await;
     support::eventually("wave ended", || async {
-        record(&platform)["wave"]["ended"] == true
+        let wave = fleet.record()["wave"].clone();
+        wave["id"] == "w-2" && wave["ended"] == true
     })
     .await;
-    let loaded = load.await.expect("load");
-    let records = support::records(&backends);
-    let summary = call::compare(&loaded, &records);
-    assert!(records.iter().all(|record| record.reboots == 1));
-    println!("{summary}");
-    assert!(!summary.is_broken(), "{summary}");
-    all_serving(&platform).await;
+}
+
+/// Calls of an idle data centre do not grow with requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_idle() {
+    let fleet = TestFleet::start(2, rules(), 1).await;
+    sleep(Duration::from_secs(2)).await;
+    let quiet = calls_during(&fleet, Duration::from_secs(4)).await;
+    let load = fleet.start_load(&[0, 1], Duration::from_secs(5));
+    let loaded = calls_during(&fleet, Duration::from_secs(4)).await;
+    fleet.check_load(load).await;
+    println!("quiet={quiet:?} loaded={loaded:?}");
+    let sum = |counts: &[(String, u64)]| counts.iter().map(|(_, count)| count).sum::<u64>();
+    // 600 requests were sent meanwhile.
+    assert!(sum(&loaded) < sum(&quiet) + 100, "{quiet:?} {loaded:?}");
+}
+
+async fn calls_during(fleet: &TestFleet, time: Duration) -> Vec<(String, u64)> {
+    let before = fleet.platform.state.counts();
+    sleep(time).await;
+    let after = fleet.platform.state.counts().into_iter();
+    let calls = after.map(|(kind, count)| {
+        let known = before.get(&kind).copied().unwrap_or(0);
+        (kind, count - known)
+    });
+    calls.collect()
 }
