--- a/src/bin/chicory/cmd/status.rs
+++ b/src/bin/chicory/cmd/status.rs
@@ -44,6 +44,19 @@
         &["entry VM", "address", "config", "fleet", "in progress"],
         &rows,
     );
+    let waiting = status.waiting.into_iter().map(|drain| {
+        let state = if drain.postponed {
+            "postponed"
+        } else {
+            "draining"
+        };
+        vec![drain.vm, state.to_owned(), drain.entries.join(",")]
+    });
+    let rows: Vec<_> = waiting.collect();
+    if !rows.is_empty() {
+        println!();
+        table::print(&["VM", "drain", "waits for"], &rows);
+    }
     let rows = status.data_centres.into_iter();
     let rows: Vec<_> = rows.map(|dc| vec![dc.dc, dc.entries.to_string()]).collect();
     println!();
--- a/src/service/control/mod.rs
+++ b/src/service/control/mod.rs
@@ -37,6 +37,7 @@
 use crate::service::config::ConfigView;
 use crate::service::config::FollowView;
 use crate::service::fleet::FleetView;
+use crate::service::fleet::ReportView;
 use crate::service::peers::PeerView;
 use crate::settings::DaemonSettings;
 
@@ -52,6 +53,7 @@
     config: ConfigView,
     follow: FollowView,
     fleet: FleetView,
+    drains: ReportView,
     peers: PeerView,
 }
 
@@ -82,6 +84,7 @@
         config: kernel.find(crate::service::config::NAME)?,
         follow: kernel.find(crate::service::config::NAME)?,
         fleet: kernel.find(crate::service::fleet::NAME)?,
+        drains: kernel.find(crate::service::fleet::NAME)?,
         peers: kernel.find(crate::service::peers::NAME)?,
     });
     let operators = Router::with_path("v1")
--- a/src/service/control/status.rs
+++ b/src/service/control/status.rs
@@ -9,12 +9,14 @@
 
 use crate::names::EntryName;
 use crate::peer::MemberState;
+use crate::service::fleet::ControllerReport;
 use crate::service::unix_ms;
 
 use super::ControlError;
 use super::ControlState;
 use super::answer;
 use super::state_of;
+use super::wire::DrainStatusWire;
 use super::wire::EntryStatusWire;
 use super::wire::RemoteStatusWire;
 use super::wire::StatusWire;
@@ -51,6 +53,7 @@
         platform_error: follow.error,
         confirmed_age_ms: (!never).then_some(age_ms),
         entries: entries(&state, &peers.members),
+        waiting: waiting(&state.drains.borrow()),
         data_centres: remotes
             .map(|(dc, remote)| RemoteStatusWire {
                 dc: dc.to_string(),
@@ -75,3 +78,15 @@
     });
     others.collect()
 }
+
+fn waiting(report: &ControllerReport) -> Vec<DrainStatusWire> {
+    let drains = report.draining.iter().map(|drain| (drain, false));
+    let postponed = report.postponed.iter().map(|drain| (drain, true));
+    let waiting = drains.chain(postponed);
+    let waiting = waiting.map(|((vm, entries), postponed)| DrainStatusWire {
+        vm: vm.to_string(),
+        postponed,
+        entries: entries.iter().map(ToString::to_string).collect(),
+    });
+    waiting.collect()
+}
--- a/src/service/control/wire.rs
+++ b/src/service/control/wire.rs
@@ -66,6 +66,16 @@
     pub versions: Vec<VersionWire>,
 }
 
+/// A drain that waits for entry VMs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DrainStatusWire {
+    pub vm: String,
+    /// Whether the VM serves again for now, since the drain took too long.
+    pub postponed: bool,
+    /// Entry VMs that use it or do not answer.
+    pub entries: Vec<String>,
+}
+
 /// State of one entry VM and what it knows of the others.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StatusWire {
@@ -88,6 +98,8 @@
     pub confirmed_age_ms: Option<u64>,
     pub entries: Vec<EntryStatusWire>,
     pub data_centres: Vec<RemoteStatusWire>,
+    /// Drains that wait for entry VMs; known to the controller only.
+    pub waiting: Vec<DrainStatusWire>,
 }
 
 /// Another entry VM of the same data centre.
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -174,7 +174,14 @@
         *lock(&self.faults) = faults;
     }
 
-    /// Ends a reboot that would last for ever.
+    /// Fails: its socket closes until [`Self::end_reboot`].
+    pub fn fall(&self) {
+        *lock(&self.rebooting) = true;
+        self.open.send_replace(false);
+        self.resets.send_modify(|resets| *resets += 1);
+    }
+
+    /// Ends a failure or a reboot that would last for ever.
     pub fn end_reboot(&self) {
         *lock(&self.rebooting) = false;
         self.open.send_replace(true);
