--- a/tests/controller_step.rs
+++ b/tests/controller_step.rs
@@ -7,6 +7,7 @@
 use std::collections::VecDeque;
 
 use chicorygauge::audit::AuditRow;
+use chicorygauge::audit::MAX_OUTBOX_ROWS;
 use chicorygauge::audit::find_break;
 use chicorygauge::config::FleetConfig;
 use chicorygauge::config::MaintenanceRules;
@@ -158,6 +159,9 @@
     terms: [Option<Term>; 2],
     late: VecDeque<LateWrite>,
     audit: Vec<AuditRow>,
+    unseen: BTreeSet<VmName>,
+    /// Audit rows are not moved to segments.
+    rows_stay: bool,
 }
 
 impl World {
@@ -325,6 +329,7 @@
         let acks = acks
             .map(|(index, e)| (entry(index), e.ack.clone()))
             .collect();
+        let moved = term.fleet.outbox.last_sequence / MOVED_ROWS * MOVED_ROWS;
         let view = StepView {
             dc: &"dc-1".parse().expect("name"),
             author: &entry(c),
@@ -334,8 +339,8 @@
             ledgers: &term.ledgers,
             listed: &self.listed,
             acks: &acks,
-            unseen: &BTreeSet::new(),
-            moved_rows: term.fleet.outbox.last_sequence / MOVED_ROWS * MOVED_ROWS,
+            unseen: &self.unseen,
+            moved_rows: if self.rows_stay { 0 } else { moved },
             now_ms: self.now_ms,
         };
         term.plan = term.state.step(&view).into();
@@ -636,14 +641,19 @@
     }
 }
 
-/// Applies events to a world whose wave has just been asked for.
-fn replay(events: &[HistoryEvent]) {
+/// Returns a world whose wave has just been asked for.
+fn wave_world() -> World {
     let mut world = World::new();
     world.claim(0);
     world.run(0);
     world.sync();
     world.now_ms += 10;
     world.start_wave(true);
+    world
+}
+
+fn replay(events: &[HistoryEvent]) {
+    let mut world = wave_world();
     for event in events {
         world.apply(event);
     }
@@ -700,3 +710,72 @@
     events.push(E::Land);
     replay(&events);
 }
+
+/// A VM of a data centre that is not seen uses the budget of its pool.
+#[test]
+fn unseen_dc_counts() {
+    let mut world = wave_world();
+    world.config.wave = None;
+    let away: VmName = "vm-away".parse().expect("name");
+    let pool_b = world.config.pools.get_mut(&pool(1)).expect("pool");
+    pool_b.vms.insert(away.clone());
+    world.unseen.insert(away);
+    for index in [0, 4] {
+        world.apply(&HistoryEvent::Hold(index));
+    }
+    for _ in 0..5 {
+        world.run(0);
+        world.sync();
+    }
+    assert_eq!(world.fleet.vms[&vm(0)].state, VmState::Held);
+    assert_eq!(world.fleet.vms[&vm(4)].state, VmState::Serving);
+    world.unseen.clear();
+    for _ in 0..5 {
+        world.run(0);
+        world.sync();
+    }
+    assert_eq!(world.fleet.vms[&vm(4)].state, VmState::Held);
+}
+
+/// The controller concludes nothing when most VMs seem lost to it.
+#[test]
+fn lost_vms_most() {
+    let mut world = wave_world();
+    world.config.wave = None;
+    world.down.extend((0..VMS).map(vm));
+    for _ in 0..10 {
+        world.run(0);
+    }
+    assert!(world.fleet.vms.values().all(|vm| vm.state.takes_work()));
+    world.down.retain(|name| *name == vm(0) || *name == vm(1));
+    for _ in 0..10 {
+        world.run(0);
+    }
+    assert_eq!(world.fleet.vms[&vm(0)].state, VmState::Failed);
+    assert_eq!(world.fleet.vms[&vm(2)].state, VmState::Serving);
+}
+
+/// Changes wait while the outbox is full, and go on once rows are moved.
+#[test]
+fn outbox_full() {
+    let mut world = wave_world();
+    world.config.wave = None;
+    world.rows_stay = true;
+    for _ in 0..200 {
+        world.apply(&HistoryEvent::Hold(0));
+        for _ in 0..3 {
+            world.run(0);
+            world.sync();
+        }
+    }
+    let sequence = world.fleet.outbox.last_sequence;
+    assert!(world.fleet.outbox.rows.len() <= MAX_OUTBOX_ROWS);
+    assert!(world.fleet.outbox.rows.len() + 8 > MAX_OUTBOX_ROWS);
+    world.rows_stay = false;
+    world.apply(&HistoryEvent::Hold(0));
+    for _ in 0..5 {
+        world.run(0);
+        world.sync();
+    }
+    assert!(world.fleet.outbox.last_sequence > sequence);
+}
--- a/tests/controller_wave.rs
+++ b/tests/controller_wave.rs
@@ -33,6 +33,13 @@
     let summary = fleet.check_load(load).await;
     assert_eq!(summary.answered, summary.sent, "{summary}");
     check_audit(&fleet);
+    // The report, made from the audit rows alone, says the same.
+    let report = fleet.daemons[0].get("/v1/report").await.unwrap_or_default();
+    assert_eq!(report["conditions"]["budgets"], true, "{report}");
+    assert_eq!(report["conditions"]["stops"], true, "{report}");
+    assert_eq!(report["conditions"]["record"], true, "{report}");
+    let stops = report["stops"].as_array().map(Vec::len);
+    assert_eq!(stops, Some(VMS.len()), "{report}");
 }
 
 /// Each stop stands in the audit rows with nothing in progress, in one chain.
@@ -137,6 +144,8 @@
     sleep(Duration::from_secs(4)).await;
     let down = fleet.reboots();
     fleet.set_faults(PlatformFaults::default());
+    let after = calls_during(&fleet, Duration::from_secs(1)).await;
+    check_return(&after);
     assert!(
         down < VMS.len() as u64,
         "plans went on without the platform"
@@ -177,6 +186,20 @@
     .await;
 }
 
+/// The periods here are a tenth of the defaults, so a second stands for the
+/// first ten after the return. One of 24 data centres may make its part of 2,000
+/// reads and 300 writes a second.
+fn check_return(calls: &[(String, u64)]) {
+    println!("after the return: {calls:?}");
+    let sum = |writes: bool| {
+        let calls = calls.iter();
+        let chosen = calls.filter(|(kind, _)| kind.ends_with("_write") == writes);
+        chosen.map(|(_, count)| count).sum::<u64>()
+    };
+    assert!(sum(false) <= 10 * 2000 / 24, "{calls:?}");
+    assert!(sum(true) <= 10 * 300 / 24, "{calls:?}");
+}
+
 /// Calls of an idle data centre do not grow with requests.
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_idle() {
