--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -1,28 +1,26 @@
 //! Admission to a pool's queue and dispatch to its VMs.
 //!
-//! Each pool has one bounded queue, ordered by class and, within a class, by
-//! deadline. Each VM has a number of slots that this entry VM may use. A request
-//! is granted a slot at once, waits, or is refused at once if it cannot be
-//! started in time.
+//! Each pool has one bounded queue and each VM a number of slots that this entry
+//! VM may use. A request is granted a slot at once, waits, or is refused at once
+//! if it cannot be started in time. The free VMs of a pool are kept in order, so
+//! that a decision costs no walk over them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::decide::queue::PoolQueue;
 use crate::names::PoolName;
 use crate::names::VmName;
 use crate::request::RefuseReason;
 use crate::request::RequestClass;
 
-/// Identifies a request within one entry VM.
+/// Identifies a request within one entry VM; later requests have larger ones.
 pub type TicketId = u64;
 
-/// Share of a new sample in the moving average of service times.
-const SERVICE_TIME_GAIN: f64 = 0.1;
-/// Mean service time that is assumed before the first sample.
-const FIRST_SERVICE_TIME: Duration = Duration::from_millis(20);
-/// Shortest time after which a refused caller is asked to come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Steps of the order in which VMs are chosen by their load.
+const LOAD_STEPS: u32 = 1000;
 
 /// A request that asks for a slot.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +33,8 @@
     pub class: RequestClass,
     /// Time by which it has to be answered.
     pub deadline: Duration,
+    /// VM that is taken only if no other has a free slot, after a failed send.
+    pub avoid: Option<VmName>,
 }
 
 /// What is to be done with a request.
@@ -79,55 +79,84 @@
 struct VmSlots {
     target: VmTarget,
     in_use: u32,
+    /// Number of the last grant, for turns among VMs of equal load.
+    last_grant: u64,
 }
 
-#[derive(Debug)]
-struct PoolQueue {
-    waiting: BTreeMap<QueueKey, TicketId>,
-    limit: usize,
-    service_time: Duration,
+/// Order in which the VMs of a pool are chosen.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct FreeKey {
+    load: u32,
+    last_grant: u64,
+    vm: VmName,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct QueueKey {
-    class: RequestClass,
-    deadline: Duration,
-    sequence: u64,
+impl VmSlots {
+    fn free_key(&self) -> Option<FreeKey> {
+        let free = self.target.takes_work && self.in_use < self.target.share;
+        free.then(|| FreeKey {
+            load: self.in_use * LOAD_STEPS / self.target.share,
+            last_grant: self.last_grant,
+            vm: self.target.name.clone(),
+        })
+    }
+}
+
+/// Queue and VMs of one pool.
+#[derive(Debug, Default)]
+struct PoolState {
+    queue: PoolQueue,
+    /// Slots of the VMs that take work.
+    slots: u32,
+    /// VMs with a free slot.
+    free: BTreeSet<FreeKey>,
 }
 
 /// Queues of all pools and slots of all VMs at one entry VM.
 #[derive(Debug, Default)]
 pub struct DispatchState {
-    pools: BTreeMap<PoolName, PoolQueue>,
+    pools: BTreeMap<PoolName, PoolState>,
     vms: BTreeMap<VmName, VmSlots>,
-    sequence: u64,
+    grants: u64,
 }
 
 impl DispatchState {
     /// Replaces the known pools, each with its queue limit.
-    pub fn set_pools<'a>(&mut self, pools: impl IntoIterator<Item = (&'a PoolName, u32)>) {
+    ///
+    /// Requests that wait for a removed pool are refused.
+    pub fn set_pools<'a>(
+        &mut self,
+        pools: impl IntoIterator<Item = (&'a PoolName, u32)>,
+    ) -> Vec<DispatchAction> {
         let mut known = BTreeMap::new();
         for (name, limit) in pools {
-            let old = self.pools.remove(name);
-            let mut queue = old.unwrap_or_else(PoolQueue::empty);
-            queue.limit = limit as usize;
-            known.insert(name.clone(), queue);
+            let mut pool = self.pools.remove(name).unwrap_or_default();
+            pool.queue.limit = limit as usize;
+            known.insert(name.clone(), pool);
         }
-        // A removed pool keeps its queue until its requests have been refused.
-        let removed = std::mem::take(&mut self.pools);
-        known.extend(removed.into_iter().filter_map(|(name, mut queue)| {
-            queue.limit = 0;
-            (!queue.waiting.is_empty()).then_some((name, queue))
-        }));
-        self.pools = known;
+        let removed = std::mem::replace(&mut self.pools, known);
+        self.index_vms();
+        let mut actions = Vec::new();
+        for mut pool in removed.into_values() {
+            actions.extend(pool.refuse_all(RefuseReason::UnknownPool, Duration::ZERO));
+        }
+        actions
     }
 
     /// Replaces the known VMs; slots in use stay counted.
-    pub fn set_vms(&mut self, targets: impl IntoIterator<Item = VmTarget>) {
+    pub fn set_vms(
+        &mut self,
+        now: Duration,
+        targets: impl IntoIterator<Item = VmTarget>,
+    ) -> Vec<DispatchAction> {
         let mut old = std::mem::take(&mut self.vms);
         for target in targets {
-            let in_use = old.remove(&target.name).map_or(0, |slots| slots.in_use);
-            let slots = VmSlots { target, in_use };
+            let old = old.remove(&target.name);
+            let slots = VmSlots {
+                in_use: old.as_ref().map_or(0, |old| old.in_use),
+                last_grant: old.as_ref().map_or(0, |old| old.last_grant),
+                target,
+            };
             self.vms.insert(slots.target.name.clone(), slots);
         }
         old.retain(|_, slots| slots.in_use > 0);
@@ -135,6 +164,8 @@
             slots.target.takes_work = false;
             self.vms.insert(name, slots);
         }
+        self.index_vms();
+        self.tick(now)
     }
 
     /// Returns the requests in progress on a VM.
@@ -150,21 +181,32 @@
         busy.map(|(vm, slots)| (vm.clone(), slots.in_use)).collect()
     }
 
+    /// Returns the number of requests that wait for a pool.
+    #[must_use]
+    pub fn waiting(&self, pool: &PoolName) -> usize {
+        self.pools.get(pool).map_or(0, |pool| pool.queue.len())
+    }
+
     /// Takes a request in.
-    pub fn arrive(&mut self, now: Duration, request: &SlotRequest) -> Vec<DispatchAction> {
-        if let Some(refusal) = self.refuse_arrival(now, request) {
-            return vec![refusal];
-        }
-        self.sequence += 1;
-        let key = QueueKey {
-            class: request.class,
-            deadline: request.deadline,
-            sequence: self.sequence,
+    pub fn arrive(&mut self, now: Duration, request: SlotRequest) -> Vec<DispatchAction> {
+        let ticket = request.ticket;
+        let refuse = |reason| {
+            vec![DispatchAction::Refuse {
+                ticket,
+                reason,
+                retry_after: Duration::ZERO,
+            }]
+        };
+        let Some(pool) = self.pools.get_mut(&request.pool) else {
+            return refuse(RefuseReason::UnknownPool);
         };
-        if let Some(queue) = self.pools.get_mut(&request.pool) {
-            queue.waiting.insert(key, request.ticket);
+        if request.deadline <= now {
+            return refuse(RefuseReason::DeadlinePassed);
         }
-        self.fill(now, &request.pool)
+        let name = request.pool.clone();
+        let mut actions = pool.admit(now, request);
+        actions.extend(self.grant_waiting(&name));
+        actions
     }
 
     /// Frees a slot after a request; `service_time` is absent if it was not run.
@@ -177,125 +219,176 @@
         let Some(slots) = self.vms.get_mut(vm) else {
             return Vec::new();
         };
+        let old_key = slots.free_key();
         slots.in_use = slots.in_use.saturating_sub(1);
-        let pool = slots.target.pool.clone();
-        if let (Some(queue), Some(time)) = (self.pools.get_mut(&pool), service_time) {
-            queue.service_time = queue.service_time.mul_f64(1.0 - SERVICE_TIME_GAIN)
-                + time.mul_f64(SERVICE_TIME_GAIN);
+        let new_key = slots.free_key();
+        let name = slots.target.pool.clone();
+        if let Some(pool) = self.pools.get_mut(&name) {
+            pool.replace_key(old_key.as_ref(), new_key);
+            if let Some(time) = service_time {
+                pool.queue.service.add(time);
+            }
         }
-        self.fill(now, &pool)
+        self.fill(now, &name)
     }
 
-    /// Forgets a waiting request whose caller has gone.
-    pub fn cancel(&mut self, pool: &PoolName, ticket: TicketId) {
-        if let Some(queue) = self.pools.get_mut(pool) {
-            queue.waiting.retain(|_, waiting| *waiting != ticket);
-        }
+    /// Forgets a waiting request whose caller has gone or has had its answer.
+    pub fn cancel(&mut self, request: &SlotRequest) -> bool {
+        let pool = self.pools.get_mut(&request.pool);
+        pool.is_some_and(|pool| pool.queue.remove(request))
     }
 
     /// Refuses waiting requests that can no longer be met and fills free slots.
     pub fn tick(&mut self, now: Duration) -> Vec<DispatchAction> {
-        let pools: Vec<_> = self.pools.keys().cloned().collect();
+        let waiting = self.pools.iter();
+        let waiting = waiting.filter(|(_, pool)| !pool.queue.is_empty());
+        let pools: Vec<_> = waiting.map(|(name, _)| name.clone()).collect();
         let actions = pools.iter().flat_map(|pool| self.fill(now, pool));
         actions.collect()
     }
 
-    fn refuse_arrival(&self, now: Duration, request: &SlotRequest) -> Option<DispatchAction> {
-        let ticket = request.ticket;
-        let refuse = |reason, retry_after| {
-            Some(DispatchAction::Refuse {
-                ticket,
-                reason,
-                retry_after,
-            })
-        };
-        let Some(queue) = self.pools.get(&request.pool) else {
-            return refuse(RefuseReason::UnknownPool, Duration::ZERO);
-        };
-        if request.deadline <= now {
-            return refuse(RefuseReason::DeadlinePassed, Duration::ZERO);
-        }
-        let slots = self.serving_slots(&request.pool);
-        if slots == 0 {
-            return refuse(RefuseReason::NoBackend, queue.service_time * 10);
-        }
-        let wait = queue.wait_of(request, slots);
-        if queue.waiting.len() >= queue.limit {
-            return refuse(RefuseReason::QueueFull, wait.max(MIN_RETRY_AFTER));
-        }
-        if now + wait + queue.service_time > request.deadline {
-            return refuse(RefuseReason::Overload, wait.max(MIN_RETRY_AFTER));
-        }
-        None
+    /// Refuses all waiting requests.
+    pub fn refuse_all(
+        &mut self,
+        reason: RefuseReason,
+        retry_after: Duration,
+    ) -> Vec<DispatchAction> {
+        let pools = self.pools.values_mut();
+        let actions = pools.flat_map(|pool| pool.refuse_all(reason, retry_after));
+        actions.collect()
     }
 
-    fn serving_slots(&self, pool: &PoolName) -> u32 {
-        let targets = self.vms.values().map(|slots| &slots.target);
-        let serving = targets.filter(|target| target.pool == *pool && target.takes_work);
-        serving.map(|target| target.share).sum()
+    /// Brings the pools' own view of their VMs up to date.
+    fn index_vms(&mut self) {
+        for pool in self.pools.values_mut() {
+            pool.slots = 0;
+            pool.free.clear();
+        }
+        for slots in self.vms.values() {
+            let target = &slots.target;
+            if let Some(pool) = self.pools.get_mut(&target.pool) {
+                pool.slots += u32::from(target.takes_work) * target.share;
+                pool.free.extend(slots.free_key());
+            }
+        }
     }
 
-    /// Returns the VM of the pool with the smallest share of its slots in use.
-    fn freest_vm(&mut self, pool: &PoolName) -> Option<&mut VmSlots> {
-        let vms = self.vms.values_mut();
-        let free = vms.filter(|slots| {
-            slots.target.pool == *pool
-                && slots.target.takes_work
-                && slots.in_use < slots.target.share
-        });
-        free.min_by_key(|slots| (slots.in_use * 1000) / slots.target.share)
+    fn fill(&mut self, now: Duration, name: &PoolName) -> Vec<DispatchAction> {
+        let Some(pool) = self.pools.get_mut(name) else {
+            return Vec::new();
+        };
+        let mut actions = pool.refuse_unmet(now);
+        actions.extend(self.grant_waiting(name));
+        actions
     }
 
-    fn fill(&mut self, now: Duration, pool: &PoolName) -> Vec<DispatchAction> {
+    fn grant_waiting(&mut self, name: &PoolName) -> Vec<DispatchAction> {
         let mut actions = Vec::new();
-        while let Some(queue) = self.pools.get_mut(pool) {
-            let Some((key, ticket)) = queue.waiting.first_key_value() else {
+        let Some(pool) = self.pools.get_mut(name) else {
+            return actions;
+        };
+        while !pool.free.is_empty() {
+            let Some(request) = pool.queue.pop() else {
                 break;
             };
-            let (key, ticket) = (*key, *ticket);
-            if now + queue.service_time > key.deadline {
-                queue.waiting.remove(&key);
-                actions.push(DispatchAction::Refuse {
-                    ticket,
-                    reason: RefuseReason::DeadlinePassed,
-                    retry_after: MIN_RETRY_AFTER,
-                });
-                continue;
-            }
-            let Some(slots) = self.freest_vm(pool) else {
+            let Some(key) = pool.choose(request.avoid.as_ref()) else {
                 break;
             };
+            let Some(slots) = self.vms.get_mut(&key.vm) else {
+                break;
+            };
+            self.grants += 1;
             slots.in_use += 1;
+            slots.last_grant = self.grants;
+            pool.replace_key(Some(&key), slots.free_key());
             actions.push(DispatchAction::Grant {
-                ticket,
-                vm: slots.target.name.clone(),
+                ticket: request.ticket,
+                vm: key.vm,
                 address: slots.target.address,
             });
-            if let Some(queue) = self.pools.get_mut(pool) {
-                queue.waiting.remove(&key);
-            }
         }
         actions
     }
 }
 
-impl PoolQueue {
-    fn empty() -> Self {
-        Self {
-            waiting: BTreeMap::new(),
-            limit: 0,
-            service_time: FIRST_SERVICE_TIME,
+impl PoolState {
+    /// Queues a request or refuses it, or another of a lower class in its place.
+    fn admit(&mut self, now: Duration, request: SlotRequest) -> Vec<DispatchAction> {
+        let mean = self.queue.service.mean();
+        if self.slots == 0 {
+            return vec![self.refuse(now, &request, RefuseReason::NoBackend, mean)];
+        }
+        let mut actions = Vec::new();
+        // With a free slot a request is always tried, so that a wrong estimate of
+        // the service time corrects itself.
+        if self.free.is_empty() {
+            let wait = self.queue.wait_of(&request, self.slots);
+            let late = now + wait + self.queue.service.most() > request.deadline;
+            let standing = self.queue.is_standing(now, self.slots) && wait > mean;
+            if late || standing {
+                return vec![self.refuse(now, &request, RefuseReason::Overload, wait)];
+            }
+            if self.queue.len() >= self.queue.limit {
+                let victim = self.queue.pop_below(request.class);
+                let Some(victim) = victim else {
+                    return vec![self.refuse(now, &request, RefuseReason::QueueFull, wait)];
+                };
+                actions.push(self.refuse(now, &victim, RefuseReason::QueueFull, wait));
+            }
         }
+        self.queue.push(request);
+        actions
     }
 
-    /// Estimates how long a request would wait behind those that go before it.
-    fn wait_of(&self, request: &SlotRequest, slots: u32) -> Duration {
-        let key = QueueKey {
-            class: request.class,
-            deadline: request.deadline,
-            sequence: u64::MAX,
-        };
-        let before = self.waiting.range(..=key).count() as u32;
-        self.service_time * before / slots.max(1)
+    /// Refuses waiting requests that can no longer be met.
+    fn refuse_unmet(&mut self, now: Duration) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        let wait = self.queue.service.mean();
+        while let Some(request) = self.queue.pop_expired(now) {
+            actions.push(self.refuse(now, &request, RefuseReason::DeadlinePassed, wait));
+        }
+        while self.slots == 0
+            && let Some(request) = self.queue.pop_any()
+        {
+            actions.push(self.refuse(now, &request, RefuseReason::NoBackend, wait));
+        }
+        actions
+    }
+
+    fn refuse(
+        &mut self,
+        now: Duration,
+        request: &SlotRequest,
+        reason: RefuseReason,
+        wait: Duration,
+    ) -> DispatchAction {
+        DispatchAction::Refuse {
+            ticket: request.ticket,
+            reason,
+            retry_after: self.queue.book_return(now, wait, self.slots),
+        }
+    }
+
+    fn refuse_all(&mut self, reason: RefuseReason, retry_after: Duration) -> Vec<DispatchAction> {
+        let requests = std::iter::from_fn(|| self.queue.pop_any());
+        let actions = requests.map(|request| DispatchAction::Refuse {
+            ticket: request.ticket,
+            reason,
+            retry_after,
+        });
+        actions.collect()
+    }
+
+    /// Chooses the VM with the smallest share of its slots in use.
+    fn choose(&self, avoid: Option<&VmName>) -> Option<FreeKey> {
+        let mut others = self.free.iter().filter(|key| Some(&key.vm) != avoid);
+        others.next().or_else(|| self.free.first()).cloned()
+    }
+
+    fn replace_key(&mut self, old_key: Option<&FreeKey>, new_key: Option<FreeKey>) {
+        if let Some(key) = old_key {
+            self.free.remove(key);
+        }
+        self.free.extend(new_key);
     }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,10 +6,12 @@
 
 pub mod controller;
 pub mod dispatch;
+pub mod forward;
 pub mod health;
 pub mod lending;
 pub mod membership;
 pub mod placement;
 pub mod planner;
+pub mod queue;
 pub mod retry;
 pub mod slots;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -7,6 +7,12 @@
 
 /// Requests by outcome and reason.
 pub const REQUESTS: &str = "chicory_requests_total";
+/// Further sends of requests, by pool.
+pub const RESENDS: &str = "chicory_resends_total";
+/// Ejections of VMs by pool and cause.
+pub const EJECTIONS: &str = "chicory_ejections_total";
+/// VMs that are ejected or on trial.
+pub const EJECTED_VMS: &str = "chicory_ejected_vms";
 /// Calls to the platform by step and result.
 pub const PLATFORM_CALLS: &str = "chicory_platform_calls_total";
 /// Configuration version in force.
@@ -25,6 +31,9 @@
 pub fn start() {
     recorder();
     metrics::describe_counter!(REQUESTS, "Requests by outcome and reason.");
+    metrics::describe_counter!(RESENDS, "Further sends of requests, by pool.");
+    metrics::describe_counter!(EJECTIONS, "Ejections of VMs by pool and cause.");
+    metrics::describe_gauge!(EJECTED_VMS, "VMs that are ejected or on trial.");
     metrics::describe_counter!(PLATFORM_CALLS, "Calls to the platform by step and result.");
     metrics::describe_gauge!(CONFIG_VERSION, "Configuration version in force.");
     metrics::describe_gauge!(FLEET_SEQUENCE, "Sequence of the fleet record in force.");
--- a/src/request/headers.rs
+++ b/src/request/headers.rs
@@ -30,6 +30,9 @@
 /// Names the entry VM that passed the request on; it is not passed on again.
 pub const FORWARDED_BY: &str = "chicory-forwarded-by";
 
+/// Names the entry VM that sent the request to a backend server.
+pub const ENTRY: &str = "chicory-entry";
+
 /// Longest request id, in bytes.
 pub const MAX_REQUEST_ID_BYTES: usize = 128;
 /// Deadline of a request that states none.
--- a/src/service/entry/exchange.rs
+++ b/src/service/entry/exchange.rs
@@ -1,7 +1,8 @@
-//! One exchange with a backend server.
+//! One exchange with a backend server or with another entry VM.
 //!
 //! The result says what is known of the request: it is not run only if no byte
-//! of it reached the backend server, or if the backend server said so.
+//! of it reached the other side, or if the other side said so. A connection is
+//! closed with the exchange unless the answer was whole and its own.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,25 +11,37 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use hyper::header;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crate::decide::health::FailureCause;
 use crate::request::RequestOutcome;
 use crate::request::headers;
 
-/// Connection to a backend server that carries one request at a time.
+/// Connection that carries one request at a time; it is closed when dropped.
 #[derive(Debug)]
 pub(super) struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
     idle_since: Instant,
 }
 
+impl Drop for BackendConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
 /// Limits on an exchange.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ExchangeLimits {
@@ -38,17 +51,21 @@
     pub answer_bytes: usize,
     /// Longest idle time of a connection that is used again.
     pub reuse: Duration,
+    /// Whether the other side always states the outcome, as entry VMs do.
+    pub states_outcome: bool,
 }
 
 /// How an exchange ended.
 #[derive(Debug)]
 pub(super) enum ExchangeEnd {
     /// The whole answer, and the connection if it can be used again.
-    Answered(Response<Bytes>, Option<BackendConnection>),
-    /// The request did not run.
-    NotRun(String),
+    Answered(Response<Bytes>, BackendConnection),
+    /// The other side says that the request did not run.
+    Refused(String, BackendConnection),
+    /// No byte of the request was sent.
+    Unsent(String),
     /// The request may have run.
-    Unknown(String),
+    Unknown(String, FailureCause),
 }
 
 /// Sends a request and reads the whole answer.
@@ -58,39 +75,64 @@
     request: Request<Full<Bytes>>,
     limits: ExchangeLimits,
 ) -> ExchangeEnd {
+    let id = request.headers().get(headers::REQUEST_ID).cloned();
+    let is_head = request.method() == Method::HEAD;
     let idle = idle.filter(|idle| idle.is_usable(limits.reuse));
-    let mut sender = match idle {
-        Some(idle) => idle.sender,
+    let mut connection = match idle {
+        Some(idle) => idle,
         None => match connect(address, limits.connect).await {
-            Ok(sender) => sender,
-            Err(problem) => return ExchangeEnd::NotRun(problem),
+            Ok(connection) => connection,
+            Err(problem) => return ExchangeEnd::Unsent(problem),
         },
     };
-    let response = match sender.try_send_request(request).await {
+    let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
             // A request that is handed back was never written to the connection.
             let unsent = error.take_message().is_some();
             let problem = format!("step=send peer={address}: {}", error.error());
             return if unsent {
-                ExchangeEnd::NotRun(problem)
+                ExchangeEnd::Unsent(problem)
             } else {
-                ExchangeEnd::Unknown(problem)
+                ExchangeEnd::Unknown(problem, FailureCause::Broken)
             };
         }
     };
     let (parts, body) = response.into_parts();
     let body = match Limited::new(body, limits.answer_bytes).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(error) => return ExchangeEnd::Unknown(format!("step=body peer={address}: {error}")),
+        Err(error) => {
+            let problem = format!("step=body peer={address}: {error}");
+            return ExchangeEnd::Unknown(problem, FailureCause::Broken);
+        }
     };
     let response = Response::from_parts(parts, body);
-    if says_not_run(&response) {
-        return ExchangeEnd::NotRun(format!("step=run peer={address}: refused"));
+    let broken = |step: &str| {
+        let problem = format!("step={step} peer={address}: not an answer to this request");
+        ExchangeEnd::Unknown(problem, FailureCause::Broken)
+    };
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        return broken("status");
+    }
+    if !is_head && !is_delimited(&response) {
+        return broken("length");
+    }
+    let echo = response.headers().get(headers::REQUEST_ID);
+    if echo.is_some() && echo != id.as_ref() {
+        return broken("request_id");
+    }
+    connection.idle_since = Instant::now();
+    match stated_outcome(&response) {
+        Some(RequestOutcome::NotRun) => {
+            let problem = format!("step=run peer={address}: refused");
+            ExchangeEnd::Refused(problem, connection)
+        }
+        Some(RequestOutcome::Answered) => ExchangeEnd::Answered(response, connection),
+        None if !limits.states_outcome && !response.headers().contains_key(headers::OUTCOME) => {
+            ExchangeEnd::Answered(response, connection)
+        }
+        _ => broken("outcome"),
     }
-    let idle_since = Instant::now();
-    let connection = BackendConnection { sender, idle_since };
-    ExchangeEnd::Answered(response, Some(connection))
 }
 
 impl BackendConnection {
@@ -99,7 +141,7 @@
     }
 }
 
-async fn connect(address: SocketAddr, limit: Duration) -> Result<SendRequest<Full<Bytes>>, String> {
+async fn connect(address: SocketAddr, limit: Duration) -> Result<BackendConnection, String> {
     let stream = match timeout(limit, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(format!("step=connect peer={address}: {error}")),
@@ -110,15 +152,29 @@
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) =
         handshake.map_err(|error| format!("step=handshake peer={address}: {error}"))?;
-    tokio::spawn(async move {
+    let driver = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(event = "backend_connection_failed", peer:% = address, error:% = error; "");
         }
     });
-    Ok(sender)
+    Ok(BackendConnection {
+        sender,
+        driver: driver.abort_handle(),
+        idle_since: Instant::now(),
+    })
+}
+
+/// Tells whether the end of the body was marked; an answer that ends with its
+/// connection may have been cut.
+fn is_delimited(response: &Response<Bytes>) -> bool {
+    let no_body = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+    let headers = response.headers();
+    no_body.contains(&response.status())
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-fn says_not_run(response: &Response<Bytes>) -> bool {
-    let outcome = response.headers().get(headers::OUTCOME);
-    outcome.is_some_and(|outcome| outcome == RequestOutcome::NotRun.as_str())
+fn stated_outcome(response: &Response<Bytes>) -> Option<RequestOutcome> {
+    let outcome = response.headers().get(headers::OUTCOME)?;
+    RequestOutcome::find(outcome.to_str().ok()?)
 }
--- a/src/service/entry/mod.rs
+++ b/src/service/entry/mod.rs
@@ -9,6 +9,8 @@
 mod dispatcher;
 mod exchange;
 mod handler;
+mod inbox;
+mod send;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,12 +34,16 @@
 use crate::kernel::reached;
 use crate::names::EntryName;
 use crate::service::config::ConfigView;
+use crate::service::entry::dispatcher::DispatchParts;
 use crate::service::fleet::FleetView;
 use crate::service::peers::PeerView;
+use crate::service::unix_ms;
 use crate::settings::DaemonSettings;
 use crate::settings::EntryLimits;
 
-pub use dispatcher::DispatchInbox;
+pub use dispatcher::EjectionMap;
+pub use dispatcher::EjectionView;
+pub use inbox::DispatchInbox;
 
 /// Name of the service.
 pub const NAME: ServiceName = "entry";
@@ -48,13 +54,23 @@
 /// Pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Most requests that are being passed on to other data centres at once.
+const MAX_FORWARDS: usize = 256;
+
 /// What the handlers of callers' requests share.
 struct EntryGate {
     name: EntryName,
     limits: EntryLimits,
     inbox: DispatchInbox,
     phase: watch::Receiver<ShutdownPhase>,
+    peers: PeerView,
+    /// Requests that are being passed on.
+    forwards: Semaphore,
+    /// Age of a slot's grant from which on it is out of date.
+    pause_limit: Duration,
     started: Instant,
+    /// Start of the process, as part of the request ids that are made here.
+    started_ms: u64,
 }
 
 /// Starts the service on a bound socket.
@@ -71,15 +87,31 @@
     let gate = Arc::new(EntryGate {
         name: settings.name.clone(),
         limits: settings.limits.clone(),
-        inbox: DispatchInbox::new(inbox),
+        inbox: DispatchInbox::new(inbox.clone()),
         phase: kernel.phase(),
+        peers: peers.clone(),
+        forwards: Semaphore::new(MAX_FORWARDS),
+        pause_limit: settings.control.pause_limit,
         started,
+        started_ms: unix_ms(),
     });
     kernel.register::<DispatchInbox>(NAME, gate.inbox.clone());
+    let (ejections, view) = watch::channel(Arc::default());
+    kernel.register::<EjectionView>(NAME, view);
+    let parts = DispatchParts {
+        messages,
+        inbox: inbox.downgrade(),
+        config,
+        fleet,
+        peers,
+        ejections,
+        periods: settings.control.clone(),
+        started,
+    };
     let mut phase = kernel.phase();
     kernel.spawn(DISPATCH, async move {
         tokio::select! {
-            () = dispatcher::run(messages, config, fleet, peers, started) => {}
+            () = dispatcher::run(parts) => {}
             () = reached(&mut phase, ShutdownPhase::Stopped) => {}
         }
     });
--- /dev/null
+++ b/src/service/entry/send.rs
@@ -0,0 +1,282 @@
+//! Sends of one request: to a backend server here or to another entry VM.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::header;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::decide::dispatch::SlotRequest;
+use crate::decide::forward::forward_targets;
+use crate::decide::health::FailureCause;
+use crate::decide::retry::SendFailure;
+use crate::decide::retry::may_resend;
+use crate::metrics::RESENDS;
+use crate::names::VmName;
+use crate::request::RefuseReason;
+use crate::request::headers;
+use crate::request::headers::RequestTerms;
+use crate::service::entry::EntryGate;
+use crate::service::entry::exchange::ExchangeEnd;
+use crate::service::entry::exchange::ExchangeLimits;
+use crate::service::entry::exchange::exchange;
+use crate::service::entry::inbox::SlotGrant;
+use crate::service::entry::inbox::SlotRefusal;
+
+/// Longest idle time of a connection on which an idempotent request is sent.
+const REUSE_LIMIT: Duration = Duration::from_secs(5);
+/// Longest idle time of a connection on which any other request is sent.
+const REUSE_LIMIT_ONCE: Duration = Duration::from_millis(500);
+/// When to come back after all sends were refused by the other side.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Headers that concern one connection and are not passed on.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A caller's request, read whole.
+pub(super) struct WholeRequest {
+    pub terms: RequestTerms,
+    pub parts: Parts,
+    pub body: Bytes,
+    /// The caller's request id, or one that was made here.
+    pub id: HeaderValue,
+    pub deadline: Instant,
+}
+
+/// What the caller gets.
+pub(super) enum FinalAnswer {
+    Answered(Response<Bytes>),
+    NotRun(SlotRefusal, String),
+    Unknown(String),
+}
+
+/// How one send ended.
+enum SendEnd {
+    Answered(Response<Bytes>),
+    Failed(SendFailure, String),
+}
+
+/// Sends the request until it is answered, may have run or is refused.
+pub(super) async fn run(gate: &Arc<EntryGate>, request: &WholeRequest) -> FinalAnswer {
+    let terms = &request.terms;
+    let mut avoid: Option<VmName> = None;
+    let mut maybe_ran = false;
+    let mut sends = 0;
+    loop {
+        let slot_request = SlotRequest {
+            ticket: gate.inbox.next_ticket(),
+            pool: terms.pool.clone(),
+            class: terms.class,
+            deadline: request.deadline - gate.started,
+            avoid: avoid.take(),
+        };
+        let slot = gate
+            .inbox
+            .acquire(slot_request, sends > 0, request.deadline);
+        let grant = match slot.await {
+            Ok(grant) => grant,
+            // What may have run before must not be said not to have run.
+            Err(refusal) if maybe_ran => {
+                return FinalAnswer::Unknown(format!("sent before, now {}", refusal.reason));
+            }
+            Err(refusal) if refusal.reason == RefuseReason::NoBackend && !terms.forwarded => {
+                return forward(gate, request, refusal).await;
+            }
+            Err(refusal) => return FinalAnswer::NotRun(refusal, refusal.reason.to_string()),
+        };
+        avoid = Some(grant.vm.clone());
+        sends += 1;
+        let (failure, problem) = match send_here(gate, request, grant).await {
+            SendEnd::Answered(response) => return FinalAnswer::Answered(response),
+            SendEnd::Failed(failure, problem) => (failure, problem),
+        };
+        maybe_ran |= failure == SendFailure::Unknown;
+        let in_time = Instant::now() < request.deadline;
+        let again = in_time && may_resend(failure, terms.idempotent, sends);
+        if !again || !gate.inbox.withdraw(&terms.pool).await {
+            return given_up(maybe_ran, problem);
+        }
+        metrics::counter!(RESENDS, "pool" => terms.pool.to_string()).increment(1);
+    }
+}
+
+fn given_up(maybe_ran: bool, problem: String) -> FinalAnswer {
+    if maybe_ran {
+        return FinalAnswer::Unknown(problem);
+    }
+    let refusal = SlotRefusal {
+        reason: RefuseReason::BackendRefused,
+        retry_after: REFUSED_RETRY_AFTER,
+    };
+    FinalAnswer::NotRun(refusal, problem)
+}
+
+/// Runs the exchange as a task of its own and waits for it until the deadline.
+///
+/// The task gives the slot back when the backend server is done, which may be
+/// after the deadline.
+async fn send_here(gate: &Arc<EntryGate>, request: &WholeRequest, mut grant: SlotGrant) -> SendEnd {
+    // A slot that was granted before a pause of the process may be out of date.
+    if grant.granted.elapsed() > gate.pause_limit {
+        return SendEnd::Failed(SendFailure::NotRun, "paused after the grant".to_owned());
+    }
+    let message = outgoing(gate, request);
+    let limits = ExchangeLimits {
+        connect: gate.limits.connect_limit,
+        answer_bytes: gate.limits.answer_bytes,
+        reuse: if request.terms.idempotent {
+            REUSE_LIMIT
+        } else {
+            REUSE_LIMIT_ONCE
+        },
+        states_outcome: false,
+    };
+    let end_of_wait = request.deadline + gate.limits.overrun_limit;
+    let (reply, end) = oneshot::channel();
+    tokio::spawn(async move {
+        let start = Instant::now();
+        let idle = grant.connection.take();
+        let end = timeout_at(end_of_wait, exchange(grant.address, idle, message, limits)).await;
+        let end = end.unwrap_or_else(|_| {
+            let problem = format!("step=wait peer={}: overdue", grant.address);
+            ExchangeEnd::Unknown(problem, FailureCause::Overdue)
+        });
+        let end = settle(&mut grant, end, start.elapsed());
+        drop(grant);
+        // The caller may have had its answer at the deadline.
+        let _ = reply.send(end);
+    });
+    match timeout_at(request.deadline, end).await {
+        Ok(Ok(end)) => end,
+        Ok(Err(_)) => SendEnd::Failed(SendFailure::Unknown, "exchange aborted".to_owned()),
+        Err(_) => SendEnd::Failed(
+            SendFailure::Unknown,
+            "no answer before the deadline".to_owned(),
+        ),
+    }
+}
+
+/// Notes in the grant what the exchange has shown of the backend server.
+fn settle(grant: &mut SlotGrant, end: ExchangeEnd, elapsed: Duration) -> SendEnd {
+    let report = &mut grant.report;
+    match end {
+        ExchangeEnd::Answered(response, connection) => {
+            report.service_time = Some(elapsed);
+            let failed = response.status().is_server_error();
+            report.health = Some(if failed {
+                Err(FailureCause::ServerError)
+            } else {
+                Ok(())
+            });
+            grant.connection = Some(connection);
+            SendEnd::Answered(response)
+        }
+        ExchangeEnd::Refused(problem, connection) => {
+            grant.connection = Some(connection);
+            SendEnd::Failed(SendFailure::NotRun, problem)
+        }
+        ExchangeEnd::Unsent(problem) => {
+            report.health = Some(Err(FailureCause::Connect));
+            SendEnd::Failed(SendFailure::NotRun, problem)
+        }
+        ExchangeEnd::Unknown(problem, cause) => {
+            report.service_time = (cause == FailureCause::Overdue).then_some(elapsed);
+            report.health = Some(Err(cause));
+            SendEnd::Failed(SendFailure::Unknown, problem)
+        }
+    }
+}
+
+/// Passes the request on to entry VMs of other data centres, one after the other.
+async fn forward(
+    gate: &Arc<EntryGate>,
+    request: &WholeRequest,
+    refusal: SlotRefusal,
+) -> FinalAnswer {
+    let Ok(_permit) = gate.forwards.try_acquire() else {
+        return FinalAnswer::NotRun(refusal, "too many forwarded requests".to_owned());
+    };
+    let peers = gate.peers.borrow().clone();
+    let turn = gate.inbox.next_ticket();
+    let mut problem = refusal.reason.to_string();
+    for address in forward_targets(&peers, &request.terms.pool, turn) {
+        let limits = ExchangeLimits {
+            connect: gate.limits.connect_limit,
+            answer_bytes: gate.limits.answer_bytes,
+            reuse: Duration::ZERO,
+            states_outcome: true,
+        };
+        if Instant::now() >= request.deadline {
+            break;
+        }
+        let mut message = outgoing(gate, request);
+        if let Ok(name) = HeaderValue::from_str(gate.name.as_str()) {
+            message.headers_mut().insert(headers::FORWARDED_BY, name);
+        }
+        let end = exchange(address, None, message, limits);
+        match timeout_at(request.deadline, end).await {
+            Ok(ExchangeEnd::Answered(response, _)) => return FinalAnswer::Answered(response),
+            Ok(ExchangeEnd::Refused(text, _) | ExchangeEnd::Unsent(text)) => problem = text,
+            Ok(ExchangeEnd::Unknown(problem, _)) => return FinalAnswer::Unknown(problem),
+            Err(_) => return FinalAnswer::Unknown("no answer before the deadline".to_owned()),
+        }
+    }
+    FinalAnswer::NotRun(refusal, problem)
+}
+
+fn outgoing(gate: &EntryGate, request: &WholeRequest) -> Request<Full<Bytes>> {
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.parts.method.clone();
+    *message.uri_mut() = request.parts.uri.clone();
+    *message.headers_mut() = end_to_end(&request.parts.headers);
+    let left = request.deadline.saturating_duration_since(Instant::now());
+    let headers = message.headers_mut();
+    headers.insert(
+        headers::DEADLINE_MS,
+        HeaderValue::from(left.as_millis() as u64),
+    );
+    headers.insert(headers::REQUEST_ID, request.id.clone());
+    headers.remove(headers::FORWARDED_BY);
+    if !headers.contains_key(header::HOST) {
+        let host = HeaderValue::from_str(request.terms.pool.as_str());
+        headers.extend(host.ok().map(|host| (header::HOST, host)));
+    }
+    if let Ok(name) = HeaderValue::from_str(gate.name.as_str()) {
+        headers.insert(headers::ENTRY, name);
+    }
+    message
+}
+
+/// Copies headers without those of one connection.
+pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    for named in headers.get_all(header::CONNECTION) {
+        let named = named.to_str().unwrap_or("");
+        for name in named.split(',').map(str::trim) {
+            kept.remove(name);
+        }
+    }
+    for name in HOP_HEADERS {
+        kept.remove(name);
+    }
+    kept.remove(header::CONTENT_LENGTH);
+    kept
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -56,6 +56,8 @@
     pub connections: usize,
     /// Limit on a connection attempt to a backend server.
     pub connect_limit: Duration,
+    /// Time after a request's deadline until its connection is closed and its slot freed.
+    pub overrun_limit: Duration,
     /// Time that requests in progress get at shutdown.
     pub shutdown_limit: Duration,
 }
@@ -67,6 +69,7 @@
             answer_bytes: 4 << 20,
             connections: 4096,
             connect_limit: Duration::from_millis(250),
+            overrun_limit: Duration::from_secs(60),
             shutdown_limit: Duration::from_secs(30),
         }
     }
@@ -133,6 +136,7 @@
             "answer_bytes",
             "connections",
             "connect_limit_ms",
+            "overrun_limit_ms",
             "shutdown_limit_ms",
         ],
     ),
@@ -346,6 +350,7 @@
         answer_bytes: reader.number("limits", "answer_bytes", BYTES, defaults.answer_bytes),
         connections: reader.number("limits", "connections", CONNECTIONS, defaults.connections),
         connect_limit: reader.millis("limits", "connect_limit_ms", defaults.connect_limit),
+        overrun_limit: reader.millis("limits", "overrun_limit_ms", defaults.overrun_limit),
         shutdown_limit: reader.millis("limits", "shutdown_limit_ms", defaults.shutdown_limit),
     }
 }
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,288 @@
+//! Requests that wait for a slot, are refused, passed on or kept from failing VMs.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorygauge::names::DcName;
+use chicorygauge::names::EntryName;
+use chicorygauge::names::PoolName;
+use chicorygauge::peer::PeerState;
+use chicorygauge::peer::RemoteState;
+use support::entry::CallerAnswer;
+use support::entry::CallerRequest;
+use support::entry::EntryFixture;
+use support::entry::FixtureSettings;
+use support::entry::POOL;
+use support::entry::Reaction;
+use support::entry::ScriptedBackend;
+use support::entry::answer_text;
+use support::entry::ask;
+use support::entry::fleet_record;
+use support::entry::header_of;
+use support::entry::vm_name;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+const PATIENCE: Duration = Duration::from_millis(1500);
+
+/// Starts an entry service over one VM with one slot, which a request takes.
+async fn start_busy(settings: FixtureSettings) -> (EntryFixture, ScriptedBackend) {
+    let backend = ScriptedBackend::start(|number, _| match number {
+        0 => Reaction::Late(PATIENCE, answer_text(&[], "first")),
+        _ => Reaction::Send(answer_text(&[], "next")),
+    })
+    .await;
+    let settings = FixtureSettings {
+        slots: 1,
+        ..settings
+    };
+    let entry = EntryFixture::start(&[backend.address], settings).await;
+    spawn_ask(entry.address, "r-0", 60_000);
+    support::eventually("slot taken", || async { backend.requests() == 1 }).await;
+    (entry, backend)
+}
+
+fn spawn_ask(
+    entry: SocketAddr,
+    id: &'static str,
+    deadline_ms: u64,
+) -> JoinHandle<Option<CallerAnswer>> {
+    tokio::spawn(async move {
+        let request = CallerRequest {
+            id,
+            deadline_ms,
+            ..CallerRequest::default()
+        };
+        ask(entry, request).await
+    })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn wait_deadline() {
+    let (entry, backend) = start_busy(FixtureSettings::default()).await;
+    let start = Instant::now();
+    let answer = spawn_ask(entry.address, "r-1", 200).await;
+    let answer = answer.expect("task").expect("answer");
+    assert_eq!(
+        (answer.outcome(), answer.reason()),
+        ("not-run", "deadline-passed")
+    );
+    assert!(start.elapsed() < PATIENCE, "held back");
+    assert!(!answer.header("chicory-retry-after-ms").is_empty());
+    support::eventually("slot free", || async { entry.in_use().await == 0 }).await;
+    assert_eq!(backend.requests(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn wait_abandoned() {
+    let backend = ScriptedBackend::start(|_, _| Reaction::Hang).await;
+    let settings = FixtureSettings {
+        slots: 1,
+        queue_limit: 1,
+        ..FixtureSettings::default()
+    };
+    let entry = EntryFixture::start(&[backend.address], settings).await;
+    spawn_ask(entry.address, "r-0", 60_000);
+    support::eventually("slot taken", || async { backend.requests() == 1 }).await;
+    let reason = || async {
+        let answer = spawn_ask(entry.address, "r-2", 300).await;
+        answer.expect("task").expect("answer").reason().to_owned()
+    };
+    let address = entry.address;
+    let gone = tokio::spawn(async move {
+        // Until it is this one that waits.
+        let request = || CallerRequest {
+            id: "r-gone",
+            deadline_ms: 600_000,
+            ..CallerRequest::default()
+        };
+        while let Some(answer) = ask(address, request()).await {
+            assert_eq!(answer.reason(), "queue-full");
+        }
+    });
+    support::eventually("queue full", || async { reason().await == "queue-full" }).await;
+    gone.abort();
+    // Its place in the queue is free for another that waits until its deadline.
+    support::eventually("place free", || async {
+        reason().await == "deadline-passed"
+    })
+    .await;
+    assert_eq!(backend.requests(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn run_abandoned() {
+    let backend = ScriptedBackend::start(|_, _| {
+        Reaction::Late(Duration::from_millis(800), answer_text(&[], "done"))
+    })
+    .await;
+    let entry = EntryFixture::start(&[backend.address], FixtureSettings::default()).await;
+    let gone = spawn_ask(entry.address, "r-gone", 60_000);
+    support::eventually("running", || async { backend.requests() == 1 }).await;
+    gone.abort();
+    sleep(Duration::from_millis(100)).await;
+    // The backend server still runs it.
+    assert_eq!(entry.in_use().await, 1);
+    support::eventually("slot free", || async { entry.in_use().await == 0 }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn queue_edge() {
+    let settings = FixtureSettings {
+        queue_limit: 2,
+        ..FixtureSettings::default()
+    };
+    let (entry, _backend) = start_busy(settings).await;
+    let waiting = [
+        spawn_ask(entry.address, "r-1", 60_000),
+        spawn_ask(entry.address, "r-2", 60_000),
+    ];
+    sleep(Duration::from_millis(200)).await;
+    let refused = spawn_ask(entry.address, "r-3", 60_000).await;
+    assert_eq!(
+        refused.expect("task").expect("answer").reason(),
+        "queue-full"
+    );
+    for call in waiting {
+        assert_eq!(
+            call.await.expect("task").expect("answer").outcome(),
+            "answered"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn state_untrusted() {
+    let (entry, backend) = start_busy(FixtureSettings::default()).await;
+    let waiting = spawn_ask(entry.address, "r-1", 60_000);
+    sleep(Duration::from_millis(200)).await;
+    let set = |trusted| {
+        entry.peers.send_modify(|peers| {
+            *peers = Arc::new(PeerState {
+                trusted,
+                ..PeerState::clone(peers)
+            });
+        });
+    };
+    set(false);
+    for call in [waiting, spawn_ask(entry.address, "r-2", 60_000)] {
+        let answer = call.await.expect("task").expect("answer");
+        assert_eq!((answer.outcome(), answer.reason()), ("not-run", "no-state"));
+    }
+    assert_eq!(backend.requests(), 1);
+    set(true);
+    let answer = spawn_ask(entry.address, "r-3", 60_000).await;
+    assert_eq!(answer.expect("task").expect("answer").outcome(), "answered");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_vm() {
+    let (entry, backend) = start_busy(FixtureSettings::default()).await;
+    let other = ScriptedBackend::start(|_, _| Reaction::Send(answer_text(&[], "other"))).await;
+    let waiting = spawn_ask(entry.address, "r-1", 60_000);
+    sleep(Duration::from_millis(200)).await;
+    // The VM that is waited for is replaced; its request in progress stays counted.
+    let mut record = fleet_record(&[backend.address, other.address]);
+    record.sequence = 2;
+    record.vms.remove(&vm_name(0));
+    entry.fleet.send_replace(Some(Arc::new(record)));
+    let answer = waiting.await.expect("task").expect("answer");
+    assert_eq!(&answer.body[..], b"other");
+    let ack = entry.inbox.report().await.expect("report");
+    assert_eq!(
+        (ack.fleet_sequence, ack.in_use.get(&vm_name(0))),
+        (2, Some(&1))
+    );
+}
+
+/// Makes other data centres with one entry VM each.
+fn remotes(entries: &[SocketAddr]) -> BTreeMap<DcName, RemoteState> {
+    let remotes = entries.iter().enumerate().map(|(index, address)| {
+        let dc = DcName::new(&format!("dc-{}", index + 2)).expect("name");
+        let entry = EntryName::new(&format!("e-{}", index + 2)).expect("name");
+        let pool = PoolName::new(POOL).expect("name");
+        let remote = RemoteState {
+            entries: BTreeMap::from([(entry, *address)]),
+            slots: BTreeMap::from([(pool, 8 - index as u32)]),
+            heard: Duration::ZERO,
+        };
+        (dc, remote)
+    });
+    remotes.collect()
+}
+
+async fn start_remote(outcome: &'static str) -> ScriptedBackend {
+    let react = move |_: usize, _: &str| match outcome {
+        "cut" => Reaction::SendClose(String::new()),
+        "" => Reaction::Send(answer_text(&[], "")),
+        _ => Reaction::Send(answer_text(&[("chicory-outcome", outcome)], "")),
+    };
+    ScriptedBackend::start(react).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn forward_outcomes() {
+    // Outcomes of the first and the second data centre, and what the caller gets.
+    let cases = [
+        ("answered", "answered", "answered", (1, 0)),
+        ("not-run", "answered", "answered", (1, 1)),
+        ("not-run", "not-run", "not-run", (1, 1)),
+        ("unknown", "answered", "unknown", (1, 0)),
+        ("cut", "answered", "unknown", (1, 0)),
+        // An entry VM always states the outcome.
+        ("", "answered", "unknown", (1, 0)),
+    ];
+    for (first, second, outcome, requests) in cases {
+        let far = [start_remote(first).await, start_remote(second).await];
+        let entry = EntryFixture::start(&[], FixtureSettings::default()).await;
+        entry.peers.send_modify(|peers| {
+            *peers = Arc::new(PeerState {
+                remotes: remotes(&[far[0].address, far[1].address]),
+                ..PeerState::clone(peers)
+            });
+        });
+        let answer = ask(entry.address, CallerRequest::default()).await;
+        assert_eq!(
+            answer.expect("answer").outcome(),
+            outcome,
+            "{first} {second}"
+        );
+        assert_eq!((far[0].requests(), far[1].requests()), requests);
+        let heads = far[0].heads.lock().expect("lock").clone();
+        assert_eq!(header_of(&heads[0], "chicory-forwarded-by"), Some("e-1"));
+        // What was passed on once goes no further.
+        let request = CallerRequest {
+            more: BTreeMap::from([("chicory-forwarded-by", "e-9")]),
+            ..CallerRequest::default()
+        };
+        let answer = ask(entry.address, request).await.expect("answer");
+        assert_eq!(
+            (answer.outcome(), answer.reason()),
+            ("not-run", "no-backend")
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ejection_failing_vm() {
+    let failing = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
+    let bad = ScriptedBackend::start(|_, _| Reaction::Send(failing.to_owned())).await;
+    let good = ScriptedBackend::start(|_, _| Reaction::Send(answer_text(&[], "done"))).await;
+    let backends = [bad.address, good.address];
+    let entry = EntryFixture::start(&backends, FixtureSettings::default()).await;
+    let mut failures = 0;
+    for _ in 0..40 {
+        let answer = ask(entry.address, CallerRequest::default()).await;
+        failures += u32::from(answer.expect("answer").status == 500);
+    }
+    let ejected = entry.ejections.borrow().clone();
+    assert!(ejected.contains_key(&vm_name(0)), "{ejected:?}");
+    assert!(!ejected.contains_key(&vm_name(1)), "{ejected:?}");
+    // Five in a row eject it; a slow run may add a trial or two.
+    assert!((5..=8).contains(&failures), "{failures}");
+}
--- /dev/null
+++ b/tests/dispatch.rs
@@ -0,0 +1,405 @@
+//! Histories of the dispatch against a model of what was granted.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chicorygauge::decide::dispatch::DispatchAction;
+use chicorygauge::decide::dispatch::DispatchState;
+use chicorygauge::decide::dispatch::SlotRequest;
+use chicorygauge::decide::dispatch::TicketId;
+use chicorygauge::decide::dispatch::VmTarget;
+use chicorygauge::decide::queue::MAX_RETRY_AFTER;
+use chicorygauge::decide::queue::MIN_RETRY_AFTER;
+use chicorygauge::decide::queue::PASS_LIMIT;
+use chicorygauge::decide::slots::equal_share;
+use chicorygauge::names::PoolName;
+use chicorygauge::names::VmName;
+use chicorygauge::request::RefuseReason;
+use chicorygauge::request::RequestClass;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const QUEUE_LIMIT: u32 = 6;
+const POOLS: usize = 2;
+const VMS: usize = 4;
+
+fn pool_name(index: usize) -> PoolName {
+    PoolName::new(&format!("pool-{index}")).expect("name")
+}
+
+fn vm_name(index: usize) -> VmName {
+    VmName::new(&format!("vm-{index}")).expect("name")
+}
+
+fn target(vm: usize, pool: usize, share: u32, takes_work: bool) -> VmTarget {
+    VmTarget {
+        name: vm_name(vm),
+        pool: pool_name(pool),
+        address: SocketAddr::from(([127, 0, 0, 1], 1000 + vm as u16)),
+        share,
+        takes_work,
+    }
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn request(ticket: TicketId, class: RequestClass, deadline_ms: u64) -> SlotRequest {
+    SlotRequest {
+        ticket,
+        pool: pool_name(0),
+        class,
+        deadline: ms(deadline_ms),
+        avoid: None,
+    }
+}
+
+/// One step of a history.
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive {
+        pool: usize,
+        class: RequestClass,
+        left_ms: u64,
+        avoid: Option<usize>,
+    },
+    /// Ends the n-th request in progress after its service time.
+    Finish {
+        place: usize,
+        service_ms: u64,
+    },
+    Cancel {
+        place: usize,
+    },
+    Vm {
+        vm: usize,
+        pool: usize,
+        share: u32,
+        takes_work: bool,
+    },
+    Pools {
+        count: usize,
+    },
+    Tick {
+        millis: u64,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let class = prop::sample::select(RequestClass::ALL.to_vec());
+    prop_oneof![
+        8 => (0..POOLS, class, 0u64..400, prop::option::of(0..VMS)).prop_map(
+            |(pool, class, left_ms, avoid)| Step::Arrive { pool, class, left_ms, avoid }
+        ),
+        5 => (0usize..32, 1u64..60).prop_map(
+            |(place, service_ms)| Step::Finish { place, service_ms }
+        ),
+        1 => (0usize..32).prop_map(|place| Step::Cancel { place }),
+        1 => (0..VMS, 0..POOLS, 0u32..4, any::<bool>()).prop_map(
+            |(vm, pool, share, takes_work)| Step::Vm { vm, pool, share, takes_work }
+        ),
+        1 => (1..=POOLS).prop_map(|count| Step::Pools { count }),
+        3 => (0u64..50).prop_map(|millis| Step::Tick { millis }),
+    ]
+}
+
+/// What the history has shown so far.
+#[derive(Default)]
+struct Model {
+    now: Duration,
+    next: TicketId,
+    targets: BTreeMap<usize, VmTarget>,
+    waiting: BTreeMap<TicketId, SlotRequest>,
+    running: Vec<(TicketId, VmName)>,
+    decided: BTreeSet<TicketId>,
+}
+
+impl Model {
+    fn apply(&mut self, actions: Vec<DispatchAction>) {
+        for action in actions {
+            let ticket = match &action {
+                DispatchAction::Grant { ticket, .. } | DispatchAction::Refuse { ticket, .. } => {
+                    *ticket
+                }
+            };
+            let request = self.waiting.remove(&ticket);
+            let request = request.expect("decided once, and only what waits");
+            assert!(self.decided.insert(ticket));
+            match action {
+                DispatchAction::Grant { vm, address, .. } => self.grant(&request, vm, address),
+                DispatchAction::Refuse { retry_after, .. } => {
+                    assert!(retry_after <= MAX_RETRY_AFTER);
+                }
+            }
+        }
+    }
+
+    fn grant(&mut self, request: &SlotRequest, vm: VmName, address: SocketAddr) {
+        let target = self.targets.values().find(|target| target.name == vm);
+        let target = target.expect("a known VM");
+        assert!(target.takes_work);
+        assert_eq!((&target.pool, target.address), (&request.pool, address));
+        assert!(request.deadline > self.now, "granted past its deadline");
+        let in_use = self.running.iter().filter(|(_, running)| *running == vm);
+        assert!(in_use.count() < target.share as usize, "over its slots");
+        self.running.push((request.ticket, vm));
+    }
+
+    fn check(&self, state: &DispatchState) {
+        for vm in (0..VMS).map(vm_name) {
+            let in_use = self.running.iter().filter(|(_, running)| *running == vm);
+            assert_eq!(state.in_use(&vm), in_use.count() as u32);
+        }
+        for pool in (0..POOLS).map(pool_name) {
+            let waiting = self.waiting.values();
+            let waiting = waiting.filter(|request| request.pool == pool).count();
+            assert_eq!(state.waiting(&pool), waiting);
+            assert!(waiting <= QUEUE_LIMIT as usize);
+            let in_use = |vm: &VmName| {
+                let running = self.running.iter();
+                running.filter(|(_, running)| running == vm).count() as u32
+            };
+            let free = self.targets.values().any(|target| {
+                target.pool == pool && target.takes_work && in_use(&target.name) < target.share
+            });
+            assert!(!free || waiting == 0, "waits beside a free slot");
+        }
+    }
+
+    fn step(&mut self, state: &mut DispatchState, step: Step) {
+        let actions = match step {
+            Step::Arrive {
+                pool,
+                class,
+                left_ms,
+                avoid,
+            } => {
+                self.next += 1;
+                let request = SlotRequest {
+                    ticket: self.next,
+                    pool: pool_name(pool),
+                    class,
+                    deadline: self.now + ms(left_ms),
+                    avoid: avoid.map(vm_name),
+                };
+                self.waiting.insert(self.next, request.clone());
+                state.arrive(self.now, request)
+            }
+            Step::Finish { place, service_ms } => {
+                if self.running.is_empty() {
+                    return;
+                }
+                let (_, vm) = self.running.remove(place % self.running.len());
+                state.finish(self.now, &vm, Some(ms(service_ms)))
+            }
+            Step::Cancel { place } => {
+                let ticket = self.waiting.keys().nth(place).copied();
+                let request = ticket.and_then(|ticket| self.waiting.remove(&ticket));
+                assert!(request.is_none_or(|request| state.cancel(&request)));
+                Vec::new()
+            }
+            Step::Vm {
+                vm,
+                pool,
+                share,
+                takes_work,
+            } => {
+                self.targets.insert(vm, target(vm, pool, share, takes_work));
+                state.set_vms(self.now, self.targets.values().cloned())
+            }
+            Step::Pools { count } => {
+                let names: Vec<_> = (0..count).map(pool_name).collect();
+                state.set_pools(names.iter().map(|name| (name, QUEUE_LIMIT)))
+            }
+            Step::Tick { millis } => {
+                self.now += ms(millis);
+                state.tick(self.now)
+            }
+        };
+        self.apply(actions);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn dispatch_history(steps in prop::collection::vec(step(), 1..120)) {
+        let mut state = DispatchState::default();
+        let mut model = Model::default();
+        model.step(&mut state, Step::Pools { count: POOLS });
+        for vm in 0..VMS {
+            let step = Step::Vm { vm, pool: vm % POOLS, share: 2, takes_work: true };
+            model.step(&mut state, step);
+        }
+        for step in steps {
+            model.step(&mut state, step);
+            model.check(&state);
+        }
+        // All that waits gets its decision in the end.
+        model.now += Duration::from_secs(600);
+        let actions = state.tick(model.now);
+        model.apply(actions);
+        prop_assert!(model.waiting.is_empty());
+    }
+
+    #[test]
+    fn share_sum(slots in 0u32..64, entries in 1u32..8, vm_index in 0u32..1000) {
+        let shares = (0..entries).map(|index| equal_share(slots, entries, index, vm_index));
+        prop_assert_eq!(shares.sum::<u32>(), slots);
+    }
+}
+
+/// A pool with one VM of `slots` slots, all of them taken.
+fn full_state(slots: u32, queue_limit: u32) -> DispatchState {
+    let mut state = DispatchState::default();
+    state.set_pools([(&pool_name(0), queue_limit)]);
+    state.set_vms(Duration::ZERO, [target(0, 0, slots, true)]);
+    for ticket in 0..u64::from(slots) {
+        let actions = state.arrive(Duration::ZERO, request(ticket, RequestClass::Batch, 60_000));
+        assert!(matches!(actions[..], [DispatchAction::Grant { .. }]));
+    }
+    state
+}
+
+fn granted(actions: &[DispatchAction]) -> Vec<TicketId> {
+    let tickets = actions.iter().filter_map(|action| match action {
+        DispatchAction::Grant { ticket, .. } => Some(*ticket),
+        DispatchAction::Refuse { .. } => None,
+    });
+    tickets.collect()
+}
+
+/// Takes the next grant by ending a request of 1 ms.
+fn next_grant(state: &mut DispatchState, now: Duration) -> Vec<TicketId> {
+    granted(&state.finish(now, &vm_name(0), Some(ms(1))))
+}
+
+#[test]
+fn order_class_and_deadline() {
+    let mut state = full_state(1, 100);
+    let requests = [
+        request(11, RequestClass::Batch, 1000),
+        request(12, RequestClass::Ordinary, 3000),
+        request(13, RequestClass::Ordinary, 2000),
+        request(14, RequestClass::Urgent, 9000),
+        request(15, RequestClass::Ordinary, 2000),
+    ];
+    for request in requests {
+        assert_eq!(state.arrive(ms(1), request), []);
+    }
+    let order: Vec<_> = (0..5).flat_map(|_| next_grant(&mut state, ms(2))).collect();
+    assert_eq!(order, [14, 13, 15, 12, 11]);
+}
+
+#[test]
+fn order_starvation() {
+    let mut state = full_state(1, 1000);
+    state.arrive(ms(1), request(1000, RequestClass::Batch, 500_000));
+    let mut before = 0;
+    for ticket in 2000.. {
+        // Urgent requests never stop coming.
+        state.arrive(ms(1), request(ticket, RequestClass::Urgent, 400_000));
+        state.arrive(
+            ms(1),
+            request(ticket + 100_000, RequestClass::Ordinary, 400_000),
+        );
+        if next_grant(&mut state, ms(2)) == [1000] {
+            break;
+        }
+        before += 1;
+        assert!(before <= 2 * PASS_LIMIT, "starved");
+    }
+}
+
+#[test]
+fn full_queue_urgent() {
+    let mut state = full_state(1, 3);
+    for ticket in 10..13 {
+        let class = RequestClass::Batch;
+        assert_eq!(
+            state.arrive(ms(1), request(ticket, class, 50_000 + ticket)),
+            []
+        );
+    }
+    // The last of the lowest class gives way; a batch request finds no room.
+    let refusal = |actions: &[DispatchAction]| match actions {
+        [DispatchAction::Refuse { ticket, reason, .. }] => (*ticket, *reason),
+        _ => panic!("{actions:?}"),
+    };
+    let actions = state.arrive(ms(1), request(20, RequestClass::Urgent, 50_000));
+    assert_eq!(refusal(&actions), (12, RefuseReason::QueueFull));
+    let actions = state.arrive(ms(1), request(21, RequestClass::Batch, 50_000));
+    assert_eq!(refusal(&actions), (21, RefuseReason::QueueFull));
+    assert_eq!(next_grant(&mut state, ms(2)), [20]);
+}
+
+#[test]
+fn estimate_recovers() {
+    // After one very slow request, those with short deadlines still get a free slot.
+    let mut state = full_state(1, 10);
+    state.finish(ms(1), &vm_name(0), Some(Duration::from_secs(600)));
+    for ticket in 10..20 {
+        let actions = state.arrive(ms(ticket), request(ticket, RequestClass::Ordinary, 900));
+        assert_eq!(granted(&actions), [ticket]);
+        state.finish(ms(ticket), &vm_name(0), Some(ms(1)));
+    }
+}
+
+#[test]
+fn return_spread() {
+    // 4 slots of 20 ms: the pool serves one request each 5 ms.
+    let mut state = full_state(4, 1);
+    state.arrive(ms(1), request(10, RequestClass::Ordinary, 50_000));
+    let mut returns = Vec::new();
+    for ticket in 100..1100 {
+        match &state.arrive(ms(1), request(ticket, RequestClass::Ordinary, 50_000))[..] {
+            [DispatchAction::Refuse { retry_after, .. }] => returns.push(*retry_after),
+            actions => panic!("{actions:?}"),
+        }
+    }
+    assert!(returns[0] >= MIN_RETRY_AFTER);
+    let steps = returns.windows(2).map(|pair| pair[1] - pair[0]);
+    assert!(steps.clone().all(|step| step == ms(5)), "{returns:?}");
+    // The booking starts anew instead of going beyond the longest time.
+    for ticket in 2000..20_000 {
+        match &state.arrive(ms(1), request(ticket, RequestClass::Ordinary, 50_000))[..] {
+            [DispatchAction::Refuse { retry_after, .. }] => {
+                assert!((MIN_RETRY_AFTER..=MAX_RETRY_AFTER).contains(retry_after));
+            }
+            actions => panic!("{actions:?}"),
+        }
+    }
+}
+
+#[test]
+fn standing_queue() {
+    // 4 slots of 20 ms and a backlog that would take a second.
+    let mut state = full_state(4, 1000);
+    for ticket in 10..210 {
+        let request = request(ticket, RequestClass::Ordinary, 60_000);
+        assert_eq!(state.arrive(ms(1), request), []);
+    }
+    let reason = |actions: &[DispatchAction]| match actions {
+        [DispatchAction::Refuse { reason, .. }] => Some(*reason),
+        _ => None,
+    };
+    let late = request(300, RequestClass::Ordinary, 60_000);
+    assert_eq!(reason(&state.arrive(ms(400), late)), None);
+    let late = request(301, RequestClass::Ordinary, 60_000);
+    assert_eq!(
+        reason(&state.arrive(ms(600), late)),
+        Some(RefuseReason::Overload)
+    );
+    // It concerns only those who would lengthen the queue.
+    let urgent = request(302, RequestClass::Urgent, 60_000);
+    assert_eq!(reason(&state.arrive(ms(600), urgent)), None);
+}
