--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -134,6 +134,15 @@
         false
     }
 
+    /// Returns the resident memory of the process, in kB.
+    pub fn resident_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("status of the process");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let size = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        size.and_then(|size| size.parse().ok()).expect("VmRSS")
+    }
+
     /// Reads JSON from the control interface.
     pub async fn get(&self, path: &str) -> Option<Value> {
         get(self.control, path).await
