Request path: one task a request drives its own connection

Cause: each request crossed five tasks (caller's, dispatcher's, exchange's and the connection's twice).

--- a/src/service/entry/dispatcher.rs
+++ b/src/service/entry/dispatcher.rs
@@ -51,6 +51,8 @@
 /// A request that can no longer be met is refused within it. Its deadline itself
 /// is kept exactly, by the task that waits for the slot.
 const TICK: Duration = Duration::from_millis(20);
+/// Most messages that are taken before the views are looked at again.
+const MAX_BATCH: usize = 64;
 /// Most idle connections kept to one VM.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -106,7 +108,7 @@
             Ok(()) = peers.changed() => dispatcher.renew(),
             _ = ticks.tick() => dispatcher.tick(),
             message = messages.recv() => match message {
-                Some(message) => dispatcher.take(message),
+                Some(message) => dispatcher.take_batch(message, &mut messages),
                 None => return,
             },
         }
@@ -191,6 +193,22 @@
         self.carry_out(actions);
     }
 
+    /// Takes what is in the channel, up to a limit, without looking at the views
+    /// in between.
+    fn take_batch(
+        &mut self,
+        first: DispatchMessage,
+        messages: &mut mpsc::UnboundedReceiver<DispatchMessage>,
+    ) {
+        self.take(first);
+        for _ in 1..MAX_BATCH {
+            let Ok(message) = messages.try_recv() else {
+                return;
+            };
+            self.take(message);
+        }
+    }
+
     fn take(&mut self, message: DispatchMessage) {
         let now = self.now();
         match message {
--- a/src/service/entry/exchange.rs
+++ b/src/service/entry/exchange.rs
@@ -4,7 +4,13 @@
 //! of it reached the other side, or if the other side said so. A connection is
 //! closed with the exchange unless the answer was whole and its own.
 
+use std::fmt;
+use std::future::poll_fn;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::pin::pin;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,7 +26,6 @@
 use hyper::header;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
@@ -28,17 +33,23 @@
 use crate::request::RequestOutcome;
 use crate::request::headers;
 
+type ConnectionDriver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
 /// Connection that carries one request at a time; it is closed when dropped.
-#[derive(Debug)]
+///
+/// It has no task of its own: whoever uses it drives it, which saves two changes
+/// of task a request. What comes in while it is idle is seen before its next use.
 pub(super) struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
-    driver: AbortHandle,
+    driver: Pin<Box<ConnectionDriver>>,
+    /// The same socket, to look at what has come in.
+    socket: std::net::TcpStream,
     idle_since: Instant,
 }
 
-impl Drop for BackendConnection {
-    fn drop(&mut self) {
-        self.driver.abort();
+impl fmt::Debug for BackendConnection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad("BackendConnection")
     }
 }
 
@@ -77,7 +88,10 @@
 ) -> ExchangeEnd {
     let id = request.headers().get(headers::REQUEST_ID).cloned();
     let is_head = request.method() == Method::HEAD;
-    let idle = idle.filter(|idle| idle.is_usable(limits.reuse));
+    let idle = match idle {
+        Some(mut idle) => idle.is_usable(limits.reuse).await.then_some(idle),
+        None => None,
+    };
     let mut connection = match idle {
         Some(idle) => idle,
         None => match connect(address, limits.connect).await {
@@ -85,7 +99,8 @@
             Err(problem) => return ExchangeEnd::Unsent(problem),
         },
     };
-    let response = match connection.sender.try_send_request(request).await {
+    let BackendConnection { sender, driver, .. } = &mut connection;
+    let response = match drive(driver, sender.try_send_request(request)).await {
         Ok(response) => response,
         Err(mut error) => {
             // A request that is handed back was never written to the connection.
@@ -99,7 +114,8 @@
         }
     };
     let (parts, body) = response.into_parts();
-    let body = match Limited::new(body, limits.answer_bytes).collect().await {
+    let body = Limited::new(body, limits.answer_bytes).collect();
+    let body = match drive(driver, body).await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
             let problem = format!("step=body peer={address}: {error}");
@@ -136,30 +152,60 @@
 }
 
 impl BackendConnection {
-    fn is_usable(&self, reuse: Duration) -> bool {
-        self.sender.is_ready() && self.idle_since.elapsed() < reuse
+    /// Tells whether nothing has come in meanwhile, neither an end nor a stray answer.
+    ///
+    /// The socket itself is asked, as the runtime may not have seen the latest yet.
+    async fn is_usable(&mut self, reuse: Duration) -> bool {
+        let silent = matches!(
+            self.socket.peek(&mut [0]),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock
+        );
+        if !silent || self.idle_since.elapsed() >= reuse {
+            return false;
+        }
+        let driver = &mut self.driver;
+        let open = poll_fn(|cx| Poll::Ready(driver.as_mut().poll(cx).is_pending())).await;
+        open && self.sender.is_ready()
     }
 }
 
+/// Drives a connection while something is waited for on it.
+async fn drive<T>(driver: &mut Pin<Box<ConnectionDriver>>, work: impl Future<Output = T>) -> T {
+    let mut work = pin!(work);
+    let mut open = true;
+    poll_fn(|cx| {
+        if let Poll::Ready(done) = work.as_mut().poll(cx) {
+            return Poll::Ready(done);
+        }
+        if !open {
+            return Poll::Pending;
+        }
+        if let Poll::Ready(result) = driver.as_mut().poll(cx) {
+            open = false;
+            if let Err(error) = result {
+                log::debug!(event = "backend_connection_failed", error:% = error; "");
+            }
+        }
+        work.as_mut().poll(cx)
+    })
+    .await
+}
+
 async fn connect(address: SocketAddr, limit: Duration) -> Result<BackendConnection, String> {
     let stream = match timeout(limit, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(format!("step=connect peer={address}: {error}")),
         Err(_) => return Err(format!("step=connect peer={address}: timed out")),
     };
-    let nodelay = stream.set_nodelay(true);
-    nodelay.map_err(|error| format!("step=connect peer={address}: {error}"))?;
+    let (stream, socket) =
+        set_up(stream).map_err(|error| format!("step=connect peer={address}: {error}"))?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) =
+    let (sender, driver) =
         handshake.map_err(|error| format!("step=handshake peer={address}: {error}"))?;
-    let driver = tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!(event = "backend_connection_failed", peer:% = address, error:% = error; "");
-        }
-    });
     Ok(BackendConnection {
         sender,
-        driver: driver.abort_handle(),
+        driver: Box::pin(driver),
+        socket,
         idle_since: Instant::now(),
     })
 }
@@ -174,6 +220,13 @@
         || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+fn set_up(stream: TcpStream) -> io::Result<(TcpStream, std::net::TcpStream)> {
+    stream.set_nodelay(true)?;
+    let stream = stream.into_std()?;
+    let socket = stream.try_clone()?;
+    Ok((TcpStream::from_std(stream)?, socket))
+}
+
 fn stated_outcome(response: &Response<Bytes>) -> Option<RequestOutcome> {
     let outcome = response.headers().get(headers::OUTCOME)?;
     RequestOutcome::find(outcome.to_str().ok()?)
--- a/src/service/entry/send.rs
+++ b/src/service/entry/send.rs
@@ -1,6 +1,10 @@
 //! Sends of one request: to a backend server here or to another entry VM.
 
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +15,7 @@
 use hyper::header;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
-use tokio::sync::oneshot;
+use tokio::runtime::Handle;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -129,10 +133,10 @@
     FinalAnswer::NotRun(refusal, problem)
 }
 
-/// Runs the exchange as a task of its own and waits for it until the deadline.
+/// Runs the exchange and waits for it until the deadline.
 ///
-/// The task gives the slot back when the backend server is done, which may be
-/// after the deadline.
+/// The slot is given back when the backend server is done, which may be after
+/// the deadline or after the caller has gone.
 async fn send_here(gate: &Arc<EntryGate>, request: &WholeRequest, mut grant: SlotGrant) -> SendEnd {
     // A slot that was granted before a pause of the process may be out of date.
     if grant.granted.elapsed() > gate.pause_limit {
@@ -150,8 +154,7 @@
         states_outcome: false,
     };
     let end_of_wait = request.deadline + gate.limits.overrun_limit;
-    let (reply, end) = oneshot::channel();
-    tokio::spawn(async move {
+    let end = DetachedFuture::new(async move {
         let start = Instant::now();
         let idle = grant.connection.take();
         let end = timeout_at(end_of_wait, exchange(grant.address, idle, message, limits)).await;
@@ -159,14 +162,10 @@
             let problem = format!("step=wait peer={}: overdue", grant.address);
             ExchangeEnd::Unknown(problem, FailureCause::Overdue)
         });
-        let end = settle(&mut grant, end, start.elapsed());
-        drop(grant);
-        // The caller may have had its answer at the deadline.
-        let _ = reply.send(end);
+        settle(&mut grant, end, start.elapsed())
     });
     match timeout_at(request.deadline, end).await {
-        Ok(Ok(end)) => end,
-        Ok(Err(_)) => SendEnd::Failed(SendFailure::Unknown, "exchange aborted".to_owned()),
+        Ok(end) => end,
         Err(_) => SendEnd::Failed(
             SendFailure::Unknown,
             "no answer before the deadline".to_owned(),
@@ -174,6 +173,41 @@
     }
 }
 
+/// A future that goes on as a task of its own if it is dropped before its end.
+struct DetachedFuture<T: Send + 'static> {
+    future: Option<Pin<Box<dyn Future<Output = T> + Send>>>,
+}
+
+impl<T: Send + 'static> DetachedFuture<T> {
+    fn new(future: impl Future<Output = T> + Send + 'static) -> Self {
+        Self {
+            future: Some(Box::pin(future)),
+        }
+    }
+}
+
+impl<T: Send + 'static> Future for DetachedFuture<T> {
+    type Output = T;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<T> {
+        let Some(future) = self.future.as_mut() else {
+            return Poll::Pending;
+        };
+        let done = ready!(future.as_mut().poll(cx));
+        self.future = None;
+        Poll::Ready(done)
+    }
+}
+
+impl<T: Send + 'static> Drop for DetachedFuture<T> {
+    fn drop(&mut self) {
+        // Without a runtime the process is ending.
+        if let (Some(future), Ok(runtime)) = (self.future.take(), Handle::try_current()) {
+            runtime.spawn(future);
+        }
+    }
+}
+
 /// Notes in the grant what the exchange has shown of the backend server.
 fn settle(grant: &mut SlotGrant, end: ExchangeEnd, elapsed: Duration) -> SendEnd {
     let report = &mut grant.report;
