--- a/src/settings.rs
+++ b/src/settings.rs
@@ -61,6 +61,8 @@
     /// Time between telling the balancer and closing the socket at shutdown;
     /// idle connections stay open for as long again.
     pub announce: Duration,
+    /// Time after a request's deadline until its connection is closed and its slot freed.
+    pub overrun_limit: Duration,
     /// Time that requests in progress get at shutdown.
     pub shutdown_limit: Duration,
 }
@@ -73,6 +75,7 @@
             connections: 4096,
             connect_limit: Duration::from_millis(250),
             announce: Duration::from_secs(5),
+            overrun_limit: Duration::from_secs(60),
             shutdown_limit: Duration::from_secs(30),
         }
     }
@@ -140,6 +143,7 @@
             "connections",
             "connect_limit_ms",
             "announce_ms",
+            "overrun_limit_ms",
             "shutdown_limit_ms",
         ],
     ),
@@ -366,6 +370,7 @@
         connections: reader.number("limits", "connections", CONNECTIONS, defaults.connections),
         connect_limit: reader.millis("limits", "connect_limit_ms", defaults.connect_limit),
         announce: reader.millis("limits", "announce_ms", defaults.announce),
+        overrun_limit: reader.millis("limits", "overrun_limit_ms", defaults.overrun_limit),
         shutdown_limit: reader.millis("limits", "shutdown_limit_ms", defaults.shutdown_limit),
     }
 }
