Status shows the controller, blocked stops and the entry VMs of all data centres

Rosters are read from the platform only for the command (GET /v1/entries), so that polling the status costs no platform call.

--- a/src/bin/chicory/cmd/status.rs
+++ b/src/bin/chicory/cmd/status.rs
@@ -1,6 +1,8 @@
 //! `chicory status`: shows the entry VMs as one of them knows them.
 
+use chicorygauge::service::control::wire::RostersWire;
 use chicorygauge::service::control::wire::StatusWire;
+use serde_json::Value;
 
 use super::OperatorCommand;
 use crate::entry::EntryError;
@@ -9,42 +11,69 @@
 use crate::table;
 
 pub fn run(command: &OperatorCommand) -> Result<(), EntryError> {
-    let answer = read(command.entry, "/v1/status")?;
+    let mut answer = read(command.entry, "/v1/status")?;
+    // Without the platform the own data centre is still shown.
+    let rosters = read(command.entry, "/v1/entries");
     if command.json {
+        answer["rosters"] = rosters.map_or(Value::Null, |rosters| rosters["rosters"].clone());
         println!("{answer}");
         return Ok(());
     }
-    let status: StatusWire = decode(command.entry, &answer)?;
+    print_own(&decode(command.entry, &answer)?);
+    match rosters {
+        Ok(rosters) => print_rosters(decode(command.entry, &rosters)?),
+        Err(error) => println!("\nother data centres: {error}"),
+    }
+    Ok(())
+}
+
+fn print_own(status: &StatusWire) {
     let confirmed = status.confirmed_age_ms;
+    let confirmed = confirmed.map_or("never".to_owned(), |age| format!("{age} ms ago"));
     println!("entry VM        {} in {}", status.name, status.dc);
+    println!("controller      {}", status.controller);
     println!("config version  {}", status.config_version);
-    println!(
-        "confirmed       {}",
-        confirmed.map_or("never".to_owned(), |age| format!("{age} ms ago"))
-    );
-    println!("platform        {}", describe_platform(&status));
+    println!("confirmed       {confirmed}");
+    println!("platform        {}", describe_platform(status));
     println!(
         "fleet record    {}, {} VMs",
         status.fleet_sequence, status.vms
     );
     println!("trusted         {}", status.trusted);
-    let rows = status.entries.into_iter().map(|entry| {
-        let version = entry.config_version.to_string();
-        let fleet = entry.fleet_sequence.to_string();
-        let in_progress = entry.in_progress.to_string();
-        vec![entry.name, entry.address, version, fleet, in_progress]
+    for (what, vms) in [
+        ("draining", &status.draining),
+        ("postponed", &status.postponed),
+    ] {
+        for (vm, entries) in vms {
+            println!("{what:15} {vm}, in use by {}", entries.join(","));
+        }
+    }
+    let rows = status.entries.iter().map(|entry| {
+        vec![
+            entry.name.clone(),
+            entry.address.clone(),
+            entry.config_version.to_string(),
+            entry.fleet_sequence.to_string(),
+            entry.in_progress.to_string(),
+        ]
     });
     let rows: Vec<_> = rows.collect();
+    let head = ["entry VM", "address", "config", "fleet", "in progress"];
     println!();
-    table::print(
-        &["entry VM", "address", "config", "fleet", "in progress"],
-        &rows,
-    );
-    let rows = status.data_centres.into_iter();
-    let rows: Vec<_> = rows.map(|dc| vec![dc.dc, dc.entries.to_string()]).collect();
+    table::print(&head, &rows);
+}
+
+fn print_rosters(rosters: RostersWire) {
+    let mut rows = Vec::new();
+    for (dc, roster) in rosters.rosters {
+        let time = table::time(roster.refreshed_ms);
+        for (name, entry) in roster.entries {
+            let version = entry.config_version.to_string();
+            rows.push(vec![dc.clone(), name, version, time.clone()]);
+        }
+    }
     println!();
-    table::print(&["other data centre", "entry VMs"], &rows);
-    Ok(())
+    table::print(&["data centre", "entry VM", "config", "as of"], &rows);
 }
 
 fn describe_platform(status: &StatusWire) -> String {
--- a/src/service/control/mod.rs
+++ b/src/service/control/mod.rs
@@ -36,7 +36,9 @@
 use crate::platform::repeat::RepeatClient;
 use crate::service::config::ConfigView;
 use crate::service::config::FollowView;
+use crate::service::fleet::ControllerView;
 use crate::service::fleet::FleetView;
+use crate::service::fleet::ReportView;
 use crate::service::peers::PeerView;
 use crate::settings::DaemonSettings;
 
@@ -52,6 +54,8 @@
     config: ConfigView,
     follow: FollowView,
     fleet: FleetView,
+    term: ControllerView,
+    report: ReportView,
     peers: PeerView,
 }
 
@@ -82,6 +86,8 @@
         config: kernel.find(crate::service::config::NAME)?,
         follow: kernel.find(crate::service::config::NAME)?,
         fleet: kernel.find(crate::service::fleet::NAME)?,
+        term: kernel.find(crate::service::fleet::NAME)?,
+        report: kernel.find(crate::service::fleet::NAME)?,
         peers: kernel.find(crate::service::peers::NAME)?,
     });
     let operators = Router::with_path("v1")
--- a/src/service/control/status.rs
+++ b/src/service/control/status.rs
@@ -6,8 +6,11 @@
 use salvo::Response;
 use salvo::Router;
 use salvo::handler;
+use tokio::time::Instant;
 
+use crate::fleet::wire::RosterWire;
 use crate::names::EntryName;
+use crate::names::VmName;
 use crate::peer::MemberState;
 use crate::service::unix_ms;
 
@@ -17,10 +20,36 @@
 use super::state_of;
 use super::wire::EntryStatusWire;
 use super::wire::RemoteStatusWire;
+use super::wire::RostersWire;
 use super::wire::StatusWire;
 
+/// Prefix of the rosters at the platform.
+const ROSTER_PREFIX: &str = "entries/";
+
 pub(super) fn routes() -> Router {
-    Router::with_path("status").get(show)
+    Router::new()
+        .push(Router::with_path("status").get(show))
+        .push(Router::with_path("entries").get(show_entries))
+}
+
+#[handler]
+async fn show_entries(depot: &mut Depot, response: &mut Response) {
+    answer(response, read_rosters(depot).await);
+}
+
+/// Reads the rosters of all data centres from the platform.
+async fn read_rosters(depot: &Depot) -> Result<RostersWire, ControlError> {
+    let state = state_of(depot)?;
+    let values = state.platform().list(ROSTER_PREFIX).await;
+    let values = values.map_err(ControlError::unavailable)?;
+    let mut rosters = BTreeMap::new();
+    for value in values {
+        let roster: RosterWire =
+            serde_json::from_slice(&value.value).map_err(ControlError::unavailable)?;
+        let dc = value.key.trim_start_matches(ROSTER_PREFIX);
+        rosters.insert(dc.to_owned(), roster);
+    }
+    Ok(RostersWire { rosters })
 }
 
 #[handler]
@@ -35,6 +64,7 @@
     let never = follow.confirmed_ms == 0;
     let age_ms = unix_ms().saturating_sub(follow.confirmed_ms);
     let peers = state.peers.borrow().clone();
+    let report = state.report.borrow().clone();
     let remotes = peers.remotes.iter();
     Ok(StatusWire {
         name: state.settings.name.to_string(),
@@ -47,6 +77,9 @@
         platform_reachable: follow.error.is_empty() && !never,
         platform_error: follow.error,
         confirmed_age_ms: (!never).then_some(age_ms),
+        controller: state.term.borrow().holds(Instant::now()),
+        draining: blocked(&report.draining),
+        postponed: blocked(&report.postponed),
         entries: entries(&state, &peers.members),
         data_centres: remotes
             .map(|(dc, remote)| RemoteStatusWire {
@@ -72,3 +105,12 @@
     });
     others.collect()
 }
+
+/// Lists VMs with the entry VMs that they wait for.
+fn blocked(vms: &BTreeMap<VmName, Vec<EntryName>>) -> BTreeMap<String, Vec<String>> {
+    let vms = vms.iter().map(|(vm, entries)| {
+        let entries = entries.iter().map(ToString::to_string);
+        (vm.to_string(), entries.collect())
+    });
+    vms.collect()
+}
--- a/src/service/control/wire.rs
+++ b/src/service/control/wire.rs
@@ -1,5 +1,7 @@
 //! JSON forms of the operators' interface.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -8,6 +10,7 @@
 use crate::config::head::VersionWire;
 use crate::config::patch::PatchRequest;
 use crate::fleet::wire::AuditWire;
+use crate::fleet::wire::RosterWire;
 use crate::fleet::wire::VmWire;
 use crate::fleet::wire::WaveProgressWire;
 use crate::report::AuditTrail;
@@ -79,6 +82,12 @@
     pub platform_reachable: bool,
     pub platform_error: String,
     pub confirmed_age_ms: Option<u64>,
+    /// Whether this entry VM is the controller of its data centre.
+    pub controller: bool,
+    /// Draining VMs, each with the entry VMs that still use it or do not answer.
+    pub draining: BTreeMap<String, Vec<String>>,
+    /// VMs whose planned stop was postponed, likewise.
+    pub postponed: BTreeMap<String, Vec<String>>,
     pub entries: Vec<EntryStatusWire>,
     pub data_centres: Vec<RemoteStatusWire>,
 }
@@ -100,6 +109,12 @@
     pub entries: usize,
 }
 
+/// Entry VMs of all data centres, as the platform has them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RostersWire {
+    pub rosters: BTreeMap<String, RosterWire>,
+}
+
 /// VMs of a data centre.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct VmsWire {
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -140,6 +140,7 @@
     assert_eq!(reasons, ["first", "disk", "undrain", "wave", "stop wave"]);
     let status = run(one, &["status"], DONE);
     assert_eq!(status["platform_reachable"], true);
+    assert!(status["rosters"].is_object(), "{status}");
     run(one, &["audit"], DONE);
     let report = run(one, &["report", "--from", "1h"], DONE);
     assert_eq!(report["versions"].as_array().map(Vec::len), Some(5));
