--- a/src/bin/chicory/cmd/status.rs
+++ b/src/bin/chicory/cmd/status.rs
@@ -29,7 +29,11 @@
 
 fn print_own(status: &StatusWire) {
     let confirmed = status.confirmed_age_ms;
-    let confirmed = confirmed.map_or("never".to_owned(), |age| format!("{age} ms ago"));
+    let confirmed = match confirmed {
+        _ if !status.watching => "by the controller".to_owned(),
+        Some(age) => format!("{age} ms ago"),
+        None => "never".to_owned(),
+    };
     println!("entry VM        {} in {}", status.name, status.dc);
     println!("controller      {}", status.controller);
     println!("config version  {}", status.config_version);
@@ -40,6 +44,10 @@
         status.fleet_sequence, status.vms
     );
     println!("trusted         {}", status.trusted);
+    println!("sharing slots   {}", status.sharing);
+    if let Some(age) = status.stale_ms {
+        println!("state from peer {age} ms old");
+    }
     for (what, vms) in [
         ("draining", &status.draining),
         ("postponed", &status.postponed),
