--- a/src/bin/chicory/cmd/mod.rs
+++ b/src/bin/chicory/cmd/mod.rs
@@ -17,13 +17,14 @@
 use crate::entry::EntryError;
 use crate::submission::PatchTerms;
 
+/// What the command's exit status tells.
+const EXIT_STATUSES: &str = "Exit status: 0 done, 1 not reached or bad usage, 2 refused, \
+    3 conflict with another patch, 4 not known whether a patch is accepted, \
+    5 a condition of the report did not hold.";
+
 /// Drives a fleet through the control interface of any of its entry VMs.
-///
-/// Exit status: 0 done, 1 not reached or bad usage, 2 refused, 3 conflict with
-/// another patch, 4 not known whether a patch is accepted, 5 a condition of the
-/// report did not hold.
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version)]
+#[bpaf(options, version, footer(EXIT_STATUSES))]
 pub struct OperatorCommand {
     /// Control address of an entry VM.
     #[bpaf(argument("ADDR"), fallback(SocketAddr::from(([127, 0, 0, 1], 8081))), display_fallback)]
