--- a/src/service/control/config.rs
+++ b/src/service/control/config.rs
@@ -1,11 +1,14 @@
 //! Handlers of the configuration: show, list, patch.
 
+use std::time::Duration;
+
 use salvo::Depot;
 use salvo::Request;
 use salvo::Response;
 use salvo::Router;
 use salvo::handler;
 use salvo::http::StatusCode;
+use tokio::time::timeout;
 
 use crate::config::patch::MAX_PATCH_BYTES;
 use crate::config::patch::PatchRequest;
@@ -20,6 +23,7 @@
 use super::answer;
 use super::number;
 use super::state_of;
+use super::take_turn;
 use super::wire::ConfigWire;
 use super::wire::ErrorWire;
 use super::wire::LogWire;
@@ -29,6 +33,8 @@
 /// Largest body of a submission, in bytes; a patch that is not written densely
 /// may take up to twice its bytes.
 const MAX_BODY_BYTES: usize = 2 * MAX_PATCH_BYTES;
+/// Time in which the body of a submission arrives.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
 /// Most versions that one listing shows.
 const MAX_LOG_VERSIONS: u64 = 1024;
 
@@ -80,9 +86,14 @@
 
 async fn accept(request: &mut Request, depot: &Depot) -> Result<PatchAnswerWire, ControlError> {
     let state = state_of(depot)?;
+    let _turn = take_turn(&state.submissions).await?;
     let wire = request.parse_json_with_max_size::<PatchWire>(MAX_BODY_BYTES);
-    let wire = wire.await.map_err(ControlError::bad_request)?;
-    let patch = PatchRequest::from(wire);
+    let wire = timeout(BODY_LIMIT, wire).await;
+    let wire = wire.map_err(|_| ControlError::new(StatusCode::REQUEST_TIMEOUT, "body too slow"))?;
+    let patch = PatchRequest::from(wire.map_err(ControlError::bad_request)?);
+    if let Err(error) = patch.check() {
+        return Err(refusal(SubmitError::Request { source: error }));
+    }
     let in_force = state.config.borrow().clone();
     let limits = SubmitSettings::default();
     let submitted = submit(&state.client, &in_force, &patch, limits, unix_ms());
@@ -95,17 +106,18 @@
             Ok(PatchAnswerWire { version })
         }
         Err(error) => {
+            let error = refusal(error);
             log::warn!(
                 event = "patch_failed", patch_id = patch.patch_id, author = patch.author,
-                error:% = error; ""
+                error = error.body.error; ""
             );
-            Err(refusal(error))
+            Err(error)
         }
     }
 }
 
 fn refusal(error: SubmitError) -> ControlError {
-    let text = error.to_string();
+    let text = ControlError::bad_request(&error).body.error;
     let (status, body) = match error {
         SubmitError::Conflict {
             current, fields, ..
--- a/src/service/control/mod.rs
+++ b/src/service/control/mod.rs
@@ -11,6 +11,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use salvo::Depot;
 use salvo::Request;
@@ -23,8 +24,11 @@
 use salvo::prelude::affix_state;
 use salvo::writing::Json;
 use serde::Serialize;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::timeout;
 
 use crate::kernel::LookupError;
 use crate::kernel::ServiceKernel;
@@ -44,6 +48,15 @@
 
 use wire::ErrorWire;
 
+/// Most patches that are read or submitted at once.
+const MAX_SUBMISSIONS: usize = 8;
+/// Most reports and audit lists that are made at once; each may take many MB.
+const MAX_REPORTS: usize = 1;
+/// Longest wait for one of these to end.
+const TURN_LIMIT: Duration = Duration::from_secs(10);
+/// Longest text of an error, in characters.
+const MAX_ERROR_CHARS: usize = 16 * 1024;
+
 /// Name of the service.
 pub const NAME: ServiceName = "control";
 
@@ -57,6 +70,8 @@
     term: ControllerView,
     report: ReportView,
     peers: PeerView,
+    submissions: Semaphore,
+    reports: Semaphore,
 }
 
 impl ControlState {
@@ -89,6 +104,8 @@
         term: kernel.find(crate::service::fleet::NAME)?,
         report: kernel.find(crate::service::fleet::NAME)?,
         peers: kernel.find(crate::service::peers::NAME)?,
+        submissions: Semaphore::new(MAX_SUBMISSIONS),
+        reports: Semaphore::new(MAX_REPORTS),
     });
     let operators = Router::with_path("v1")
         .hoop(affix_state::inject(state))
@@ -130,7 +147,9 @@
 
 impl ControlError {
     fn new(status: StatusCode, error: impl fmt::Display) -> Self {
+        // The text may quote what was sent.
         let error = error.to_string();
+        let error = error.chars().take(MAX_ERROR_CHARS).collect();
         Self {
             status,
             body: ErrorWire {
@@ -165,6 +184,13 @@
     }
 }
 
+/// Waits for a turn; fails if others take too long.
+async fn take_turn(turns: &Semaphore) -> Result<SemaphorePermit<'_>, ControlError> {
+    let busy = || ControlError::unavailable("not accepted: too many calls of this kind at once");
+    let turn = timeout(TURN_LIMIT, turns.acquire()).await;
+    turn.map_err(|_| busy())?.map_err(|_| busy())
+}
+
 /// Reads a number from the query; `default` if it is absent.
 fn number(request: &Request, name: &str, default: u64) -> Result<u64, ControlError> {
     let Some(text) = request.queries().get(name) else {
--- a/src/service/control/record.rs
+++ b/src/service/control/record.rs
@@ -16,6 +16,7 @@
 use super::answer;
 use super::number;
 use super::state_of;
+use super::take_turn;
 use super::wire::AuditListWire;
 
 /// Span of a report that states no start, in milliseconds.
@@ -35,6 +36,7 @@
 async fn read_audit(request: &Request, depot: &Depot) -> Result<AuditListWire, ControlError> {
     let state = state_of(depot)?;
     let span = read_span(request)?;
+    let _turn = take_turn(&state.reports).await?;
     let trails = evidence::read_trails(state.platform()).await;
     let trails = trails.map_err(ControlError::unavailable)?;
     Ok(AuditListWire::new(&trails, span))
@@ -48,6 +50,7 @@
 async fn make_report(request: &Request, depot: &Depot) -> Result<ReportWire, ControlError> {
     let state = state_of(depot)?;
     let span = read_span(request)?;
+    let _turn = take_turn(&state.reports).await?;
     let evidence = evidence::read(state.platform(), span).await;
     let evidence = evidence.map_err(ControlError::unavailable)?;
     Ok((&report::make(&evidence, span)).into())
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -16,6 +16,9 @@
 use serde_json::json;
 use standin::platform::PlatformFaults;
 use standin::platform::RunningPlatform;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use support::DaemonPlan;
 use support::DaemonProcess;
@@ -355,6 +358,28 @@
     assert_eq!(post(&daemons[0], "/v1/config/patch", deep).await, Some(400));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn patch_slow_bodies() {
+    let platform = support::start_platform().await;
+    let daemons = start_entries(&platform, 1).await;
+    let head = "POST /v1/config/patch HTTP/1.1\r\nHost: a\r\n\
+                Content-Type: application/json\r\nContent-Length: 99\r\n\r\n{";
+    let mut slow = Vec::new();
+    for _ in 0..8 {
+        let stream = TcpStream::connect(daemons[0].control).await;
+        let mut stream = stream.expect("connection");
+        stream.write_all(head.as_bytes()).await.expect("head");
+        slow.push(stream);
+    }
+    for stream in &mut slow {
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).await.expect("answer");
+        assert_eq!(&answer, b"HTTP/1.1 408");
+    }
+    let answer = support::patch(daemons[0].control, 0, fleet_patch()).await;
+    assert_eq!(answer.expect("answer").0, 200, "turns are given back");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 2,
