--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 #![expect(dead_code, reason = "each test file uses a part of the support")]
 
+pub mod cluster;
+
 use std::fs;
 use std::future::Future;
 use std::net::Ipv4Addr;
