Process tests of outages, cuts and fresh starts

Seen failing with the mechanism switched off: no copy of a peer's state (a fresh entry VM never had one while the platform was down), no configuration from other data centres (version 2 never came to one that was cut off from the platform alone). Calls of one data centre of three entry VMs in the ten seconds after an outage of 8 s, at the tests' periods (exchange 100 ms, list 200 ms): 44 lists, 40 reads, 25 watches, 39 writes of keys, 15 writes of sessions, 43 readings of the list of VMs, bounded by a 24th of the platform's rates.

--- /dev/null
+++ b/tests/peers_outage.rs
@@ -0,0 +1,238 @@
+//! The platform away, data centres cut off, and fresh starts meanwhile.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::json;
+use standin::call;
+use standin::platform::PlatformFaults;
+use standin::platform::RunningPlatform;
+use standin::relay;
+use standin::relay::LinkState;
+use standin::relay::RunningRelay;
+use tokio::time::sleep;
+
+use support::DaemonPlan;
+use support::DaemonProcess;
+use support::cluster;
+
+const VMS: [&str; 2] = ["vm-1", "vm-2"];
+/// Data centres that share the platform's rates.
+const DATA_CENTRES: u64 = 24;
+/// Reads that the platform takes in ten seconds.
+const PLATFORM_READS: u64 = 20_000;
+/// Writes that the platform takes in ten seconds.
+const PLATFORM_WRITES: u64 = 3_000;
+
+fn set_down(platform: &RunningPlatform, down: bool) {
+    platform.state.set_faults(PlatformFaults {
+        down,
+        ..PlatformFaults::default()
+    });
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fresh_start_from_peer() {
+    let platform = support::start_platform().await;
+    let backends = support::start_backends(&platform, "dc", &VMS).await;
+    let plans = cluster::plans("dc", 3);
+    let mut daemons = cluster::start(&plans, 2, &platform);
+    cluster::patch(&daemons[0], 0, cluster::one_pool(&VMS)).await;
+    cluster::all_share(&daemons, 2, 2).await;
+    set_down(&platform, true);
+    // Leases lapse.
+    sleep(Duration::from_secs(3)).await;
+    let fresh = DaemonProcess::start(&plans[2], &plans, platform.server.address);
+    cluster::status_is("state of a peer", &fresh, |status| {
+        status["config_version"] == 1 && status["vms"] == 2 && status["stale_ms"].is_u64()
+    })
+    .await;
+    let status = fresh.get("/v1/status").await.expect("status");
+    assert_eq!(status["sharing"], 0, "{status}");
+    let load = cluster::load(std::slice::from_ref(&fresh), 50.0, Duration::from_secs(1));
+    let load = call::LoadSettings {
+        prefix: "fresh".to_owned(),
+        ..load
+    };
+    let summary = cluster::compare(&call::run(load).await, &backends);
+    assert_eq!(summary.not_run, summary.sent, "{summary}");
+    // The others serve on.
+    let load = cluster::load(&daemons, 100.0, Duration::from_secs(1));
+    let summary = cluster::compare(&call::run(load).await, &backends);
+    assert_eq!(summary.answered, summary.sent, "{summary}");
+    set_down(&platform, false);
+    daemons.push(fresh);
+    cluster::all_share(&daemons, 3, 2).await;
+    cluster::status_is("fresh state", &daemons[2], |status| {
+        status["stale_ms"].is_null()
+    })
+    .await;
+    assert_eq!(cluster::over_slots(&backends), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fresh_start_alone() {
+    let platform = support::start_platform().await;
+    set_down(&platform, true);
+    let plans = cluster::plans("dc", 2);
+    let daemons = cluster::start(&plans, 2, &platform);
+    cluster::status_is("status", &daemons[0], |status| status["trusted"] == false).await;
+    let load = cluster::load(&daemons, 50.0, Duration::from_secs(2));
+    let summary = cluster::compare(&call::run(load).await, &[]);
+    assert_eq!(summary.not_run, summary.sent, "{summary}");
+    let status = daemons[0].get("/v1/status").await.expect("status");
+    assert_eq!(status["trusted"], false, "{status}");
+    set_down(&platform, false);
+    cluster::patch(&daemons[0], 0, json!({"pools": {}})).await;
+    cluster::all_share(&daemons, 2, 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_return_no_stampede() {
+    let platform = support::start_platform().await;
+    let _backends = support::start_backends(&platform, "dc", &VMS).await;
+    let plans = cluster::plans("dc", 3);
+    let daemons = cluster::start(&plans, 3, &platform);
+    cluster::patch(&daemons[0], 0, cluster::one_pool(&VMS)).await;
+    cluster::all_share(&daemons, 3, 2).await;
+    set_down(&platform, true);
+    sleep(Duration::from_secs(8)).await;
+    set_down(&platform, false);
+    let before = platform.state.counts();
+    sleep(Duration::from_secs(10)).await;
+    let after = platform.state.counts();
+    let calls = after.iter().map(|(kind, count)| {
+        let count = count - before.get(kind).copied().unwrap_or(0);
+        (kind.as_str(), count)
+    });
+    let calls: Vec<_> = calls.filter(|(_, count)| *count > 0).collect();
+    println!("calls in ten seconds after the outage: {calls:?}");
+    let (writes, reads): (Vec<_>, Vec<_>) =
+        calls.iter().partition(|(kind, _)| kind.ends_with("write"));
+    let sum = |calls: Vec<(&str, u64)>| calls.iter().map(|(_, count)| count).sum::<u64>();
+    assert!(sum(writes) <= PLATFORM_WRITES / DATA_CENTRES, "{calls:?}");
+    assert!(sum(reads) <= PLATFORM_READS / DATA_CENTRES, "{calls:?}");
+    cluster::all_share(&daemons, 3, 2).await;
+}
+
+/// A data centre whose links to the platform and to the others can be cut.
+struct CutSite {
+    daemons: Vec<DaemonProcess>,
+    links: Vec<RunningRelay>,
+}
+
+async fn link(target: SocketAddr) -> RunningRelay {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let link = relay::start(listen, target, Duration::ZERO).await;
+    link.expect("relay")
+}
+
+/// Starts a data centre that sees everything else through links.
+async fn start_site(
+    plans: &[DaemonPlan],
+    others: &[DaemonPlan],
+    platform: &RunningPlatform,
+) -> CutSite {
+    let mut links = vec![link(platform.server.address).await];
+    let platform = links[0].address;
+    let mut peers = plans.to_vec();
+    for other in others {
+        let link = link(other.control).await;
+        peers.push(DaemonPlan {
+            control: link.address,
+            ..other.clone()
+        });
+        links.push(link);
+    }
+    let daemons = plans
+        .iter()
+        .map(|plan| DaemonProcess::start(plan, &peers, platform));
+    CutSite {
+        daemons: daemons.collect(),
+        links,
+    }
+}
+
+impl CutSite {
+    fn set_links(&self, state: LinkState) {
+        for link in &self.links {
+            link.set(state);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn data_centre_cut_off_and_healed() {
+    let platform = support::start_platform().await;
+    let near_backends = support::start_backends(&platform, "near", &["vm-1"]).await;
+    let far_backends = support::start_backends(&platform, "far", &["vm-2"]).await;
+    let (near_plans, far_plans) = (cluster::plans("near", 2), cluster::plans("far", 2));
+    let near = start_site(&near_plans, &far_plans, &platform).await;
+    let far = start_site(&far_plans, &near_plans, &platform).await;
+    cluster::patch(&near.daemons[0], 0, cluster::one_pool(&VMS)).await;
+    for site in [&near, &far] {
+        cluster::all_share(&site.daemons, 2, 1).await;
+        cluster::status_is("other data centre", &site.daemons[0], |status| {
+            status["data_centres"][0]["entries"] == 2
+        })
+        .await;
+    }
+    far.set_links(LinkState::Cut);
+    for link in &near.links[1..] {
+        link.set(LinkState::Cut);
+    }
+    cluster::patch(
+        &near.daemons[0],
+        1,
+        json!({"pools": {"intake": {"budget": 2}}}),
+    )
+    .await;
+    // Longer than leases, pushes and the platform's list are waited for.
+    sleep(Duration::from_secs(4)).await;
+    let load = cluster::load(&far.daemons, 40.0, Duration::from_secs(2));
+    let record = call::run(load).await;
+    let backends = [near_backends, far_backends]
+        .into_iter()
+        .flatten()
+        .collect::<Vec<_>>();
+    let summary = cluster::compare(&record, &backends);
+    assert_eq!(summary.answered, summary.sent, "{summary}");
+    for daemon in &far.daemons {
+        let status = daemon.get("/v1/status").await.expect("status");
+        assert_eq!(status["config_version"], 1, "{status}");
+        assert_eq!(status["sharing"], 2, "{status}");
+    }
+    far.set_links(LinkState::Up);
+    near.set_links(LinkState::Up);
+    for daemon in near.daemons.iter().chain(&far.daemons) {
+        cluster::status_is("version", daemon, |status| status["config_version"] == 2).await;
+    }
+    cluster::all_share(&far.daemons, 2, 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_away_version_from_far_peer() {
+    let platform = support::start_platform().await;
+    let (near_plans, far_plans) = (cluster::plans("near", 1), cluster::plans("far", 1));
+    let near = start_site(&near_plans, &far_plans, &platform).await;
+    let far = start_site(&far_plans, &near_plans, &platform).await;
+    cluster::patch(&near.daemons[0], 0, json!({"pools": {}})).await;
+    cluster::status_is("version", &far.daemons[0], |status| {
+        status["config_version"] == 1
+    })
+    .await;
+    // Only the link to the platform is cut.
+    far.links[0].set(LinkState::Cut);
+    cluster::patch(
+        &near.daemons[0],
+        1,
+        json!({"maintenance": {"drain_limit_s": 60}}),
+    )
+    .await;
+    cluster::status_is("version", &far.daemons[0], |status| {
+        status["config_version"] == 2
+    })
+    .await;
+}
