Peers: leaving controller finds its successor, silent members hold nobody up

A controller that shut down told its peers once, when its successor was perhaps not yet elected; it now repeats that within its time (members_join_and_leave stops the controller). A silent member got a whole second in each round, in which the others heard nothing; one that did not answer before gets half a period. Requests to leave are noted only for processes of the roster, and at most 64 wait.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -9,6 +9,10 @@
 pub const REQUESTS: &str = "chicory_requests_total";
 /// Calls to the platform by step and result.
 pub const PLATFORM_CALLS: &str = "chicory_platform_calls_total";
+/// Bytes of messages between entry VMs, without HTTP heads.
+pub const PEER_BYTES: &str = "chicory_peer_bytes_total";
+/// Messages between entry VMs.
+pub const PEER_MESSAGES: &str = "chicory_peer_messages_total";
 /// Configuration version in force.
 pub const CONFIG_VERSION: &str = "chicory_config_version";
 /// Sequence of the fleet record in force.
@@ -26,6 +30,8 @@
     recorder();
     metrics::describe_counter!(REQUESTS, "Requests by outcome and reason.");
     metrics::describe_counter!(PLATFORM_CALLS, "Calls to the platform by step and result.");
+    metrics::describe_counter!(PEER_BYTES, "Bytes between entry VMs, by direction.");
+    metrics::describe_counter!(PEER_MESSAGES, "Messages between entry VMs, by direction.");
     metrics::describe_gauge!(CONFIG_VERSION, "Configuration version in force.");
     metrics::describe_gauge!(FLEET_SEQUENCE, "Sequence of the fleet record in force.");
 }
@@ -42,3 +48,9 @@
         recorder.run_upkeep();
     }
 }
+
+/// Counts a message between entry VMs; `direction` is `in` or `out`.
+pub fn count_peer_message(direction: &'static str, bytes: usize) {
+    metrics::counter!(PEER_MESSAGES, "direction" => direction).increment(1);
+    metrics::counter!(PEER_BYTES, "direction" => direction).increment(bytes as u64);
+}
--- a/src/service/peers/client.rs
+++ b/src/service/peers/client.rs
@@ -13,6 +13,7 @@
 use crate::http::CallError;
 use crate::http::CallRequest;
 use crate::http::call;
+use crate::metrics::count_peer_message;
 use crate::peer::message::DcSummary;
 use crate::peer::message::LeaveRequest;
 use crate::peer::message::PushAnswer;
@@ -134,7 +135,9 @@
     step: &'static str,
     request: CallRequest<'_>,
 ) -> Result<CallAnswer, PeerError> {
+    count_peer_message("out", request.body.len());
     let answer = call(peer, request).await.context(NoAnswerSnafu)?;
+    count_peer_message("in", answer.body.len());
     let status = answer.status;
     snafu::ensure!(status.is_success(), RefusedSnafu { step, peer, status });
     Ok(answer)
--- a/src/service/peers/lead.rs
+++ b/src/service/peers/lead.rs
@@ -10,8 +10,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use snafu::ResultExt;
-use snafu::Snafu;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
@@ -24,14 +22,14 @@
 use super::members::MemberTable;
 use super::members::slots_by_vm;
 use super::owner::OwnerMessage;
+use super::roster;
+use super::roster::RosterError;
+use super::roster::StoredRoster;
 use crate::config::VersionedConfig;
 use crate::decide::membership::MembershipView;
 use crate::decide::membership::next_roster;
 use crate::fleet::EntryRoster;
-use crate::fleet::wire::RosterWire;
-use crate::names::DcName;
 use crate::names::EntryName;
-use crate::names::NameError;
 use crate::peer::EntryAck;
 use crate::peer::diff::merge_diff;
 use crate::peer::message::ConfigOffer;
@@ -39,13 +37,16 @@
 use crate::peer::message::LeaveRequest;
 use crate::peer::message::PushAnswer;
 use crate::peer::message::StatePush;
-use crate::platform::PlatformError;
 use crate::service::unix_ms;
 
 /// Shortest time that a member gets to answer a push.
 const MIN_PUSH_LIMIT: Duration = Duration::from_secs(1);
+/// Shortest time that one gets that did not answer before.
+const PROBE_LIMIT: Duration = Duration::from_millis(100);
 /// Shortest pause between two rounds.
 const MIN_PAUSE: Duration = Duration::from_millis(10);
+/// Most entry VMs whose leaving waits to be written.
+const MAX_LEAVERS: usize = 64;
 /// Configurations kept to make patches from.
 const KEPT_CONFIGS: usize = 8;
 
@@ -60,23 +61,6 @@
     },
 }
 
-#[derive(Debug, Snafu)]
-pub(super) enum RosterError {
-    #[snafu(display("{source}"))]
-    Platform { source: PlatformError },
-    #[snafu(display("step=decode_roster: {source}"))]
-    Decode { source: serde_json::Error },
-    #[snafu(display("step=read_roster: {source}"))]
-    Name { source: NameError },
-}
-
-/// A roster as it stands at the platform.
-#[derive(Clone, Debug, Default)]
-pub(super) struct StoredRoster {
-    pub roster: EntryRoster,
-    pub revision: u64,
-}
-
 struct LeadState<'a> {
     tools: &'a PeerTools,
     members: MemberTable,
@@ -135,7 +119,11 @@
     fn take(&mut self, message: LeadMessage) {
         match message {
             LeadMessage::Join(joiner) => self.members.join(&joiner),
-            LeadMessage::Leave { request, reply } => self.leaving.push((request, reply)),
+            // Beyond the limit the reply is dropped, which refuses the request.
+            LeadMessage::Leave { request, reply } if self.leaving.len() < MAX_LEAVERS => {
+                self.leaving.push((request, reply));
+            }
+            LeadMessage::Leave { .. } => {}
         }
     }
 
@@ -149,12 +137,11 @@
     async fn round(&mut self) -> Result<bool, RosterError> {
         let stored = match self.stored.clone() {
             Some(stored) => stored,
-            None => read(self.tools).await?,
+            None => roster::read(self.tools).await?,
         };
         self.stored = Some(stored.clone());
         for (request, _) in &self.leaving {
-            self.members
-                .leave(request.name.clone(), request.incarnation);
+            self.members.leave(request, &stored.roster);
         }
         let answers = self.push_all(&stored.roster).await;
         self.see_list(&stored.roster, &answers).await;
@@ -217,10 +204,15 @@
         roster: &EntryRoster,
         answers: &mut BTreeMap<EntryName, PushAnswer>,
     ) {
-        let limit = self.tools.settings.control.sync.max(MIN_PUSH_LIMIT);
+        let sync = self.tools.settings.control.sync;
         let mut calls = JoinSet::new();
         for address in addresses {
             let push = self.push_for(address, roster);
+            // One that was silent before must not hold the others up for long.
+            let limit = match self.members.ack(address) {
+                Some(_) => sync.max(MIN_PUSH_LIMIT),
+                None => (sync / 2).max(PROBE_LIMIT),
+            };
             calls.spawn(async move { (address, client::push(address, &push, limit).await) });
         }
         while let Some(call) = calls.join_next().await {
@@ -345,17 +337,8 @@
         // Until the write is known to have taken effect, nothing is known.
         self.stored = None;
         next.refreshed_ms = unix_ms();
-        let key = roster_key(&self.tools.identity.dc);
-        let value = serde_json::to_vec(&RosterWire::from(&next)).context(DecodeSnafu)?;
-        let client = &self.tools.client;
-        let written = client.compare_and_swap(&key, stored.revision, value).await;
-        if written.context(PlatformSnafu)? && next.generation > stored.roster.generation {
-            log::info!(
-                event = "roster_written", generation = next.generation,
-                places = next.places, next_places = next.next_places; ""
-            );
-        }
-        self.stored = Some(read(self.tools).await?);
+        roster::write(self.tools, stored, &next).await?;
+        self.stored = Some(roster::read(self.tools).await?);
         Ok(())
     }
 
@@ -374,20 +357,3 @@
         }
     }
 }
-
-fn roster_key(dc: &DcName) -> String {
-    format!("entries/{dc}")
-}
-
-/// Reads the roster of this data centre; an empty one if there is none.
-pub(super) async fn read(tools: &PeerTools) -> Result<StoredRoster, RosterError> {
-    let key = roster_key(&tools.identity.dc);
-    let Some(stored) = tools.client.get(&key).await.context(PlatformSnafu)? else {
-        return Ok(StoredRoster::default());
-    };
-    let wire: RosterWire = serde_json::from_slice(&stored.value).context(DecodeSnafu)?;
-    Ok(StoredRoster {
-        roster: EntryRoster::try_from(wire).context(NameSnafu)?,
-        revision: stored.revision,
-    })
-}
--- a/src/service/peers/leave.rs
+++ b/src/service/peers/leave.rs
@@ -5,6 +5,7 @@
 
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use super::PeerTools;
 use super::client;
@@ -42,15 +43,30 @@
     if written.await.unwrap_or(false) {
         return;
     }
+    // A successor of the controller may have to be found first; the time for
+    // this task is limited by the shutdown.
+    while !tell_peers(tools, &request).await {
+        log::info!(event = "leave_not_written"; "");
+        sleep(tools.settings.control.sync).await;
+    }
+}
+
+async fn tell_peers(tools: &PeerTools, request: &LeaveRequest) -> bool {
     let controller = tools.need.borrow().controller;
-    let entries = tools.roster.borrow().clone();
-    let entries = entries.entries.values().map(|entry| entry.control_address);
+    let roster = tools.roster.borrow().clone();
+    let entries = roster.entries.values().map(|entry| entry.control_address);
     let own = tools.identity.control_address;
-    let peers: BTreeSet<_> = tools.near().chain(entries).collect();
+    let mut peers: BTreeSet<_> = tools.near().chain(entries).collect();
+    peers.remove(&own);
+    if peers.is_empty() {
+        // There is nobody to whom the share could go.
+        return true;
+    }
+    let controller = controller.filter(|controller| *controller != own);
     for peer in controller.into_iter().chain(peers) {
-        if peer != own && client::leave(peer, &request, LEAVE_LIMIT).await.is_ok() {
-            return;
+        if client::leave(peer, request, LEAVE_LIMIT).await.is_ok() {
+            return true;
         }
     }
-    log::warn!(event = "leave_not_written"; "");
+    false
 }
--- a/src/service/peers/members.rs
+++ b/src/service/peers/members.rs
@@ -13,6 +13,7 @@
 use crate::names::EntryName;
 use crate::names::VmName;
 use crate::peer::EntryAck;
+use crate::peer::message::LeaveRequest;
 use crate::peer::message::PushAnswer;
 
 /// Most addresses that announced themselves and are not on the roster.
@@ -40,8 +41,12 @@
         }
     }
 
-    pub fn leave(&mut self, name: EntryName, incarnation: u64) {
-        self.left.insert(name, incarnation);
+    /// Notes that a process of the roster has left for good.
+    pub fn leave(&mut self, request: &LeaveRequest, roster: &EntryRoster) {
+        let entry = roster.entries.get(&request.name);
+        if entry.is_some_and(|entry| entry.incarnation == request.incarnation) {
+            self.left.insert(request.name.clone(), request.incarnation);
+        }
     }
 
     /// Returns the addresses to push to that are not known from the settings.
--- a/src/service/peers/mod.rs
+++ b/src/service/peers/mod.rs
@@ -14,6 +14,7 @@
 mod owner;
 mod recover;
 mod remote;
+mod roster;
 mod routes;
 
 use std::collections::BTreeMap;
--- a/src/service/peers/recover.rs
+++ b/src/service/peers/recover.rs
@@ -19,10 +19,10 @@
 use super::PeerTools;
 use super::client;
 use super::exchange;
-use super::lead;
-use super::lead::RosterError;
 use super::owner::OwnerMessage;
 use super::owner::StateNeed;
+use super::roster;
+use super::roster::RosterError;
 use crate::config::head::HEAD_KEY;
 use crate::config::head::HeadWire;
 use crate::fleet::EntryRoster;
@@ -146,11 +146,11 @@
 /// A roster that gives this process a place is thus never newer than the fleet
 /// record that is in force.
 async fn read_platform(tools: &PeerTools) -> Result<EntryRoster, RecoverError> {
-    let roster = lead::read(tools).await.context(RosterSnafu)?.roster;
+    let stored = roster::read(tools).await.context(RosterSnafu)?;
     let key = format!("fleet/{}", tools.identity.dc);
-    let stored = tools.client.get(&key).await.context(PlatformSnafu)?;
-    if let Some(stored) = stored {
-        let wire: FleetWire = serde_json::from_slice(&stored.value).context(DecodeSnafu)?;
+    let fleet = tools.client.get(&key).await.context(PlatformSnafu)?;
+    if let Some(fleet) = fleet {
+        let wire: FleetWire = serde_json::from_slice(&fleet.value).context(DecodeSnafu)?;
         let record = FleetRecord::try_from(wire).context(NameSnafu)?;
         exchange::offer_fleet(tools, Arc::new(record)).await;
     }
@@ -166,7 +166,7 @@
             .fail();
         }
     }
-    Ok(roster)
+    Ok(stored.roster)
 }
 
 /// Asks the peers of the data centre for their state, then any peer for its
--- a/src/service/peers/routes.rs
+++ b/src/service/peers/routes.rs
@@ -18,6 +18,7 @@
 use super::lead::LeadMessage;
 use crate::kernel::LookupError;
 use crate::kernel::ServiceKernel;
+use crate::metrics::count_peer_message;
 use crate::peer::message::LeaveRequest;
 use crate::peer::message::PushAnswer;
 use crate::peer::message::StatePush;
@@ -145,6 +146,7 @@
         refuse(response, StatusCode::BAD_REQUEST);
         return None;
     };
+    count_peer_message("in", body.len());
     match wire::decode::<W, T>(body) {
         Ok(message) => Some(message),
         Err(error) => {
@@ -164,6 +166,7 @@
 }
 
 fn write_body(response: &mut Response, body: Vec<u8>) {
+    count_peer_message("out", body.len());
     // The media type is a valid header and the body is given once.
     let _ = response.add_header("content-type", MSGPACK, true);
     let _ = response.write_body(body);
--- a/tests/peers_members.rs
+++ b/tests/peers_members.rs
@@ -61,7 +61,8 @@
     assert!(!summary.is_broken(), "{summary}");
     assert_eq!(cluster::over_slots(&backends), 0, "{summary}");
     // The callers have heard that one leaves, and go to the others.
-    let mut leaver = daemons.remove(1);
+    let first = controller(&platform, &daemons).expect("controller");
+    let mut leaver = daemons.remove(first);
     let load = cluster::load(&daemons, OVERLOAD, Duration::from_secs(3));
     let load = call::LoadSettings {
         prefix: "leave".to_owned(),
