--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![expect(dead_code, reason = "each test file uses a part of the support")]
 
+pub mod cluster;
 pub mod entry;
 
 use std::fs;
