--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -174,6 +174,19 @@
         *lock(&self.faults) = faults;
     }
 
+    /// Fails: its socket closes until [`Self::end_reboot`].
+    pub fn fall(&self) {
+        *lock(&self.rebooting) = true;
+        self.open.send_replace(false);
+        self.resets.send_modify(|resets| *resets += 1);
+    }
+
+    /// Ends a failure or a reboot that would last for ever.
+    pub fn end_reboot(&self) {
+        *lock(&self.rebooting) = false;
+        self.open.send_replace(true);
+    }
+
     /// Returns what was recorded so far.
     #[must_use]
     pub fn record(&self) -> BackendRecord {
--- a/tests/config_regions.rs
+++ b/tests/config_regions.rs
@@ -95,8 +95,7 @@
     accept(&near[0], 1).await;
     let whole = in_force(&all, 2).await;
     let near_ones: Vec<_> = near.iter().collect();
-    let mut current = 2;
-    for state in [LinkState::Cut, LinkState::Stalled] {
+    for (current, state) in (2..).zip([LinkState::Cut, LinkState::Stalled]) {
         link.set(state);
         accept(&near[1], current).await;
         in_force(&near_ones, current + 1).await;
@@ -109,7 +108,6 @@
         link.set(LinkState::Up);
         let healed = in_force(&all, current + 1).await;
         println!("state={state:?} healed_ms={}", healed.as_millis());
-        current += 1;
     }
     println!("entries=6 in_force_ms={}", whole.as_millis());
     ended.store(true, Ordering::Relaxed);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod cluster;
 pub mod entry;
+pub mod fleet;
 
 use std::fs;
 use std::future::Future;
