--- a/benches/capacity.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Benchmark of capacity; see docs/DESIGN.md.
-
-fn main() {}
--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -434,6 +434,43 @@
     }
 }
 
+/// Weights of a user who weighs moves and roll-out time most.
+fn evasapu_weights() -> MeasureWeights {
+    MeasureWeights {
+        buffer: 1.0,
+        rollout: 4.0,
+        moves: 4.0,
+    }
+}
+
+/// Weights of a user who weighs buffer cost most.
+fn nilebench_weights() -> MeasureWeights {
+    MeasureWeights {
+        buffer: 4.0,
+        rollout: 1.0,
+        moves: 1.0,
+    }
+}
+
+/// Shape of both first users: five pools, the last one spare, two VMs of budget.
+fn first_user() -> FleetShape {
+    FleetShape {
+        dcs: 3,
+        pools: [9, 9, 11, 12, 8].map(|size| (size, 2)).to_vec(),
+        seed: 1,
+    }
+}
+
+/// Fleets from the first users' size to the size to come.
+fn all_shapes() -> Vec<(&'static str, FleetShape)> {
+    vec![
+        ("first", first_user()),
+        ("500", support::made_up(500, 20, 6)),
+        ("2000", support::made_up(2000, 50, 12)),
+        ("7100", support::made_up(7100, 133, 24)),
+    ]
+}
+
 fn print_row(shape: &str, failing: f64, name: &str, outcome: &WaveOutcome) {
     println!(
         "{shape:>6} {:>5.0} {name:<22} {:>9.0} {:>6.2} {:>7} {:>6} {:>7} {:>5} {:>6} {:>7} {:>6} {:>8.1}",
@@ -483,16 +520,12 @@
             ChoiceWay::Planner,
             weights_of(0.0, 1.0),
         ),
-        (
-            "planner, Evasapu",
-            ChoiceWay::Planner,
-            support::evasapu_weights(),
-        ),
+        ("planner, Evasapu", ChoiceWay::Planner, evasapu_weights()),
         ("planner, equal", ChoiceWay::Planner, weights_of(1.0, 1.0)),
         (
             "planner, Nilebench",
             ChoiceWay::Planner,
-            support::nilebench_weights(),
+            nilebench_weights(),
         ),
         ("all that is free", ChoiceWay::Greedy, weights_of(0.0, 1.0)),
         ("one VM per pool", ChoiceWay::OneByOne, weights_of(0.0, 1.0)),
@@ -507,15 +540,15 @@
             weights_of(0.0, 1.0),
         ),
     ];
-    for shape in support::all_shapes() {
+    for (name, shape) in all_shapes() {
         let workers: usize = shape.pools.iter().map(|(size, _)| size).sum();
         if largest.is_some_and(|largest| workers > largest) {
             continue;
         }
         for failing in [0.0, 0.01, 0.05, 0.2] {
-            for (name, way, weights) in &ways {
+            for (way_name, way, weights) in &ways {
                 let outcome = WaveDrive::new(&shape, *weights, *way, failing).run();
-                print_row(shape.name, failing, name, &outcome);
+                print_row(name, failing, way_name, &outcome);
             }
         }
     }
--- a/benches/support/mod.rs
+++ b/benches/support/mod.rs
@@ -29,7 +29,6 @@
 /// Sizes of a fleet.
 #[derive(Clone, Debug)]
 pub struct FleetShape {
-    pub name: &'static str,
     pub dcs: usize,
     /// Workers and budget of each pool.
     pub pools: Vec<(usize, u32)>,
@@ -43,37 +42,9 @@
     pub dcs: Vec<FleetRecord>,
 }
 
-/// Weights of a user who weighs moves and roll-out time most.
-pub fn evasapu_weights() -> MeasureWeights {
-    MeasureWeights {
-        buffer: 1.0,
-        rollout: 4.0,
-        moves: 4.0,
-    }
-}
-
-/// Weights of a user who weighs buffer cost most.
-pub fn nilebench_weights() -> MeasureWeights {
-    MeasureWeights {
-        buffer: 4.0,
-        rollout: 1.0,
-        moves: 1.0,
-    }
-}
-
-/// Shape of both first users: five pools, the last one spare, two VMs of budget.
-pub fn first_user(name: &'static str) -> FleetShape {
-    FleetShape {
-        name,
-        dcs: 3,
-        pools: [9, 9, 11, 12, 8].map(|size| (size, 2)).to_vec(),
-        seed: 1,
-    }
-}
-
 /// Made-up fleet: sizes from a third to five thirds of the mean, budgets of 4 to
 /// 12 % of the pool.
-pub fn made_up(name: &'static str, workers: usize, pools: usize, dcs: usize) -> FleetShape {
+pub fn made_up(workers: usize, pools: usize, dcs: usize) -> FleetShape {
     let mut rng = StdRng::seed_from_u64(workers as u64);
     let mean = workers as f64 / pools as f64;
     let mut sizes: Vec<_> = (0..pools)
@@ -86,23 +57,12 @@
         (size, budget.max(1))
     });
     FleetShape {
-        name,
         dcs,
         pools: pools.collect(),
         seed: workers as u64,
     }
 }
 
-/// Fleets from the first users' size to the size to come.
-pub fn all_shapes() -> Vec<FleetShape> {
-    vec![
-        first_user("first"),
-        made_up("500", 500, 20, 6),
-        made_up("2000", 2000, 50, 12),
-        made_up("7100", 7100, 133, 24),
-    ]
-}
-
 pub fn pool_name(pool: usize) -> PoolName {
     PoolName::new(&format!("pool-{pool:03}")).expect("name")
 }
