--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -259,10 +259,8 @@
         ("resident memory, MB", largest(|usage| usage.resident_mb)),
     ];
     for (name, value) in values {
-        points
-            .entry(name.to_owned())
-            .or_default()
-            .push((size, value));
+        let name = format!("{what}: {name}");
+        points.entry(name).or_default().push((size, value));
     }
 }
 
