--- a/benches/capacity/decisions.rs
+++ b/benches/capacity/decisions.rs
@@ -26,6 +26,7 @@
 use serde_json::json;
 
 use crate::fit::report;
+use crate::shapes;
 use crate::support;
 use crate::support::FleetShape;
 use crate::support::MadeFleet;
@@ -47,11 +48,11 @@
 }
 
 /// Fleets of growing size; all have about 296 VMs a data centre.
-pub fn shapes() -> Vec<FleetShape> {
+pub fn sizes() -> Vec<FleetShape> {
     vec![
-        support::made_up(500, 10, 2),
-        support::made_up(2000, 38, 7),
-        support::made_up(7100, 133, 24),
+        shapes::made_up(500, 10, 2),
+        shapes::made_up(2000, 38, 7),
+        shapes::made_up(7100, 133, 24),
     ]
 }
 
@@ -88,7 +89,7 @@
 /// Measures all sizes and prints the lines.
 pub fn measure() {
     let mut points: BTreeMap<&str, Vec<(f64, f64)>> = BTreeMap::new();
-    for shape in shapes() {
+    for shape in sizes() {
         let fleet = support::make_fleet(&shape, MeasureWeights::default());
         let vms: usize = fleet.dcs.iter().map(|dc| dc.vms.len()).sum();
         let mut add = |name, value| points.entry(name).or_default().push((vms as f64, value));
@@ -196,7 +197,7 @@
 }
 
 fn measure_record(vms: usize, add: &mut impl FnMut(&'static str, f64)) {
-    let shape = support::made_up(vms * 3, 20, 3);
+    let shape = shapes::made_up(vms * 3, 20, 3);
     let fleet = support::make_fleet(&shape, MeasureWeights::default());
     let mut record: FleetRecord = fleet.dcs[0].clone();
     while record.vms.len() > vms {
--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -7,6 +7,8 @@
 mod daemons;
 mod decisions;
 mod fit;
+#[path = "../shapes/mod.rs"]
+mod shapes;
 #[path = "../support/mod.rs"]
 mod support;
 
@@ -178,7 +180,7 @@
 /// Memory and processor time of an entry VM by the size of the fleet.
 async fn measure_vms() {
     let mut nodes = SizePoints::new();
-    for shape in decisions::shapes() {
+    for shape in decisions::sizes() {
         let fleet = support::make_fleet(&shape, MeasureWeights::default());
         let vms = fleet.dcs[0].vms.len();
         let mut site = RunningSite::start(StartPlan {
--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -9,6 +9,7 @@
 //! the last VM has been maintained, and its lower bound counts repairs as time
 //! out of service.
 
+mod shapes;
 mod support;
 
 use std::cmp::Reverse;
@@ -465,9 +466,9 @@
 fn all_shapes() -> Vec<(&'static str, FleetShape)> {
     vec![
         ("first", first_user()),
-        ("500", support::made_up(500, 20, 6)),
-        ("2000", support::made_up(2000, 50, 12)),
-        ("7100", support::made_up(7100, 133, 24)),
+        ("500", shapes::made_up(500, 20, 6)),
+        ("2000", shapes::made_up(2000, 50, 12)),
+        ("7100", shapes::made_up(7100, 133, 24)),
     ]
 }
 
--- a/benches/support/mod.rs
+++ b/benches/support/mod.rs
@@ -14,7 +14,6 @@
 use chicorygauge::fleet::VmState;
 use chicorygauge::names::PoolName;
 use chicorygauge::names::VmName;
-use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -42,27 +41,6 @@
     pub dcs: Vec<FleetRecord>,
 }
 
-/// Made-up fleet: sizes from a third to five thirds of the mean, budgets of 4 to
-/// 12 % of the pool.
-pub fn made_up(workers: usize, pools: usize, dcs: usize) -> FleetShape {
-    let mut rng = StdRng::seed_from_u64(workers as u64);
-    let mean = workers as f64 / pools as f64;
-    let mut sizes: Vec<_> = (0..pools)
-        .map(|_| (mean * rng.random_range(0.34..1.66)) as usize)
-        .collect();
-    let total: usize = sizes.iter().sum();
-    sizes[0] = (sizes[0] + workers).saturating_sub(total).max(3);
-    let pools = sizes.into_iter().map(|size| {
-        let budget = (size as f64 * rng.random_range(0.04..0.12)).round() as u32;
-        (size, budget.max(1))
-    });
-    FleetShape {
-        dcs,
-        pools: pools.collect(),
-        seed: workers as u64,
-    }
-}
-
 pub fn pool_name(pool: usize) -> PoolName {
     PoolName::new(&format!("pool-{pool:03}")).expect("name")
 }
