--- a/src/service/control/status.rs
+++ b/src/service/control/status.rs
@@ -6,23 +6,50 @@
 use salvo::Response;
 use salvo::Router;
 use salvo::handler;
+use tokio::time::Instant;
 
+use crate::fleet::wire::RosterWire;
 use crate::names::EntryName;
+use crate::names::VmName;
 use crate::peer::MemberState;
-use crate::service::fleet::ControllerReport;
 use crate::service::unix_ms;
 
 use super::ControlError;
 use super::ControlState;
 use super::answer;
 use super::state_of;
-use super::wire::DrainStatusWire;
 use super::wire::EntryStatusWire;
 use super::wire::RemoteStatusWire;
+use super::wire::RostersWire;
 use super::wire::StatusWire;
 
+/// Prefix of the rosters at the platform.
+const ROSTER_PREFIX: &str = "entries/";
+
 pub(super) fn routes() -> Router {
-    Router::with_path("status").get(show)
+    Router::new()
+        .push(Router::with_path("status").get(show))
+        .push(Router::with_path("entries").get(show_entries))
+}
+
+#[handler]
+async fn show_entries(depot: &mut Depot, response: &mut Response) {
+    answer(response, read_rosters(depot).await);
+}
+
+/// Reads the rosters of all data centres from the platform.
+async fn read_rosters(depot: &Depot) -> Result<RostersWire, ControlError> {
+    let state = state_of(depot)?;
+    let values = state.platform().list(ROSTER_PREFIX).await;
+    let values = values.map_err(ControlError::unavailable)?;
+    let mut rosters = BTreeMap::new();
+    for value in values {
+        let roster: RosterWire =
+            serde_json::from_slice(&value.value).map_err(ControlError::unavailable)?;
+        let dc = value.key.trim_start_matches(ROSTER_PREFIX);
+        rosters.insert(dc.to_owned(), roster);
+    }
+    Ok(RostersWire { rosters })
 }
 
 #[handler]
@@ -37,6 +64,7 @@
     let never = follow.confirmed_ms == 0;
     let age_ms = unix_ms().saturating_sub(follow.confirmed_ms);
     let peers = state.peers.borrow().clone();
+    let report = state.report.borrow().clone();
     let remotes = peers.remotes.iter();
     Ok(StatusWire {
         name: state.settings.name.to_string(),
@@ -52,8 +80,10 @@
         platform_reachable: follow.error.is_empty() && !never,
         platform_error: follow.error,
         confirmed_age_ms: (!never).then_some(age_ms),
+        controller: state.term.borrow().holds(Instant::now()),
+        draining: blocked(&report.draining),
+        postponed: blocked(&report.postponed),
         entries: entries(&state, &peers.members),
-        waiting: waiting(&state.drains.borrow()),
         data_centres: remotes
             .map(|(dc, remote)| RemoteStatusWire {
                 dc: dc.to_string(),
@@ -79,14 +109,11 @@
     others.collect()
 }
 
-fn waiting(report: &ControllerReport) -> Vec<DrainStatusWire> {
-    let drains = report.draining.iter().map(|drain| (drain, false));
-    let postponed = report.postponed.iter().map(|drain| (drain, true));
-    let waiting = drains.chain(postponed);
-    let waiting = waiting.map(|((vm, entries), postponed)| DrainStatusWire {
-        vm: vm.to_string(),
-        postponed,
-        entries: entries.iter().map(ToString::to_string).collect(),
+/// Lists VMs with the entry VMs that they wait for.
+fn blocked(vms: &BTreeMap<VmName, Vec<EntryName>>) -> BTreeMap<String, Vec<String>> {
+    let vms = vms.iter().map(|(vm, entries)| {
+        let entries = entries.iter().map(ToString::to_string);
+        (vm.to_string(), entries.collect())
     });
-    waiting.collect()
+    vms.collect()
 }
--- a/tests/controller_drain.rs
+++ b/tests/controller_drain.rs
@@ -99,11 +99,11 @@
     let silent = fleet.plans[other].name.clone();
     support::eventually("status names the entry VM", || async {
         let status = fleet.daemons[controller].get("/v1/status").await;
-        let waiting = status.unwrap_or_default()["waiting"].clone();
-        let waiting = waiting.as_array().cloned().unwrap_or_default();
-        waiting
-            .iter()
-            .any(|drain| drain["postponed"] == true && drain["entries"] == json!([silent]))
+        let postponed = status.unwrap_or_default()["postponed"].clone();
+        let postponed = postponed.as_object().cloned().unwrap_or_default();
+        postponed
+            .values()
+            .any(|entries| *entries == json!([silent]))
     })
     .await;
     assert_eq!(fleet.reboots(), 0, "stopped without its acknowledgement");
