Look up the pools of VMs in a map made once a version

Cause: each decision looked a VM's pool up in all pools of the configuration. Change: homes_of makes a map once a version. Also a process test of two data centres that contend for one ledger, and a lagging list in leaving_vm_drained.

--- a/src/decide/controller/changes.rs
+++ b/src/decide/controller/changes.rs
@@ -7,7 +7,6 @@
 use super::draft::RecordDraft;
 use super::draft::VmChange;
 use super::drains::excess_of;
-use super::home_of;
 use super::wave;
 use crate::fleet::DrainPurpose;
 use crate::fleet::VmRecord;
@@ -36,7 +35,7 @@
             if known.is_some_and(|vm| vm.address == listed.address && vm.rack == listed.rack) {
                 continue;
             }
-            let home = home_of(view.config, name).filter(|_| !listed.leaving);
+            let home = view.homes.get(name).filter(|_| !listed.leaving);
             let new = home.map(|home| VmRecord {
                 pool: home.clone(),
                 address: listed.address,
@@ -127,7 +126,7 @@
         if is_leaving(view, name) {
             return Some(enter(view, name, vm, leave, "listed as leaving"));
         }
-        if home_of(view.config, name).is_none() {
+        if view.homes.get(name).is_none() {
             return Some(enter(view, name, vm, leave, "in no pool"));
         }
         let mut pools = view.ledgers.keys();
@@ -184,7 +183,7 @@
         vm: &VmRecord,
     ) -> Option<VmChange> {
         let gone = self.is_gone(name);
-        if home_of(view.config, name).is_none() && gone {
+        if view.homes.get(name).is_none() && gone {
             return Some(removal(name, "gone"));
         }
         let listed = view.listed.get(name)?;
@@ -197,7 +196,7 @@
 }
 
 fn follow_hold(view: &StepView<'_>, gone: bool, name: &VmName, vm: &VmRecord) -> Option<VmChange> {
-    if home_of(view.config, name).is_none() {
+    if view.homes.get(name).is_none() {
         return Some(removal(name, "in no pool"));
     }
     if gone {
--- a/src/decide/controller/drains.rs
+++ b/src/decide/controller/drains.rs
@@ -13,7 +13,6 @@
 use super::changes::removal;
 use super::draft::VmChange;
 use super::draft::row_pool;
-use super::home_of;
 use super::quiet::in_progress;
 use super::rows::budget_of;
 use super::rows::out_of_service;
@@ -62,7 +61,7 @@
         name: &VmName,
         vm: &VmRecord,
     ) -> Option<VmChange> {
-        let home = home_of(view.config, name);
+        let home = view.homes.get(name);
         if home.is_some() && !is_leaving(view, name) && view.listed.contains_key(name) {
             return Some(enter(view, name, vm, VmState::Serving, "no longer leaving"));
         }
@@ -155,9 +154,7 @@
     match purpose {
         DrainPurpose::Maintain(_) if !wave::is_due(view, vm) => Some("wave not running"),
         DrainPurpose::Maintain(_) => over_budget(facts),
-        DrainPurpose::Move(pool) if home_of(view.config, name) != Some(pool) => {
-            Some("move called off")
-        }
+        DrainPurpose::Move(pool) if view.homes.get(name) != Some(pool) => Some("move called off"),
         DrainPurpose::Move(_) => over_budget(facts),
         DrainPurpose::Hold if !view.config.drains.contains_key(name) => Some("hold ended"),
         DrainPurpose::Hold | DrainPurpose::Leave => None,
--- a/src/decide/controller/mod.rs
+++ b/src/decide/controller/mod.rs
@@ -63,6 +63,8 @@
     pub config: &'a FleetConfig,
     /// Version of the configuration in force.
     pub config_version: u64,
+    /// Pool that the configuration gives each VM; see [`homes_of`].
+    pub homes: &'a BTreeMap<VmName, PoolName>,
     /// The fleet record as read.
     pub fleet: &'a FleetRecord,
     /// Ledgers of all pools as read.
@@ -225,9 +227,10 @@
     })
 }
 
-/// Returns the pool that the configuration gives a VM.
-fn home_of<'a>(config: &'a FleetConfig, vm: &VmName) -> Option<&'a PoolName> {
-    let mut pools = config.pools.iter();
-    let home = pools.find(|(_, pool)| pool.vms.contains(vm));
-    home.map(|(name, _)| name)
+/// Returns the pool that the configuration gives each VM.
+#[must_use]
+pub fn homes_of(config: &FleetConfig) -> BTreeMap<VmName, PoolName> {
+    let pools = config.pools.iter();
+    let homes = pools.flat_map(|(name, pool)| pool.vms.iter().map(|vm| (vm.clone(), name.clone())));
+    homes.collect()
 }
--- a/src/decide/controller/rows.rs
+++ b/src/decide/controller/rows.rs
@@ -9,7 +9,6 @@
 use super::ControllerState;
 use super::StepView;
 use super::draft::row_pool;
-use super::home_of;
 use super::wave;
 use crate::decide::planner::WaveView;
 use crate::decide::planner::next_stops;
@@ -64,7 +63,7 @@
     name: &VmName,
     vm: &VmRecord,
 ) -> Option<OutagePurpose<'a>> {
-    let home = home_of(view.config, name)?;
+    let home = view.homes.get(name)?;
     if !vm.state.takes_work() || view.listed.get(name).is_some_and(|listed| listed.leaving) {
         return None;
     }
--- a/src/service/fleet/round.rs
+++ b/src/service/fleet/round.rs
@@ -25,12 +25,13 @@
 use crate::decide::controller::ControllerAction;
 use crate::decide::controller::ControllerState;
 use crate::decide::controller::StepView;
-use crate::decide::controller::WriteEnd;
+use crate::decide::controller::homes_of;
 use crate::fleet::EntryRoster;
 use crate::fleet::VmState;
 use crate::names::DcName;
 use crate::names::EntryName;
 use crate::names::OperationId;
+use crate::names::PoolName;
 use crate::names::VmName;
 use crate::peer::EntryAck;
 use crate::platform::ListedVm;
@@ -68,6 +69,8 @@
     roster: EntryRoster,
     /// VMs of data centres that do not refresh their roster.
     unseen: BTreeMap<DcName, BTreeSet<VmName>>,
+    /// Pool of each VM in the configuration of a version.
+    homes: (u64, BTreeMap<VmName, PoolName>),
     moved_rows: u64,
     record_stale: bool,
     ledgers_stale: bool,
@@ -109,6 +112,7 @@
             listed: BTreeMap::new(),
             roster: EntryRoster::default(),
             unseen: BTreeMap::new(),
+            homes: (0, BTreeMap::new()),
             moved_rows: 0,
             record_stale: false,
             ledgers_stale: true,
@@ -169,12 +173,16 @@
         acks: &BTreeMap<EntryName, EntryAck>,
         decide: impl FnOnce(&mut ControllerState, &StepView<'_>) -> T,
     ) -> T {
+        if self.homes.0 != config.version {
+            self.homes = (config.version, homes_of(&config.config));
+        }
         let unseen = self.unseen.values().flatten().cloned().collect();
         let view = StepView {
             dc: &tools.settings.dc,
             author: &tools.settings.name,
             config: &config.config,
             config_version: config.version,
+            homes: &self.homes.1,
             fleet: &self.stored.record,
             ledgers: &self.ledgers.ledgers,
             listed: &self.listed,
@@ -335,8 +343,7 @@
                 ControllerAction::WriteFleet(record) => {
                     self.record_stale = true;
                     let (dc, revision) = (&tools.settings.dc, self.stored.revision);
-                    let end = store::write_record(tools.client, dc, revision, &record).await?;
-                    log_write(&record, end);
+                    store::write_record(tools.client, dc, revision, &record).await?;
                     wrote = true;
                 }
                 ControllerAction::Operate {
@@ -383,15 +390,3 @@
         Ok(())
     }
 }
-
-fn log_write(record: &crate::fleet::FleetRecord, end: WriteEnd) {
-    let outcome = match end {
-        WriteEnd::Written => "written",
-        WriteEnd::Overtaken => "overtaken",
-        WriteEnd::Unclear => "unclear",
-    };
-    log::info!(
-        event = "fleet_write", epoch = record.epoch, sequence = record.sequence,
-        outcome = outcome; ""
-    );
-}
--- a/src/service/fleet/store.rs
+++ b/src/service/fleet/store.rs
@@ -67,16 +67,27 @@
     })
 }
 
-/// Writes the record over the one read at `revision`.
+/// Writes the record over the one read at `revision`; what became of it is told by
+/// the next reading.
 pub(super) async fn write_record(
     client: &PlatformClient,
     dc: &DcName,
     revision: u64,
     record: &FleetRecord,
-) -> Result<WriteEnd, FleetError> {
+) -> Result<(), FleetError> {
     let key = fleet_key(dc);
     let value = serde_json::to_vec(&FleetWire::from(record)).context(DecodeSnafu { key: &key })?;
-    write_end(client.compare_and_swap(&key, revision, value).await)
+    let end = write_end(client.compare_and_swap(&key, revision, value).await)?;
+    let outcome = match end {
+        WriteEnd::Written => "written",
+        WriteEnd::Overtaken => "overtaken",
+        WriteEnd::Unclear => "unclear",
+    };
+    log::info!(
+        event = "fleet_write", epoch = record.epoch, sequence = record.sequence,
+        outcome = outcome; ""
+    );
+    Ok(())
 }
 
 /// Reads all ledgers by one call.
--- a/tests/controller_drain.rs
+++ b/tests/controller_drain.rs
@@ -10,6 +10,7 @@
 use standin::call;
 use standin::call::LoadRecord;
 use standin::call::LoadSettings;
+use standin::platform::PlatformFaults;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -157,6 +158,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_vm_drained() {
     let fleet = TestFleet::start(2, rules(), 0).await;
+    fleet.set_faults(PlatformFaults {
+        list_lag_ms: 1000,
+        ..PlatformFaults::default()
+    });
     let load = fleet.start_load(&[0, 1], Duration::from_secs(5));
     list_as(&fleet, "vm-1", true).await;
     for daemon in &fleet.daemons {
--- a/tests/controller_step.rs
+++ b/tests/controller_step.rs
@@ -17,6 +17,7 @@
 use chicorygauge::decide::controller::ControllerState;
 use chicorygauge::decide::controller::StepView;
 use chicorygauge::decide::controller::WriteEnd;
+use chicorygauge::decide::controller::homes_of;
 use chicorygauge::fleet::DrainPurpose;
 use chicorygauge::fleet::FleetRecord;
 use chicorygauge::fleet::OutageCause;
@@ -335,6 +336,7 @@
             author: &entry(c),
             config: &self.config,
             config_version: 1,
+            homes: &homes_of(&self.config),
             fleet: &term.fleet,
             ledgers: &term.ledgers,
             listed: &self.listed,
--- a/tests/controller_wave.rs
+++ b/tests/controller_wave.rs
@@ -15,6 +15,7 @@
 use standin::platform::PlatformFaults;
 use tokio::time::sleep;
 
+use support::DaemonPlan;
 use support::DaemonProcess;
 use support::fleet::REBOOT_MS;
 use support::fleet::TestFleet;
@@ -130,6 +131,35 @@
     most
 }
 
+/// Two data centres contend for the ledger of one pool.
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_two_data_centres() {
+    let fleet = TestFleet::start(1, rules(), 1).await;
+    let away = ["vm-5", "vm-6"];
+    let backends = support::start_backends(&fleet.platform, "dc-2", &away).await;
+    let plan = DaemonPlan::new("f-1", "dc-2");
+    let _daemon = DaemonProcess::start(&plan, &[], fleet.platform.server.address);
+    let vms: Vec<_> = VMS.iter().chain(&away).collect();
+    fleet
+        .patch(json!({"pools": {"intake": {"vms": vms}}}))
+        .await;
+    support::eventually("VMs of the other data centre", || async {
+        let vms = fleet.value("fleet/dc-2")["vms"].clone();
+        vms.as_object().is_some_and(|vms| vms.len() == away.len())
+    })
+    .await;
+    let most = watch_ledger(&fleet);
+    fleet.start_wave("w-1").await;
+    fleet.wave_done().await;
+    support::eventually("other wave ended", || async {
+        fleet.value("fleet/dc-2")["wave"]["ended"] == true
+    })
+    .await;
+    let records = support::records(&backends);
+    assert!(records.iter().all(|record| record.reboots == 1));
+    assert!(most.load(Ordering::Relaxed) <= 1, "rows over the budget");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn wave_platform_down() {
     let fleet = TestFleet::start(2, rules(), 1).await;
