--- a/tests/controller_drain.rs
+++ b/tests/controller_drain.rs
@@ -14,6 +14,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use support::DaemonPlan;
+use support::DaemonProcess;
 use support::fleet::TestFleet;
 use support::fleet::VMS;
 
@@ -135,6 +137,40 @@
     fleet.check_load(load).await;
 }
 
+/// Two data centres want the one place in a pool's budget at the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn move_race_for_budget() {
+    let fleet = TestFleet::start(1, rules(), 1).await;
+    let _away = support::start_backends(&fleet.platform, "dc-2", &["vm-5"]).await;
+    let plan = DaemonPlan::new("f-1", "dc-2");
+    let _daemon = DaemonProcess::start(&plan, &[], fleet.platform.server.address);
+    let pools = json!({"intake": {"vms": [VMS[0], VMS[1], VMS[2], VMS[3], "vm-5"]}});
+    fleet.patch(json!({"pools": pools})).await;
+    let other = || fleet.value("fleet/dc-2")["vms"]["vm-5"].clone();
+    support::eventually("other VM", || async { other()["pool"] == "intake" }).await;
+    let load = start_long_load(&fleet, Duration::from_millis(1500), Duration::from_secs(3));
+    support::eventually("VM in use", || async { in_progress(&fleet, "vm-1") > 0 }).await;
+    // Slow calls, so that both read the ledger before either has written it.
+    fleet.set_faults(PlatformFaults {
+        delay_ms: 100,
+        ..PlatformFaults::default()
+    });
+    let intake = json!({"vms": &VMS[1..]});
+    let routes = json!({"budget": 1, "vms": ["vm-1", "vm-5"]});
+    fleet
+        .patch(json!({"pools": {"intake": intake, "routes": routes}}))
+        .await;
+    support::eventually("both moved", || async {
+        let moved = |vm: &Value| vm["pool"] == "routes" && vm["state"] == "serving";
+        let here = fleet.record()["vms"]["vm-1"].clone();
+        let draining = |vm: &Value| !vm["state"].is_null() && vm["state"] != "serving";
+        assert!(!(draining(&here) && draining(&other())), "over the budget");
+        moved(&here) && moved(&other())
+    })
+    .await;
+    fleet.check_load(load).await;
+}
+
 async fn list_as(fleet: &TestFleet, vm: &str, leaving: bool) {
     let index = VMS.iter().position(|name| *name == vm).expect("known VM");
     let listed = ListedWire {
