--- a/benches/capacity/decisions.rs
+++ b/benches/capacity/decisions.rs
@@ -186,6 +186,7 @@
                 class: RequestClass::Ordinary,
                 deadline: Duration::from_secs(10),
                 avoid: None,
+                forwarded: false,
             };
             let actions = state.arrive(Duration::from_secs(1), request);
             for action in actions {
--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -35,6 +35,8 @@
     pub deadline: Duration,
     /// VM that is taken only if no other has a free slot, after a failed send.
     pub avoid: Option<VmName>,
+    /// Whether another entry VM passed it on; it may not build up a queue here.
+    pub forwarded: bool,
 }
 
 /// What is to be done with a request.
@@ -324,8 +326,9 @@
         if self.free.is_empty() {
             let wait = self.queue.wait_of(&request, self.slots);
             let late = now + wait + self.queue.service.most() > request.deadline;
-            let standing = self.queue.is_standing(now, self.slots) && wait > mean;
-            if late || standing {
+            let standing = self.queue.is_standing(now, self.slots);
+            let lengthens = (standing || request.forwarded) && wait > mean;
+            if late || lengthens {
                 return vec![self.refuse(now, &request, RefuseReason::Overload, wait)];
             }
             if self.queue.len() >= self.queue.limit {
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -24,6 +24,10 @@
 const FIRST_SERVICE_TIME: Duration = Duration::from_millis(20);
 /// Time after which a queue longer than one mean service time counts as standing.
 const STANDING_LIMIT: Duration = Duration::from_millis(500);
+/// Time between two booked returns, in times that the pool needs for one request.
+///
+/// New callers need the rest of the pool.
+const RETURN_SPACING: u32 = 2;
 /// Shortest time after which a refused caller is asked to come back.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Longest time over which the return of refused callers is spread.
@@ -189,15 +193,15 @@
         self.drain_time(before as u32 + 1, slots)
     }
 
-    /// Tells whether the queue has been longer than one mean service time for so
-    /// long that new requests may not lengthen it.
+    /// Tells whether it is so long ago that the queue became longer than one mean
+    /// service time, without having been empty since, that requests which would
+    /// lengthen it are refused.
     pub fn is_standing(&mut self, now: Duration, slots: u32) -> bool {
         let backlog = self.drain_time(self.len() as u32, slots);
-        if backlog <= self.service.mean() {
-            self.standing_since = None;
-            return false;
+        if backlog > self.service.mean() {
+            self.standing_since.get_or_insert(now);
         }
-        let since = *self.standing_since.get_or_insert(now);
+        let since = self.standing_since.unwrap_or(now);
         now.saturating_sub(since) >= STANDING_LIMIT
     }
 
@@ -211,7 +215,7 @@
         if time > now + MAX_RETRY_AFTER {
             time = earliest;
         }
-        self.next_return = time + self.drain_time(1, slots);
+        self.next_return = time + self.drain_time(1, slots) * RETURN_SPACING;
         time - now
     }
 
--- a/src/service/entry/send.rs
+++ b/src/service/entry/send.rs
@@ -91,6 +91,7 @@
             class: terms.class,
             deadline: request.deadline - gate.started,
             avoid: avoid.take(),
+            forwarded: terms.forwarded,
         };
         let slot = gate
             .inbox
