Overload goes to another entry VM of the data centre, one hop

Weighed: lending credits (needs an agreed exchange among entry VMs), one owner (every request one hop more), exchanged counts (requests over the slots). Change: what is refused for load is passed on to another entry VM of the data centre; one that refuses gets nothing for 50 ms; connections to it are kept.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -9,6 +9,8 @@
 pub const REQUESTS: &str = "chicory_requests_total";
 /// Further sends of requests, by pool.
 pub const RESENDS: &str = "chicory_resends_total";
+/// Requests passed on to other entry VMs, by pool.
+pub const FORWARDS: &str = "chicory_forwards_total";
 /// Ejections of VMs by pool and cause.
 pub const EJECTIONS: &str = "chicory_ejections_total";
 /// VMs that are ejected or on trial.
@@ -36,6 +38,7 @@
     recorder();
     metrics::describe_counter!(REQUESTS, "Requests by outcome and reason.");
     metrics::describe_counter!(RESENDS, "Further sends of requests, by pool.");
+    metrics::describe_counter!(FORWARDS, "Requests passed on to other entry VMs, by pool.");
     metrics::describe_counter!(EJECTIONS, "Ejections of VMs by pool and cause.");
     metrics::describe_gauge!(EJECTED_VMS, "VMs that are ejected or on trial.");
     metrics::describe_counter!(PLATFORM_CALLS, "Calls to the platform by step and result.");
--- a/src/service/entry/dispatcher.rs
+++ b/src/service/entry/dispatcher.rs
@@ -1,6 +1,5 @@
 //! The task that owns queues, slots, health and idle connections.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,34 +12,29 @@
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
-use crate::config::FleetConfig;
-use crate::config::wire::DEFAULT_SLOTS;
 use crate::decide::dispatch::DispatchAction;
 use crate::decide::dispatch::DispatchState;
 use crate::decide::dispatch::SlotRequest;
 use crate::decide::dispatch::TicketId;
-use crate::decide::dispatch::VmTarget;
-use crate::decide::health::EjectedVm;
-use crate::decide::health::FailureCause;
-use crate::decide::health::HealthState;
-use crate::decide::health::HealthView;
+use crate::decide::forward::ForwardState;
+use crate::decide::forward::RefusedRequest;
 use crate::decide::retry::RetryBudget;
-use crate::fleet::FleetRecord;
-use crate::metrics::EJECTED_VMS;
-use crate::metrics::EJECTIONS;
-use crate::names::PoolName;
+use crate::names::EntryName;
 use crate::names::VmName;
 use crate::peer::EntryAck;
-use crate::peer::PeerState;
 use crate::request::RefuseReason;
 use crate::service::config::ConfigView;
 use crate::service::entry::exchange::BackendConnection;
+use crate::service::entry::health::EjectionMap;
+use crate::service::entry::health::HealthKeeper;
 use crate::service::entry::inbox::DispatchMessage;
+use crate::service::entry::inbox::ForwardTarget;
 use crate::service::entry::inbox::STATE_RETRY_AFTER;
 use crate::service::entry::inbox::SlotAnswer;
 use crate::service::entry::inbox::SlotGrant;
 use crate::service::entry::inbox::SlotRefusal;
 use crate::service::entry::inbox::SlotReport;
+use crate::service::entry::targets::targets;
 use crate::service::fleet::FleetView;
 use crate::service::peers::PeerView;
 use crate::settings::ControlPeriods;
@@ -50,16 +44,16 @@
 /// A request that can no longer be met is refused within it. Its deadline itself
 /// is kept exactly, by the task that waits for the slot.
 const TICK: Duration = Duration::from_millis(20);
+/// Answer while there is no state that may be acted on.
+const NO_STATE: SlotRefusal = SlotRefusal {
+    reason: RefuseReason::NoState,
+    retry_after: STATE_RETRY_AFTER,
+};
 /// Most messages that are taken before the views are looked at again.
 const MAX_BATCH: usize = 64;
 /// Most idle connections kept to one VM.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
-/// VMs that are ejected or on trial at this entry VM.
-pub type EjectionMap = BTreeMap<VmName, EjectedVm>;
-/// View of the VMs that are ejected or on trial at this entry VM.
-pub type EjectionView = watch::Receiver<Arc<EjectionMap>>;
-
 /// What the dispatcher is started with.
 pub(super) struct DispatchParts {
     pub messages: mpsc::UnboundedReceiver<DispatchMessage>,
@@ -69,6 +63,7 @@
     pub fleet: FleetView,
     pub peers: PeerView,
     pub ejections: watch::Sender<Arc<EjectionMap>>,
+    pub name: EntryName,
     pub periods: ControlPeriods,
     pub started: Instant,
 }
@@ -82,19 +77,20 @@
         fleet: fleet.clone(),
         peers: peers.clone(),
         inbox: parts.inbox,
-        ejections: parts.ejections,
+        name: parts.name,
         periods: parts.periods,
         started: parts.started,
         state: DispatchState::default(),
-        health: HealthState::default(),
+        health: HealthKeeper::new(parts.ejections),
         retries: RetryBudget::default(),
-        pool_sizes: BTreeMap::new(),
         ack: EntryAck::default(),
         has_state: false,
         last_tick: parts.started.elapsed(),
         hold_until: Duration::ZERO,
         replies: HashMap::new(),
         idle: HashMap::new(),
+        forwards: ForwardState::default(),
+        peer_idle: HashMap::new(),
     };
     dispatcher.renew();
     let mut ticks = interval(TICK);
@@ -119,14 +115,12 @@
     fleet: FleetView,
     peers: PeerView,
     inbox: mpsc::WeakUnboundedSender<DispatchMessage>,
-    ejections: watch::Sender<Arc<EjectionMap>>,
+    name: EntryName,
     periods: ControlPeriods,
     started: Instant,
     state: DispatchState,
-    health: HealthState,
+    health: HealthKeeper,
     retries: RetryBudget,
-    /// VMs that take work, by pool.
-    pool_sizes: BTreeMap<PoolName, usize>,
     ack: EntryAck,
     has_state: bool,
     last_tick: Duration,
@@ -134,6 +128,9 @@
     hold_until: Duration,
     replies: HashMap<TicketId, oneshot::Sender<SlotAnswer>>,
     idle: HashMap<VmName, Vec<BackendConnection>>,
+    forwards: ForwardState,
+    /// Idle connections to other entry VMs.
+    peer_idle: HashMap<SocketAddr, Vec<BackendConnection>>,
 }
 
 impl Dispatcher {
@@ -141,6 +138,16 @@
         self.started.elapsed()
     }
 
+    /// Tells whether the state in force may be acted on.
+    ///
+    /// The view and the clock are read each time, as a change or a pause of the
+    /// process may not have been noticed yet.
+    fn is_ready(&self) -> bool {
+        let now = self.now();
+        let paused = now.saturating_sub(self.last_tick) > self.periods.pause_limit;
+        self.has_state && !paused && now >= self.hold_until && self.peers.borrow().trusted
+    }
+
     /// Takes configuration, fleet record, membership and health in force.
     fn renew(&mut self) {
         let config = self.config.borrow().clone();
@@ -157,10 +164,9 @@
             self.ack.config_version = config.version;
             self.ack.fleet_sequence = record.sequence;
             self.idle.retain(|vm, _| record.vms.contains_key(vm));
-            self.pool_sizes = pool_sizes(&record);
-            let pool_of = |vm: &VmName| record.vms.get(vm).map(|vm| vm.pool.clone());
-            self.health.retain(pool_of);
-            let targets = targets(&record, &config.config, &peers, &self.health);
+            self.peer_idle.clear();
+            self.health.renew(&record);
+            let targets = targets(&record, &config.config, &peers, &self.health.state);
             actions.extend(self.state.set_vms(self.now(), targets));
         }
         if !self.has_state {
@@ -169,7 +175,6 @@
                 .refuse_all(RefuseReason::NoState, STATE_RETRY_AFTER);
             actions.extend(refused);
         }
-        self.publish_ejections();
         self.carry_out(actions);
     }
 
@@ -185,7 +190,7 @@
                 .refuse_all(RefuseReason::NoState, STATE_RETRY_AFTER);
             self.carry_out(actions);
         }
-        if self.health.tick(now) {
+        if self.health.state.tick(now) {
             self.renew();
         }
         let actions = self.state.tick(now);
@@ -225,6 +230,31 @@
                 report,
                 connection,
             } => self.finish(now, &vm, &report, connection),
+            DispatchMessage::ForwardTarget {
+                pool,
+                reason,
+                tried,
+                reply,
+            } => {
+                let request = RefusedRequest {
+                    pool: &pool,
+                    reason,
+                    tried: &tried,
+                };
+                // A caller that has gone is passed on to nobody.
+                let _ = reply.send(self.forward_target(now, request));
+            }
+            DispatchMessage::Forwarded {
+                address,
+                pool,
+                connection,
+                refused,
+            } => {
+                keep(self.peer_idle.entry(address).or_default(), connection);
+                if refused {
+                    self.forwards.block(now, address, &pool);
+                }
+            }
             DispatchMessage::Withdraw { pool, reply } => {
                 // A caller that has gone sends nothing.
                 let _ = reply.send(self.retries.withdraw(&pool));
@@ -246,14 +276,9 @@
         resend: bool,
         reply: oneshot::Sender<SlotAnswer>,
     ) {
-        // The views are read here too, as their change may wait behind this message.
-        let trusted = self.peers.borrow().trusted;
-        if !self.has_state || !trusted || now < self.hold_until {
+        if !self.is_ready() {
             // A caller that has gone needs no answer.
-            let _ = reply.send(Err(SlotRefusal {
-                reason: RefuseReason::NoState,
-                retry_after: STATE_RETRY_AFTER,
-            }));
+            let _ = reply.send(Err(NO_STATE));
             return;
         }
         if !resend {
@@ -271,63 +296,28 @@
         report: &SlotReport,
         connection: Option<BackendConnection>,
     ) {
-        self.keep(vm, connection);
+        keep(self.idle.entry(vm.clone()).or_default(), connection);
         let actions = self.state.finish(now, vm, report.service_time);
-        let changed = match report.health {
-            None => false,
-            Some(Ok(())) => self.health.succeed(vm),
-            Some(Err(cause)) => self.count_failure(now, vm, cause),
-        };
+        let record = self.fleet.borrow().clone();
+        let count = |end| self.health.count(now, record.as_deref(), vm, end);
+        let changed = report.health.map(count).unwrap_or(false);
         self.carry_out(actions);
         if changed {
             self.renew();
         }
     }
 
-    fn count_failure(&mut self, now: Duration, vm: &VmName, cause: FailureCause) -> bool {
-        let record = self.fleet.borrow().clone();
-        let Some(record) = record.as_ref().and_then(|record| record.vms.get(vm)) else {
-            return false;
-        };
-        let view = HealthView {
-            vm,
-            pool: &record.pool,
-            pool_size: self.pool_sizes.get(&record.pool).copied().unwrap_or(0),
-        };
-        let changed = self.health.fail(now, view, cause);
-        if changed {
-            log::warn!(event = "vm_ejected", vm:% = vm, pool:% = record.pool, cause:% = cause; "");
-            let labels = [
-                ("pool", record.pool.to_string()),
-                ("cause", cause.to_string()),
-            ];
-            metrics::counter!(EJECTIONS, &labels).increment(1);
-        }
-        changed
-    }
-
-    fn publish_ejections(&mut self) {
-        let ejected = self.health.ejected();
-        let changed = self.ejections.send_if_modified(|current| {
-            let changed = **current != *ejected;
-            if changed {
-                *current = Arc::new(ejected.clone());
-            }
-            changed
-        });
-        if changed {
-            metrics::gauge!(EJECTED_VMS).set(ejected.len() as f64);
-        }
-    }
-
-    fn keep(&mut self, vm: &VmName, connection: Option<BackendConnection>) {
-        let Some(connection) = connection else {
-            return;
-        };
-        let idle = self.idle.entry(vm.clone()).or_default();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(connection);
-        }
+    fn forward_target(
+        &mut self,
+        now: Duration,
+        request: RefusedRequest<'_>,
+    ) -> Option<ForwardTarget> {
+        let peers = self.peers.borrow().clone();
+        let address = self.forwards.choose(now, &peers, &self.name, request)?;
+        Some(ForwardTarget {
+            address,
+            connection: self.peer_idle.get_mut(&address).and_then(Vec::pop),
+        })
     }
 
     fn carry_out(&mut self, actions: Vec<DispatchAction>) {
@@ -359,6 +349,11 @@
             report: SlotReport::default(),
             sender,
         };
+        if !self.is_ready() {
+            // The grant is dropped and the slot comes back.
+            self.refuse(ticket, NO_STATE.reason, NO_STATE.retry_after);
+            return;
+        }
         if let Some(reply) = self.replies.remove(&ticket) {
             // If the caller has gone, the grant is dropped and the slot comes back.
             let _ = reply.send(Ok(grant));
@@ -376,32 +371,9 @@
     }
 }
 
-fn pool_sizes(record: &FleetRecord) -> BTreeMap<PoolName, usize> {
-    let mut sizes = BTreeMap::new();
-    let serving = record.vms.values().filter(|vm| vm.state.takes_work());
-    for vm in serving {
-        *sizes.entry(vm.pool.clone()).or_default() += 1;
+/// Keeps a connection for the next use, up to a limit.
+fn keep(idle: &mut Vec<BackendConnection>, connection: Option<BackendConnection>) {
+    if idle.len() < MAX_IDLE_CONNECTIONS {
+        idle.extend(connection);
     }
-    sizes
-}
-
-fn targets(
-    record: &FleetRecord,
-    config: &FleetConfig,
-    peers: &PeerState,
-    health: &HealthState,
-) -> Vec<VmTarget> {
-    let targets = record.vms.iter().map(|(name, vm)| {
-        let pool = config.pools.get(&vm.pool);
-        let slots = pool.map_or(DEFAULT_SLOTS, |pool| pool.slots);
-        let share = peers.share_of(name, slots);
-        VmTarget {
-            name: name.clone(),
-            pool: vm.pool.clone(),
-            address: vm.address,
-            share: health.allowed(name, share),
-            takes_work: vm.state.takes_work(),
-        }
-    });
-    targets.collect()
 }
--- a/src/service/entry/inbox.rs
+++ b/src/service/entry/inbox.rs
@@ -61,6 +61,14 @@
     }
 }
 
+/// An entry VM to which a request is passed on.
+#[derive(Debug)]
+pub(super) struct ForwardTarget {
+    pub address: SocketAddr,
+    /// An idle connection to it, if there is one.
+    pub connection: Option<BackendConnection>,
+}
+
 /// A request that gets no slot.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SlotRefusal {
@@ -86,6 +94,20 @@
         report: SlotReport,
         connection: Option<BackendConnection>,
     },
+    /// Asks for an entry VM to which a refused request is passed on.
+    ForwardTarget {
+        pool: PoolName,
+        reason: RefuseReason,
+        tried: Vec<SocketAddr>,
+        reply: oneshot::Sender<Option<ForwardTarget>>,
+    },
+    /// An entry VM has answered a request that was passed on.
+    Forwarded {
+        address: SocketAddr,
+        pool: PoolName,
+        connection: Option<BackendConnection>,
+        refused: bool,
+    },
     /// Asks for a token of the retry budget.
     Withdraw {
         pool: PoolName,
@@ -172,6 +194,41 @@
         allowed.await.unwrap_or(false)
     }
 
+    /// Asks for an entry VM to which a refused request is passed on.
+    pub(super) async fn forward_target(
+        &self,
+        pool: &PoolName,
+        reason: RefuseReason,
+        tried: &[SocketAddr],
+    ) -> Option<ForwardTarget> {
+        let (reply, target) = oneshot::channel();
+        // A dispatcher that is gone drops the reply.
+        let _ = self.sender.send(DispatchMessage::ForwardTarget {
+            pool: pool.clone(),
+            reason,
+            tried: tried.to_vec(),
+            reply,
+        });
+        target.await.ok().flatten()
+    }
+
+    /// Tells how an entry VM answered a request that was passed on.
+    pub(super) fn forwarded(
+        &self,
+        address: SocketAddr,
+        pool: &PoolName,
+        connection: Option<BackendConnection>,
+        refused: bool,
+    ) {
+        // Without a dispatcher nothing is passed on any more.
+        let _ = self.sender.send(DispatchMessage::Forwarded {
+            address,
+            pool: pool.clone(),
+            connection,
+            refused,
+        });
+    }
+
     /// Asks what is in force and in progress; none if the dispatcher is gone.
     pub async fn report(&self) -> Option<EntryAck> {
         let (reply, ack) = oneshot::channel();
--- a/src/service/entry/mod.rs
+++ b/src/service/entry/mod.rs
@@ -8,9 +8,12 @@
 
 mod dispatcher;
 mod exchange;
+mod forward;
 mod handler;
+mod health;
 mod inbox;
 mod send;
+mod targets;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -41,8 +44,8 @@
 use crate::settings::DaemonSettings;
 use crate::settings::EntryLimits;
 
-pub use dispatcher::EjectionMap;
-pub use dispatcher::EjectionView;
+pub use health::EjectionMap;
+pub use health::EjectionView;
 pub use inbox::DispatchInbox;
 
 /// Name of the service.
@@ -54,7 +57,7 @@
 /// Pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Most requests that are being passed on to other data centres at once.
+/// Most requests that are being passed on to other entry VMs at once.
 const MAX_FORWARDS: usize = 256;
 
 /// What the handlers of callers' requests share.
@@ -63,7 +66,6 @@
     limits: EntryLimits,
     inbox: DispatchInbox,
     phase: watch::Receiver<ShutdownPhase>,
-    peers: PeerView,
     /// Requests that are being passed on.
     forwards: Semaphore,
     /// Age of a slot's grant from which on it is out of date.
@@ -89,7 +91,6 @@
         limits: settings.limits.clone(),
         inbox: DispatchInbox::new(inbox.clone()),
         phase: kernel.phase(),
-        peers: peers.clone(),
         forwards: Semaphore::new(MAX_FORWARDS),
         pause_limit: settings.control.pause_limit,
         started,
@@ -105,6 +106,7 @@
         fleet,
         peers,
         ejections,
+        name: settings.name.clone(),
         periods: settings.control.clone(),
         started,
     };
--- a/src/service/entry/send.rs
+++ b/src/service/entry/send.rs
@@ -20,7 +20,6 @@
 use tokio::time::timeout_at;
 
 use crate::decide::dispatch::SlotRequest;
-use crate::decide::forward::forward_targets;
 use crate::decide::health::FailureCause;
 use crate::decide::retry::SendFailure;
 use crate::decide::retry::may_resend;
@@ -33,6 +32,8 @@
 use crate::service::entry::exchange::ExchangeEnd;
 use crate::service::entry::exchange::ExchangeLimits;
 use crate::service::entry::exchange::exchange;
+use crate::service::entry::forward::forward;
+use crate::service::entry::forward::may_forward;
 use crate::service::entry::inbox::SlotGrant;
 use crate::service::entry::inbox::SlotRefusal;
 
@@ -102,7 +103,7 @@
             Err(refusal) if maybe_ran => {
                 return FinalAnswer::Unknown(format!("sent before, now {}", refusal.reason));
             }
-            Err(refusal) if refusal.reason == RefuseReason::NoBackend && !terms.forwarded => {
+            Err(refusal) if may_forward(request, refusal) && sends == 0 => {
                 return forward(gate, request, refusal).await;
             }
             Err(refusal) => return FinalAnswer::NotRun(refusal, refusal.reason.to_string()),
@@ -147,11 +148,7 @@
     let limits = ExchangeLimits {
         connect: gate.limits.connect_limit,
         answer_bytes: gate.limits.answer_bytes,
-        reuse: if request.terms.idempotent {
-            REUSE_LIMIT
-        } else {
-            REUSE_LIMIT_ONCE
-        },
+        reuse: reuse_limit(&request.terms),
         states_outcome: false,
     };
     let end_of_wait = request.deadline + gate.limits.overrun_limit;
@@ -240,44 +237,16 @@
     }
 }
 
-/// Passes the request on to entry VMs of other data centres, one after the other.
-async fn forward(
-    gate: &Arc<EntryGate>,
-    request: &WholeRequest,
-    refusal: SlotRefusal,
-) -> FinalAnswer {
-    let Ok(_permit) = gate.forwards.try_acquire() else {
-        return FinalAnswer::NotRun(refusal, "too many forwarded requests".to_owned());
-    };
-    let peers = gate.peers.borrow().clone();
-    let turn = gate.inbox.next_ticket();
-    let mut problem = refusal.reason.to_string();
-    for address in forward_targets(&peers, &request.terms.pool, turn) {
-        let limits = ExchangeLimits {
-            connect: gate.limits.connect_limit,
-            answer_bytes: gate.limits.answer_bytes,
-            reuse: Duration::ZERO,
-            states_outcome: true,
-        };
-        if Instant::now() >= request.deadline {
-            break;
-        }
-        let mut message = outgoing(gate, request);
-        if let Ok(name) = HeaderValue::from_str(gate.name.as_str()) {
-            message.headers_mut().insert(headers::FORWARDED_BY, name);
-        }
-        let end = exchange(address, None, message, limits);
-        match timeout_at(request.deadline, end).await {
-            Ok(ExchangeEnd::Answered(response, _)) => return FinalAnswer::Answered(response),
-            Ok(ExchangeEnd::Refused(text, _) | ExchangeEnd::Unsent(text)) => problem = text,
-            Ok(ExchangeEnd::Unknown(problem, _)) => return FinalAnswer::Unknown(problem),
-            Err(_) => return FinalAnswer::Unknown("no answer before the deadline".to_owned()),
-        }
+/// Returns the longest idle time of a connection on which the request is sent.
+pub(super) fn reuse_limit(terms: &RequestTerms) -> Duration {
+    if terms.idempotent {
+        REUSE_LIMIT
+    } else {
+        REUSE_LIMIT_ONCE
     }
-    FinalAnswer::NotRun(refusal, problem)
 }
 
-fn outgoing(gate: &EntryGate, request: &WholeRequest) -> Request<Full<Bytes>> {
+pub(super) fn outgoing(gate: &EntryGate, request: &WholeRequest) -> Request<Full<Bytes>> {
     let mut message = Request::new(Full::new(request.body.clone()));
     *message.method_mut() = request.parts.method.clone();
     *message.uri_mut() = request.parts.uri.clone();
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -10,6 +10,8 @@
 use chicorygauge::names::DcName;
 use chicorygauge::names::EntryName;
 use chicorygauge::names::PoolName;
+use chicorygauge::peer::EntryAck;
+use chicorygauge::peer::MemberState;
 use chicorygauge::peer::PeerState;
 use chicorygauge::peer::RemoteState;
 use support::entry::CallerAnswer;
@@ -78,8 +80,8 @@
     assert_eq!(backend.requests(), 1);
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn wait_abandoned() {
+/// Starts an entry service over one VM with one slot that is taken for good.
+async fn start_hanging() -> (EntryFixture, ScriptedBackend) {
     let backend = ScriptedBackend::start(|_, _| Reaction::Hang).await;
     let settings = FixtureSettings {
         slots: 1,
@@ -87,17 +89,23 @@
         ..FixtureSettings::default()
     };
     let entry = EntryFixture::start(&[backend.address], settings).await;
-    spawn_ask(entry.address, "r-0", 60_000);
+    spawn_ask(entry.address, "r-0", 600_000);
     support::eventually("slot taken", || async { backend.requests() == 1 }).await;
-    let reason = || async {
-        let answer = spawn_ask(entry.address, "r-2", 300).await;
-        answer.expect("task").expect("answer").reason().to_owned()
-    };
+    (entry, backend)
+}
+
+/// Tells why a request with a short deadline was refused.
+async fn short_reason(entry: &EntryFixture) -> String {
+    let answer = spawn_ask(entry.address, "r-short", 300).await;
+    answer.expect("task").expect("answer").reason().to_owned()
+}
+
+/// Makes a request wait in the only place of the queue until its task is aborted.
+async fn fill_queue(entry: &EntryFixture) -> JoinHandle<()> {
     let address = entry.address;
-    let gone = tokio::spawn(async move {
-        // Until it is this one that waits.
+    let holder = tokio::spawn(async move {
         let request = || CallerRequest {
-            id: "r-gone",
+            id: "r-wait",
             deadline_ms: 600_000,
             ..CallerRequest::default()
         };
@@ -105,11 +113,21 @@
             assert_eq!(answer.reason(), "queue-full");
         }
     });
-    support::eventually("queue full", || async { reason().await == "queue-full" }).await;
+    support::eventually("queue full", || async {
+        short_reason(entry).await == "queue-full"
+    })
+    .await;
+    holder
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn wait_abandoned() {
+    let (entry, backend) = start_hanging().await;
+    let gone = fill_queue(&entry).await;
     gone.abort();
     // Its place in the queue is free for another that waits until its deadline.
     support::eventually("place free", || async {
-        reason().await == "deadline-passed"
+        short_reason(&entry).await == "deadline-passed"
     })
     .await;
     assert_eq!(backend.requests(), 1);
@@ -268,6 +286,63 @@
     }
 }
 
+/// Makes members of the data centre, this entry VM among them.
+fn members(others: &[SocketAddr]) -> BTreeMap<EntryName, MemberState> {
+    let own = SocketAddr::from(([127, 0, 0, 1], 9));
+    let addresses = [own].into_iter().chain(others.iter().copied());
+    let members = addresses.enumerate().map(|(index, address)| {
+        let name = EntryName::new(&format!("e-{}", index + 1)).expect("name");
+        let member = MemberState {
+            entry_address: address,
+            control_address: own,
+            heard: Duration::ZERO,
+            ack: EntryAck::default(),
+        };
+        (name, member)
+    });
+    members.collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn forward_overload() {
+    // The share here is full; another entry VM of the data centre takes the rest.
+    for (outcome, expected) in [
+        ("answered", "answered"),
+        ("not-run", "not-run"),
+        ("cut", "unknown"),
+    ] {
+        let peer = start_remote(outcome).await;
+        let (entry, backend) = start_hanging().await;
+        let _holder = fill_queue(&entry).await;
+        entry.peers.send_modify(|peers| {
+            *peers = Arc::new(PeerState {
+                members: members(&[peer.address]),
+                ..PeerState::clone(peers)
+            });
+        });
+        support::eventually("passed on", || async {
+            let answer = spawn_ask(entry.address, "r-1", 60_000).await;
+            let answer = answer.expect("task").expect("answer");
+            let passed = peer.requests() > 0;
+            let outcome = if passed { expected } else { "not-run" };
+            assert_eq!(answer.outcome(), outcome);
+            passed
+        })
+        .await;
+        let heads = peer.heads.lock().expect("lock").clone();
+        assert_eq!(header_of(&heads[0], "chicory-forwarded-by"), Some("e-1"));
+        assert_eq!(backend.requests(), 1);
+        // What another has passed on is not passed on again.
+        let before = peer.requests();
+        let request = CallerRequest {
+            more: BTreeMap::from([("chicory-forwarded-by", "e-9")]),
+            ..CallerRequest::default()
+        };
+        let answer = ask(entry.address, request).await.expect("answer");
+        assert_eq!((answer.reason(), peer.requests()), ("queue-full", before));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn ejection_failing_vm() {
     let failing = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
