--- a/src/bin/chicory/cmd/status.rs
+++ b/src/bin/chicory/cmd/status.rs
@@ -56,6 +56,10 @@
             println!("{what:15} {vm}, in use by {}", entries.join(","));
         }
     }
+    for (vm, ejected) in &status.ejected {
+        let (pool, cause, times) = (&ejected.pool, &ejected.cause, ejected.ejections);
+        println!("ejected         {vm} of {pool}, cause {cause}, {times} times in a row");
+    }
     let rows = status.entries.iter().map(|entry| {
         vec![
             entry.name.clone(),
--- a/src/decide/controller/wave.rs
+++ b/src/decide/controller/wave.rs
@@ -3,6 +3,7 @@
 use super::StepView;
 use super::draft::RecordDraft;
 use crate::config::WaveRequest;
+use crate::decide::planner::wave_should_stop;
 use crate::fleet::DrainPurpose;
 use crate::fleet::VmRecord;
 use crate::fleet::VmState;
@@ -42,6 +43,7 @@
     }
     draft.record.wave = Some(WaveProgress {
         id: request.id.clone(),
+        since_ms: view.now_ms,
         ..WaveProgress::default()
     });
     let subject = format!("wave/{}", request.id);
@@ -56,21 +58,27 @@
     }
 }
 
-/// Counts a VM that is back.
-pub(super) fn count_returned(draft: &mut RecordDraft<'_>) {
-    if let Some(wave) = &mut draft.record.wave {
+/// Returns the wave that a stopped VM belongs to, if that is the present one.
+fn wave_of<'a>(draft: &'a mut RecordDraft<'_>, vm: &VmRecord) -> Option<&'a mut WaveProgress> {
+    let wave = draft.record.wave.as_mut();
+    wave.filter(|wave| vm.since_ms >= wave.since_ms)
+}
+
+/// Counts a stopped VM that is back.
+pub(super) fn count_returned(draft: &mut RecordDraft<'_>, vm: &VmRecord) {
+    if let Some(wave) = wave_of(draft, vm) {
         wave.returned += 1;
     }
 }
 
-/// Counts a VM that did not come back, and stops the wave if there are too many.
-pub(super) fn count_failed(view: &StepView<'_>, draft: &mut RecordDraft<'_>) {
-    let Some(wave) = &mut draft.record.wave else {
+/// Counts a stopped VM that did not come back, and stops the wave if there are
+/// too many.
+pub(super) fn count_failed(view: &StepView<'_>, draft: &mut RecordDraft<'_>, vm: &VmRecord) {
+    let Some(wave) = wave_of(draft, vm) else {
         return;
     };
     wave.failed += 1;
-    let share = view.config.maintenance.failure_stop_share;
-    let exceeded = f64::from(wave.failed) > share * f64::from(wave.started);
+    let exceeded = wave_should_stop(wave, &view.config.maintenance);
     if !exceeded || wave.stopped.is_some() {
         return;
     }
