--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -7,13 +7,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicorygauge::http;
 use chicorygauge::http::CallRequest;
-use chicorygauge::http::call;
 use hyper::Method;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use serde_json::Value;
 use serde_json::json;
+use standin::backend::BackendFaults;
+use standin::call;
+use standin::call::LoadSettings;
 use standin::platform::PlatformFaults;
 use standin::platform::RunningPlatform;
 use tokio::io::AsyncReadExt;
@@ -156,6 +159,42 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn status_ejected() {
+    let platform = support::start_platform().await;
+    let backends = support::start_backends(&platform, "dc-1", &["vm-1", "vm-2"]).await;
+    backends[0].state.set_faults(BackendFaults {
+        fail: true,
+        ..BackendFaults::default()
+    });
+    let daemons = start_entries(&platform, 1).await;
+    let file = write_patch("ejected", &fleet_patch());
+    run(
+        &daemons[0],
+        &["patch", "--base", "0", "--reason", "fleet", &file],
+        DONE,
+    );
+    support::eventually("VM ejected", || async {
+        call::run(LoadSettings {
+            entries: vec![daemons[0].entry],
+            pool: "intake".to_owned(),
+            rate: 50.0,
+            length: Duration::from_millis(500),
+            ..LoadSettings::default()
+        })
+        .await;
+        let status = daemons[0].get("/v1/status").await;
+        status.is_some_and(|status| status["ejected"]["vm-1"]["pool"] == "intake")
+    })
+    .await;
+    let output = Command::new(env!("CARGO_BIN_EXE_chicory"))
+        .args(["--entry", &daemons[0].control.to_string(), "status"])
+        .output();
+    let output = output.expect("chicory");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(text.contains("vm-1 of intake"), "{text}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn commands_platform_away() {
     let platform = support::start_platform().await;
@@ -324,7 +363,7 @@
         body: Bytes::from(body),
         limit: Duration::from_secs(30),
     };
-    let answer = call(daemon.control, request).await;
+    let answer = http::call(daemon.control, request).await;
     answer.ok().map(|answer| answer.status.as_u16())
 }
 
