--- a/standin/src/platform/kv.rs
+++ b/standin/src/platform/kv.rs
@@ -87,7 +87,8 @@
     }
 
     fn put(&mut self, key: &str, value: Vec<u8>, session: Option<String>) {
-        self.index += 1;
+        // The index of a key that was never written is 1, so the first write has 2.
+        self.index = self.index.max(1) + 1;
         let modified = self.index;
         self.deleted.remove(key);
         self.values.insert(
