--- a/src/service/control/wire.rs
+++ b/src/service/control/wire.rs
@@ -9,6 +9,7 @@
 use crate::config::VersionedConfig;
 use crate::config::head::VersionWire;
 use crate::config::patch::PatchRequest;
+use crate::decide::health::EjectedVm;
 use crate::fleet::wire::AuditWire;
 use crate::fleet::wire::RosterWire;
 use crate::fleet::wire::VmWire;
@@ -95,10 +96,33 @@
     pub draining: BTreeMap<String, Vec<String>>,
     /// VMs whose planned stop was postponed, likewise.
     pub postponed: BTreeMap<String, Vec<String>>,
+    /// VMs that this entry VM sends no work, or one request at a time, since they
+    /// failed.
+    pub ejected: BTreeMap<String, EjectedWire>,
     pub entries: Vec<EntryStatusWire>,
     pub data_centres: Vec<RemoteStatusWire>,
 }
 
+/// A VM that failed at this entry VM.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct EjectedWire {
+    pub pool: String,
+    pub cause: String,
+    pub ejections: u32,
+    pub probing: bool,
+}
+
+impl From<&EjectedVm> for EjectedWire {
+    fn from(vm: &EjectedVm) -> Self {
+        Self {
+            pool: vm.pool.to_string(),
+            cause: vm.cause.to_string(),
+            ejections: vm.ejections,
+            probing: vm.probing,
+        }
+    }
+}
+
 /// Another entry VM of the same data centre.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct EntryStatusWire {
