--- a/benches/peers.rs
+++ b/benches/peers.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::process::Child;
 use std::process::Command;
 use std::time::Duration;
@@ -25,6 +24,8 @@
 
 const ENTRIES: usize = 3;
 const POOLS: usize = 133;
+const ENTRY_PORT: u16 = 7080;
+const CONTROL_PORT: u16 = 7081;
 /// Time to start and to settle.
 const SETTLE: Duration = Duration::from_secs(20);
 /// Time that is measured.
@@ -103,13 +104,15 @@
     );
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("address");
-    listener.local_addr().expect("address")
+/// Returns an address of an entry VM; each has a loopback address of its own.
+fn address_of(number: usize, port: u16) -> SocketAddr {
+    let (high, low) = (number / 200, number % 200);
+    SocketAddr::from(([127, 77, high as u8, 1 + low as u8], port))
 }
 
 fn start(dcs: usize, platform: SocketAddr) -> Vec<BenchDaemon> {
-    let plans = (0..dcs * ENTRIES).map(|number| (number / ENTRIES, number, free_address()));
+    let plans = (0..dcs * ENTRIES)
+        .map(|number| (number / ENTRIES, number, address_of(number, CONTROL_PORT)));
     let plans: Vec<_> = plans.collect();
     let peers = plans
         .iter()
@@ -123,7 +126,7 @@
         let text = format!(
             "[entry]\nname=e-{number}\ndc=dc-{dc}\nlisten={}\ncontrol_listen={control}\n\
              [peers]\ncontrol={}\n[platform]\naddress={platform}\n",
-            free_address(),
+            address_of(*number, ENTRY_PORT),
             others.join(",")
         );
         let file = format!("chicoryd-bench-{}-{number}.ini", std::process::id());
--- a/tests/peers_members.rs
+++ b/tests/peers_members.rs
@@ -233,3 +233,45 @@
     assert!(!summary.is_broken(), "{summary}");
     assert_eq!(summary.answered, summary.sent, "{summary}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn members_controller_frozen() {
+    let platform = support::start_platform().await;
+    let backends = support::start_backends(&platform, "dc", &VMS).await;
+    let plans = cluster::plans("dc", 3);
+    let daemons = cluster::start(&plans, 3, &platform);
+    cluster::patch(&daemons[0], 0, cluster::one_pool(&VMS)).await;
+    cluster::all_share(&daemons, 3, 2).await;
+    let first = controller(&platform, &daemons).expect("controller");
+    daemons[first].signal("STOP");
+    support::eventually("another controller", || async {
+        controller(&platform, &daemons).is_some_and(|holder| holder != first)
+    })
+    .await;
+    let others = daemons
+        .iter()
+        .enumerate()
+        .filter(|(place, _)| *place != first);
+    let others: Vec<_> = others.map(|(_, daemon)| daemon).collect();
+    cluster::patch(others[0], 1, json!({"pools": {"intake": {"budget": 2}}})).await;
+    for daemon in &others {
+        cluster::status_is("version", daemon, |status| status["config_version"] == 2).await;
+    }
+    let load = cluster::load(&daemons, OVERLOAD, Duration::from_secs(3));
+    let load = tokio::spawn(call::run(load));
+    sleep(Duration::from_secs(1)).await;
+    let before = roster(&platform)["generation"].as_u64();
+    daemons[first].signal("CONT");
+    let summary = cluster::compare(&load.await.expect("load"), &backends);
+    assert_eq!(cluster::over_slots(&backends), 0, "{summary}");
+    assert_eq!(
+        (summary.lost, summary.doubled, summary.refused_but_ran),
+        (0, 0, 0),
+        "{summary}"
+    );
+    cluster::all_share(&daemons, 3, 2).await;
+    for daemon in &daemons {
+        cluster::status_is("version", daemon, |status| status["config_version"] == 2).await;
+    }
+    assert_eq!(roster(&platform)["generation"].as_u64(), before);
+}
