--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,5 +12,6 @@
 pub mod placement;
 pub mod planner;
 pub mod reserve;
+pub mod resources;
 pub mod retry;
 pub mod slots;
--- a/src/decide/placement.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placement of the jobs of pools on workers.
