--- a/benches/capacity/decisions.rs
+++ b/benches/capacity/decisions.rs
@@ -21,6 +21,10 @@
 use chicorygauge::fleet::PoolLedger;
 use chicorygauge::fleet::wire::FleetWire;
 use chicorygauge::fleet::wire::LedgerWire;
+use chicorygauge::peer::wire as peer;
+use chicorygauge::peer::wire::AnswerWire;
+use chicorygauge::peer::wire::PushWire;
+use chicorygauge::peer::wire::SummaryWire;
 use chicorygauge::request::RequestClass;
 use serde_json::Value;
 use serde_json::json;
@@ -119,6 +123,10 @@
         ("fleet record encoded", "us"),
         ("fleet record decoded", "us"),
         ("audit row appended", "us"),
+        ("push of a fleet record", "bytes"),
+        ("push of a fleet record encoded", "us"),
+        ("answer to a push", "bytes"),
+        ("summary of a data centre, 20 pools", "bytes"),
     ] {
         report(name, unit, &of_dc[name], DC_VMS);
     }
@@ -214,6 +222,7 @@
         black_box(FleetRecord::try_from(wire).expect("record"));
     });
     add("fleet record decoded", time);
+    measure_messages(&record, add);
     let row = AuditRow {
         author: "entry-01".to_owned(),
         subject: "vm/vm-01-0001".to_owned(),
@@ -225,3 +234,42 @@
     });
     add("audit row appended", time);
 }
+
+/// Messages between entry VMs; every VM has requests in progress.
+fn measure_messages(record: &FleetRecord, add: &mut impl FnMut(&'static str, f64)) {
+    let address = ([127, 0, 0, 1], 1).into();
+    let push = || {
+        peer::encode(&PushWire {
+            dc: "dc-01".to_owned(),
+            controller: address,
+            config: None,
+            fleet: Some(FleetWire::from(record)),
+            roster: None,
+        })
+    };
+    add("push of a fleet record", push().len() as f64);
+    let time = median_us(|| {
+        black_box(push());
+    });
+    add("push of a fleet record encoded", time);
+    let answer = peer::encode(&AnswerWire {
+        dc: "dc-01".to_owned(),
+        name: "entry-01".to_owned(),
+        entry_address: address,
+        control_address: address,
+        incarnation: u64::MAX,
+        config_version: 100_000,
+        fleet_sequence: 100_000,
+        generation: 1000,
+        in_use: record.vms.keys().map(|vm| (vm.to_string(), 8)).collect(),
+    });
+    add("answer to a push", answer.len() as f64);
+    let pools: BTreeSet<_> = record.vms.values().map(|vm| vm.pool.to_string()).collect();
+    let summary = peer::encode(&SummaryWire {
+        dc: "dc-01".to_owned(),
+        config_version: 100_000,
+        entries: BTreeMap::from([("entry-01".to_owned(), address)]),
+        slots: pools.into_iter().map(|pool| (pool, 1000)).collect(),
+    });
+    add("summary of a data centre, 20 pools", summary.len() as f64);
+}
