--- a/benches/capacity/decisions.rs
+++ b/benches/capacity/decisions.rs
@@ -174,13 +174,14 @@
     let mut state = DispatchState::default();
     state.set_pools(fleet.config.pools.keys().map(|pool| (pool, 1024)));
     let vms = fleet.dcs[0].vms.iter();
-    state.set_vms(vms.map(|(name, vm)| VmTarget {
+    let targets = vms.map(|(name, vm)| VmTarget {
         name: name.clone(),
         pool: vm.pool.clone(),
         address: vm.address,
         share: 4,
         takes_work: true,
-    }));
+    });
+    state.set_vms(Duration::ZERO, targets);
     let pool = &fleet.dcs[0].vms.values().next().expect("VM").pool;
     let mut ticket = 0;
     let rounds = 1000;
@@ -192,8 +193,9 @@
                 pool: pool.clone(),
                 class: RequestClass::Ordinary,
                 deadline: Duration::from_secs(10),
+                avoid: None,
             };
-            let actions = state.arrive(Duration::from_secs(1), &request);
+            let actions = state.arrive(Duration::from_secs(1), request);
             for action in actions {
                 if let chicorygauge::decide::dispatch::DispatchAction::Grant { vm, .. } = action {
                     black_box(state.finish(Duration::from_secs(1), &vm, None));
--- a/src/report/budget.rs
+++ b/src/report/budget.rs
@@ -14,7 +14,17 @@
 use crate::report::vm_of;
 
 /// Why a pool went over its budget.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "snake_case")]
 pub enum BreachCause {
     /// VMs failed or left; nothing was planned while it lasted.
