--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,5 +14,6 @@
 pub mod planner;
 pub mod queue;
 pub mod reserve;
+pub mod resources;
 pub mod retry;
 pub mod slots;
