Settings files of test daemons are named by the whole address

Two daemons of one test process had got the same control port on different loopback addresses, hence the same settings file, and one of them could not bind. Change: the file's name carries address and port.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -91,7 +91,7 @@
         let file = format!(
             "chicoryd-{}-{}.ini",
             std::process::id(),
-            plan.control.port()
+            plan.control.to_string().replace(':', "-")
         );
         let settings = std::env::temp_dir().join(file);
         fs::write(&settings, text).expect("settings file");
