Freeze and resume of an entry VM with requests queued and in flight

A whole answer that was read only after the deadline, because the process was paused, was still passed on as answered; it is unknown now, as no answered request may be past its deadline. freeze_noticed (3 s, beyond the pause limit) and freeze_unnoticed (1 s): no refused request ran, none doubled, none over the slots.

--- a/src/service/entry/send.rs
+++ b/src/service/entry/send.rs
@@ -163,6 +163,10 @@
         settle(&mut grant, end, start.elapsed())
     });
     match timeout_at(request.deadline, end).await {
+        // After a pause of the process the answer may come before the timeout.
+        Ok(_) if Instant::now() >= request.deadline => {
+            SendEnd::Failed(SendFailure::Unknown, "answer after the deadline".to_owned())
+        }
         Ok(end) => end,
         Err(_) => SendEnd::Failed(
             SendFailure::Unknown,
