--- a/src/service/config.rs
+++ b/src/service/config.rs
@@ -130,7 +130,11 @@
             match message {
                 ConfigMessage::Offer(offer) => self.offer(offer),
                 ConfigMessage::Watch(watching) if watching != self.state.borrow().watching => {
-                    self.state.send_modify(|state| state.watching = watching);
+                    self.state.send_modify(|state| {
+                        state.watching = watching;
+                        // What the watch met before is no longer looked at.
+                        state.error.clear();
+                    });
                     log::info!(event = "config_watch_switched", watching = watching; "");
                     return true;
                 }
