Shutdown takes in the connections that wait in the socket's backlog

Cause: closing the listening socket resets connections that the kernel has completed but the process has not accepted yet, with the requests on them; on a busy machine these were several. Change: after the announcement the backlog is accepted until it is empty and the socket is closed at once; those callers are refused as not run. Conclusion: a moment between the last accept and the close remains; the health page keeps callers away before it.

--- a/src/service/entry/mod.rs
+++ b/src/service/entry/mod.rs
@@ -28,6 +28,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -125,15 +126,25 @@
     let connections = gate.limits.connections;
     let permits = Arc::new(Semaphore::new(connections));
     let mut phase = gate.phase.clone();
-    loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
-        };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = reached(&mut phase, ShutdownPhase::Draining) => break,
-        };
-        match accepted {
+    tokio::select! {
+        () = accept_callers(&gate, &listener, &permits) => {}
+        () = reached(&mut phase, ShutdownPhase::Draining) => {}
+    }
+    // Their number is bounded by the backlog of the socket.
+    let mut last = JoinSet::new();
+    for (stream, caller) in close(listener) {
+        last.spawn(serve(gate.clone(), stream, caller));
+    }
+    last.join_all().await;
+    let all = u32::try_from(connections).unwrap_or(u32::MAX);
+    // The semaphore is never closed, so the wait ends when all callers are gone.
+    let _ = permits.acquire_many(all).await;
+}
+
+/// Accepts callers for as long as the socket can do so.
+async fn accept_callers(gate: &Arc<EntryGate>, listener: &TcpListener, permits: &Arc<Semaphore>) {
+    while let Ok(permit) = permits.clone().acquire_owned().await {
+        match listener.accept().await {
             Ok((stream, caller)) => {
                 let gate = gate.clone();
                 tokio::spawn(async move {
@@ -147,10 +158,26 @@
             }
         }
     }
-    drop(listener);
-    let all = u32::try_from(connections).unwrap_or(u32::MAX);
-    // The semaphore is never closed, so the wait ends when all callers are gone.
-    let _ = permits.acquire_many(all).await;
+}
+
+/// Closes the socket and returns the connections that were waiting in its backlog.
+///
+/// The kernel resets connections that are still in the backlog when the socket is
+/// closed, together with the requests that their callers have sent already.
+fn close(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let mut waiting = Vec::new();
+    let Ok(listener) = listener.into_std() else {
+        return waiting;
+    };
+    while let Ok((stream, caller)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        waiting.extend(
+            stream
+                .and_then(TcpStream::from_std)
+                .map(|stream| (stream, caller)),
+        );
+    }
+    waiting
 }
 
 async fn serve(gate: Arc<EntryGate>, stream: TcpStream, caller: SocketAddr) {
