fresh_start_alone waits for both daemons before it sends

It waited for the first one only. It failed once in a run of all tests on a machine at a load of 24 on 10 cores; the output of that run was cut off, so that the second daemon not yet listening is the likely cause, not one that was seen.

--- a/tests/peers_outage.rs
+++ b/tests/peers_outage.rs
@@ -78,7 +78,9 @@
     set_down(&platform, true);
     let plans = cluster::plans("dc", 2);
     let daemons = cluster::start(&plans, 2, &platform);
-    cluster::status_is("status", &daemons[0], |status| status["trusted"] == false).await;
+    for daemon in &daemons {
+        cluster::status_is("status", daemon, |status| status["trusted"] == false).await;
+    }
     let load = cluster::load(&daemons, 50.0, Duration::from_secs(2));
     let summary = cluster::compare(&call::run(load).await, &[]);
     assert_eq!(summary.not_run, summary.sent, "{summary}");
