Capacity: a change writes the whole fleet record of every data centre

Found in the measured calls (1.4 reads and writes a change and data centre) and the code of the controller: the row of the version in force stands in the fleet record.

--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -1,5 +1,6 @@
 //! Measures what docs/CAPACITY.md states and prints its tables:
-//! `cargo bench --bench capacity`, or `-- decisions` for the decisions alone.
+//! `cargo bench --bench capacity`; `-- decisions` measures the decisions alone and
+//! `-- fleet` daemons by the size of the fleet alone.
 //!
 //! Every value is measured at three sizes or more, fitted by a line and read off
 //! at the size to come: 7,100 workers, 133 pools, 24 data centres.
@@ -38,6 +39,8 @@
 /// Time for start-up traffic to end.
 const SETTLE: Duration = Duration::from_secs(6);
 const CHANGES: usize = 10;
+/// Time after the last change until its writes have been made.
+const CHANGE_SETTLE: Duration = Duration::from_secs(2);
 /// Time of a reboot that outlasts the measured span, in milliseconds.
 const LONG_REBOOT_MS: u64 = 120_000;
 const OUTAGE: Duration = Duration::from_secs(15);
@@ -48,18 +51,22 @@
 type SizePoints = BTreeMap<String, Vec<(f64, f64)>>;
 
 fn main() {
-    let only_decisions = std::env::args().any(|arg| arg == "decisions");
+    let asked = |part: &str| std::env::args().any(|arg| arg == part);
     println!(
         "{:<34} {:<46} {:>10}  {:>9}   {:>5} {:>10}",
         "measure", "points x:value", "base", "slope", "resid", "at size"
     );
-    decisions::measure();
-    if only_decisions {
+    if !asked("fleet") {
+        decisions::measure();
+    }
+    if asked("decisions") {
         return;
     }
     let runtime = tokio::runtime::Runtime::new().expect("runtime");
     runtime.block_on(async {
-        measure_dcs().await;
+        if !asked("fleet") {
+            measure_dcs().await;
+        }
         measure_vms().await;
     });
 }
@@ -196,9 +203,14 @@
         let (_, uses) = site.span(SPAN).await;
         let size = fleet.dcs.iter().map(|dc| dc.vms.len()).sum::<usize>() as f64;
         add_uses(&mut nodes, "idle", size, &uses);
-        let spent = cpu_of_changes(&mut site).await;
-        let name = "a change: CPU, ms".to_owned();
-        nodes.entry(name).or_default().push((size, spent));
+        let (cpu_ms, bytes_kb) = cost_of_changes(&mut site).await;
+        for (name, value) in [
+            ("a change: CPU, ms", cpu_ms),
+            ("a change: platform traffic, KB", bytes_kb),
+        ] {
+            let points = nodes.entry(name.to_owned()).or_default();
+            points.push((size, value));
+        }
         site.set_faults(PlatformFaults {
             reboot_ms: LONG_REBOOT_MS,
             ..PlatformFaults::default()
@@ -216,23 +228,27 @@
     }
 }
 
-/// Largest processor time that a daemon spends on a change, in milliseconds.
-async fn cpu_of_changes(site: &mut RunningSite) -> f64 {
-    let spent = |site: &RunningSite| -> Vec<f64> {
+/// Largest processor time, in milliseconds, and traffic with the platform, in KB,
+/// that a change costs a daemon.
+async fn cost_of_changes(site: &mut RunningSite) -> (f64, f64) {
+    let uses = |site: &RunningSite| -> Vec<DaemonUse> {
         let daemons = site.daemons.iter();
-        daemons.map(|daemon| daemon.usage().cpu_s).collect()
+        daemons.map(daemons::RunningDaemon::usage).collect()
     };
-    let before = spent(site);
+    let before = uses(site);
     for limit in 0..CHANGES {
         let patch = json!({"pools": {"pool-001": {"queue_limit": 512 + limit}}});
         site.patch(patch).await;
     }
-    let after = spent(site);
-    let spent = after
-        .iter()
-        .zip(before)
-        .map(|(after, before)| after - before);
-    spent.fold(0.0, f64::max) * 1000.0 / CHANGES as f64
+    tokio::time::sleep(CHANGE_SETTLE).await;
+    let after = uses(site);
+    let largest = |value: fn(&DaemonUse) -> f64| {
+        let spent = after.iter().zip(&before);
+        let spent = spent.map(|(after, before)| value(after) - value(before));
+        spent.fold(0.0, f64::max) / CHANGES as f64
+    };
+    let cpu_ms = largest(|usage| usage.cpu_s) * 1000.0;
+    (cpu_ms, largest(|usage| usage.platform_bytes) / 1000.0)
 }
 
 fn add_counts<'a, V: Into<f64> + Copy + 'a>(
