--- a/src/service/control/mod.rs
+++ b/src/service/control/mod.rs
@@ -40,6 +40,7 @@
 use crate::platform::repeat::RepeatClient;
 use crate::service::config::ConfigView;
 use crate::service::config::FollowView;
+use crate::service::entry::EjectionView;
 use crate::service::fleet::ControllerView;
 use crate::service::fleet::FleetView;
 use crate::service::fleet::ReportView;
@@ -70,6 +71,7 @@
     term: ControllerView,
     report: ReportView,
     peers: PeerView,
+    ejections: EjectionView,
     submissions: Semaphore,
     reports: Semaphore,
 }
@@ -104,6 +106,7 @@
         term: kernel.find(crate::service::fleet::NAME)?,
         report: kernel.find(crate::service::fleet::NAME)?,
         peers: kernel.find(crate::service::peers::NAME)?,
+        ejections: kernel.find(crate::service::entry::NAME)?,
         submissions: Semaphore::new(MAX_SUBMISSIONS),
         reports: Semaphore::new(MAX_REPORTS),
     });
--- a/src/service/control/status.rs
+++ b/src/service/control/status.rs
@@ -65,6 +65,7 @@
     let age_ms = unix_ms().saturating_sub(follow.confirmed_ms);
     let peers = state.peers.borrow().clone();
     let report = state.report.borrow().clone();
+    let ejected = state.ejections.borrow().clone();
     let remotes = peers.remotes.iter();
     Ok(StatusWire {
         name: state.settings.name.to_string(),
@@ -83,6 +84,10 @@
         controller: state.term.borrow().holds(Instant::now()),
         draining: blocked(&report.draining),
         postponed: blocked(&report.postponed),
+        ejected: ejected
+            .iter()
+            .map(|(vm, ejected)| (vm.to_string(), ejected.into()))
+            .collect(),
         entries: entries(&state, &peers.members),
         data_centres: remotes
             .map(|(dc, remote)| RemoteStatusWire {
--- a/tests/controller_wave.rs
+++ b/tests/controller_wave.rs
@@ -15,6 +15,7 @@
 use standin::platform::PlatformFaults;
 use tokio::time::sleep;
 
+use support::DaemonPlan;
 use support::DaemonProcess;
 use support::fleet::REBOOT_MS;
 use support::fleet::TestFleet;
@@ -33,6 +34,13 @@
     let summary = fleet.check_load(load).await;
     assert_eq!(summary.answered, summary.sent, "{summary}");
     check_audit(&fleet);
+    // The report, made from the audit rows alone, says the same.
+    let report = fleet.daemons[0].get("/v1/report").await.unwrap_or_default();
+    assert_eq!(report["conditions"]["budgets"], true, "{report}");
+    assert_eq!(report["conditions"]["stops"], true, "{report}");
+    assert_eq!(report["conditions"]["record"], true, "{report}");
+    let stops = report["stops"].as_array().map(Vec::len);
+    assert_eq!(stops, Some(VMS.len()), "{report}");
 }
 
 /// Each stop stands in the audit rows with nothing in progress, in one chain.
@@ -123,6 +131,35 @@
     most
 }
 
+/// Two data centres contend for the ledger of one pool.
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_two_data_centres() {
+    let fleet = TestFleet::start(1, rules(), 1).await;
+    let away = ["vm-5", "vm-6"];
+    let backends = support::start_backends(&fleet.platform, "dc-2", &away).await;
+    let plan = DaemonPlan::new("f-1", "dc-2");
+    let _daemon = DaemonProcess::start(&plan, &[], fleet.platform.server.address);
+    let vms: Vec<_> = VMS.iter().chain(&away).collect();
+    fleet
+        .patch(json!({"pools": {"intake": {"vms": vms}}}))
+        .await;
+    support::eventually("VMs of the other data centre", || async {
+        let vms = fleet.value("fleet/dc-2")["vms"].clone();
+        vms.as_object().is_some_and(|vms| vms.len() == away.len())
+    })
+    .await;
+    let most = watch_ledger(&fleet);
+    fleet.start_wave("w-1").await;
+    fleet.wave_done().await;
+    support::eventually("other wave ended", || async {
+        fleet.value("fleet/dc-2")["wave"]["ended"] == true
+    })
+    .await;
+    let records = support::records(&backends);
+    assert!(records.iter().all(|record| record.reboots == 1));
+    assert!(most.load(Ordering::Relaxed) <= 1, "rows over the budget");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn wave_platform_down() {
     let fleet = TestFleet::start(2, rules(), 1).await;
@@ -137,6 +174,8 @@
     sleep(Duration::from_secs(4)).await;
     let down = fleet.reboots();
     fleet.set_faults(PlatformFaults::default());
+    let after = calls_during(&fleet, Duration::from_secs(1)).await;
+    check_return(&after);
     assert!(
         down < VMS.len() as u64,
         "plans went on without the platform"
@@ -177,6 +216,20 @@
     .await;
 }
 
+/// The periods here are a tenth of the defaults, so a second stands for the
+/// first ten after the return. One of 24 data centres may make its part of 2,000
+/// reads and 300 writes a second.
+fn check_return(calls: &[(String, u64)]) {
+    println!("after the return: {calls:?}");
+    let sum = |writes: bool| {
+        let calls = calls.iter();
+        let chosen = calls.filter(|(kind, _)| kind.ends_with("_write") == writes);
+        chosen.map(|(_, count)| count).sum::<u64>()
+    };
+    assert!(sum(false) <= 10 * 2000 / 24, "{calls:?}");
+    assert!(sum(true) <= 10 * 300 / 24, "{calls:?}");
+}
+
 /// Calls of an idle data centre do not grow with requests.
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_idle() {
