Read the ledgers once in two periods of the list while stops are wanted

Ruled out: one watch on the common prefix, which brings all ledgers at every change of any of them. Change: ledgers are read at once after an own write, otherwise once in two periods of the list. Old ledgers are safe: a write fails on its revision.

--- a/src/service/fleet/round.rs
+++ b/src/service/fleet/round.rs
@@ -45,6 +45,8 @@
 const FULL_OUTBOX_ROWS: usize = 64;
 /// Periods of the list in which every VM is probed once.
 const SWEEP_PERIODS: u32 = 6;
+/// Periods of the list between two readings of ledgers that only others have changed.
+const LEDGER_PERIODS: u32 = 2;
 /// Most VMs probed in one round in their turn.
 const SWEEP_PROBES: usize = 32;
 /// Leases' times to live after which an unrefreshed roster counts as unseen.
@@ -74,6 +76,7 @@
     moved_rows: u64,
     record_stale: bool,
     ledgers_stale: bool,
+    ledgers_at: Option<Instant>,
     listed_at: Option<Instant>,
     audited_at: Option<Instant>,
     probed_at: BTreeMap<VmName, Instant>,
@@ -116,6 +119,7 @@
             moved_rows: 0,
             record_stale: false,
             ledgers_stale: true,
+            ledgers_at: None,
             listed_at: None,
             audited_at: None,
             probed_at: BTreeMap::new(),
@@ -256,9 +260,13 @@
         acks: &BTreeMap<EntryName, EntryAck>,
     ) -> Result<(), FleetError> {
         let wants = |state: &mut ControllerState, view: &StepView<'_>| state.wants_ledgers(view);
-        if self.ledgers_stale || self.with_view(tools, config, acks, wants) {
+        let period = tools.settings.control.list * LEDGER_PERIODS;
+        let recent = self.ledgers_at.is_some_and(|at| at.elapsed() < period);
+        // Old ledgers break nothing: a write to one fails on its revision.
+        if self.ledgers_stale || !recent && self.with_view(tools, config, acks, wants) {
             self.ledgers = store::read_ledgers(tools.client).await?;
             self.ledgers_stale = false;
+            self.ledgers_at = Some(Instant::now());
             // A record that is still of this term tells that no successor had
             // written rows when the ledgers were read.
             self.record_stale = true;
