--- a/src/bin/chicory/cmd/config.rs
+++ b/src/bin/chicory/cmd/config.rs
@@ -9,7 +9,8 @@
 use crate::entry::read;
 use crate::table;
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub enum ConfigAction {
     /// Show a version; the one in force if none is named.
     #[bpaf(command)]
--- a/src/bin/chicory/cmd/mod.rs
+++ b/src/bin/chicory/cmd/mod.rs
@@ -23,7 +23,8 @@
     5 a condition of the report did not hold.";
 
 /// Drives a fleet through the control interface of any of its entry VMs.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version, footer(EXIT_STATUSES))]
 pub struct OperatorCommand {
     /// Control address of an entry VM.
@@ -38,7 +39,8 @@
     action: Action,
 }
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 enum Action {
     /// Submit a JSON merge patch against a version of the configuration.
     #[bpaf(command)]
--- a/src/bin/chicory/cmd/patch.rs
+++ b/src/bin/chicory/cmd/patch.rs
@@ -12,7 +12,8 @@
 use crate::submission::new_patch_id;
 use crate::submission::submit;
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct PatchOptions {
     /// Version that the patch was made against.
     #[bpaf(argument("N"))]
--- a/src/bin/chicory/cmd/report.rs
+++ b/src/bin/chicory/cmd/report.rs
@@ -36,7 +36,8 @@
     }
 }
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct SpanOptions {
     /// Start: milliseconds since 1970, or a time ago as 90m, 24h, 7d; a day before
     /// the end if absent.
--- a/src/bin/chicory/cmd/wave.rs
+++ b/src/bin/chicory/cmd/wave.rs
@@ -15,7 +15,8 @@
 use crate::submission::submit_current;
 use crate::table;
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub enum WaveAction {
     /// Start a wave.
     #[bpaf(command)]
--- a/src/bin/chicory/entry.rs
+++ b/src/bin/chicory/entry.rs
@@ -20,7 +20,8 @@
 const CALL_LIMIT: Duration = Duration::from_secs(30);
 
 /// A command that did not succeed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub))]
 pub enum EntryError {
     /// The runtime cannot be started.
--- a/src/bin/chicoryd/cmd/mod.rs
+++ b/src/bin/chicoryd/cmd/mod.rs
@@ -10,7 +10,8 @@
 use chicorygauge::settings::DaemonSettings;
 
 /// The daemon of an entry VM of the fleet capacity and maintenance manager.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 pub enum DaemonCommand {
     /// Runs the daemon until SIGTERM or SIGINT, then shuts down gracefully.
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -22,7 +22,8 @@
 const MAX_SHOWN_FAULTS: usize = 32;
 
 /// A document that is not a valid configuration.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum DocumentError {
     /// The JSON does not have the shape of a configuration.
     #[snafu(display("not a configuration: {source}"))]
--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -51,7 +51,8 @@
 }
 
 /// What the insurer's conditions are checked against.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TermsWire {
     /// Budgets by pool.
     pub budgets: BTreeMap<String, u32>,
@@ -72,7 +73,8 @@
 }
 
 /// An accepted patch.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct HeadWire {
     /// Version that the patch yields.
     pub version: ConfigVersion,
@@ -98,7 +100,8 @@
 }
 
 /// A version without its patch.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VersionWire {
     /// Number.
     pub version: ConfigVersion,
@@ -120,7 +123,8 @@
 }
 
 /// A whole document with its number.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct SnapshotWire {
     /// Number.
     pub version: ConfigVersion,
@@ -129,7 +133,8 @@
 }
 
 /// Versions from one snapshot to the next.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ArchiveWire {
     /// Last version of the archive.
     pub version: ConfigVersion,
--- a/src/config/patch.rs
+++ b/src/config/patch.rs
@@ -35,7 +35,8 @@
 }
 
 /// A submission that is refused before it is looked at.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("{field}: {accepted}"))]
 pub struct RequestError {
     field: &'static str,
--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -24,7 +24,8 @@
 use crate::platform::repeat::RepeatClient;
 
 /// A version that could not be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum StoreError {
     /// The platform gave no usable answer.
--- a/src/config/submit.rs
+++ b/src/config/submit.rs
@@ -58,7 +58,8 @@
 }
 
 /// A patch that was not accepted, or of which that is not known.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum SubmitError {
     /// The platform or its history could not be read; the patch is not accepted.
     #[snafu(display("not accepted: {source}"))]
--- a/src/config/wire.rs
+++ b/src/config/wire.rs
@@ -15,7 +15,8 @@
 pub const DEFAULT_QUEUE_LIMIT: u32 = 1024;
 
 /// JSON form of [`crate::config::FleetConfig`].
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ConfigWire {
     pub pools: BTreeMap<String, PoolWire>,
@@ -29,7 +30,8 @@
 }
 
 /// JSON form of [`crate::config::PoolConfig`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct PoolWire {
     pub budget: u32,
@@ -54,7 +56,8 @@
 }
 
 /// JSON form of [`crate::config::MaintenanceWindow`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WindowWire {
     pub days: BTreeSet<u8>,
@@ -63,7 +66,8 @@
 }
 
 /// JSON form of [`crate::config::JobConfig`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct JobWire {
     pub name: String,
@@ -76,7 +80,8 @@
 }
 
 /// JSON form of [`crate::config::ResourceAmount`].
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ResourceWire {
     pub cpu_millis: u64,
@@ -85,7 +90,8 @@
 }
 
 /// JSON form of [`crate::config::MaintenanceRules`].
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct MaintenanceWire {
     pub period_s: Option<u64>,
@@ -95,7 +101,8 @@
 }
 
 /// JSON form of [`crate::config::MeasureWeights`].
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WeightsWire {
     pub buffer: Option<f64>,
@@ -104,7 +111,8 @@
 }
 
 /// JSON form of [`crate::config::WaveRequest`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WaveWire {
     pub id: String,
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -21,7 +21,8 @@
 use crate::names::NameError;
 
 /// JSON form of [`FleetRecord`].
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct FleetWire {
     pub epoch: u64,
     #[serde(default)]
@@ -39,7 +40,8 @@
 }
 
 /// JSON form of [`VmRecord`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct VmWire {
     pub pool: String,
     pub address: SocketAddr,
@@ -50,7 +52,8 @@
 }
 
 /// JSON form of [`VmState`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StateWire {
     Serving,
@@ -64,7 +67,8 @@
 }
 
 /// JSON form of [`WaveProgress`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct WaveProgressWire {
     pub id: String,
     #[serde(default)]
@@ -79,7 +83,8 @@
 }
 
 /// JSON form of [`AuditOutbox`].
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct OutboxWire {
     pub last_sequence: u64,
     pub last_digest: String,
@@ -87,7 +92,8 @@
 }
 
 /// JSON form of [`AuditRow`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct AuditWire {
     pub sequence: u64,
     pub time_ms: u64,
@@ -101,13 +107,15 @@
 }
 
 /// JSON form of [`PoolLedger`].
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct LedgerWire {
     pub rows: BTreeMap<String, LedgerRowWire>,
 }
 
 /// JSON form of [`LedgerRow`]; a row without an operation tells of a failure.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct LedgerRowWire {
     pub dc: String,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -116,7 +124,8 @@
 }
 
 /// JSON form of [`EntryRoster`].
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct RosterWire {
     pub generation: u64,
     pub places: u32,
@@ -126,7 +135,8 @@
 }
 
 /// JSON form of [`EntryRecord`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct EntryWire {
     pub entry_address: SocketAddr,
     pub control_address: SocketAddr,
--- a/src/http.rs
+++ b/src/http.rs
@@ -26,7 +26,8 @@
 pub const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// A call that brought no whole answer.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum CallError {
     /// The peer could not be connected to; nothing was sent.
     #[snafu(display("step=connect peer={peer}: {source}"))]
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -25,7 +25,8 @@
 pub type ServiceName = &'static str;
 
 /// A service that was looked up before it was registered.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("service {name:?} offers no {handle}"))]
 pub struct LookupError {
     name: ServiceName,
--- a/src/names.rs
+++ b/src/names.rs
@@ -15,7 +15,8 @@
 pub const MAX_NAME_BYTES: usize = 63;
 
 /// A name that breaks the rules of this module.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("{name:?} is not a name: 1 to {MAX_NAME_BYTES} of A-Z a-z 0-9 - _ ."))]
 pub struct NameError {
     name: String,
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -36,7 +36,8 @@
 pub const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
 /// A message that makes no sense.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum WireError {
     /// It is not MessagePack of the expected shape.
     #[snafu(display("step=decode: {source}"))]
@@ -91,7 +92,8 @@
 }
 
 /// Wire form of [`StatePush`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct PushWire {
     pub dc: String,
     pub controller: SocketAddr,
@@ -101,7 +103,8 @@
 }
 
 /// Wire form of [`ConfigOffer`]; without a base it is whole.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigWire {
     pub version: ConfigVersion,
     pub base: Option<ConfigVersion>,
@@ -110,7 +113,8 @@
 }
 
 /// Wire form of [`PushAnswer`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct AnswerWire {
     pub dc: String,
     pub name: String,
@@ -124,7 +128,8 @@
 }
 
 /// Wire form of [`StateCopy`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct CopyWire {
     pub age_ms: u64,
     pub config: Option<ConfigWire>,
@@ -133,7 +138,8 @@
 }
 
 /// Wire form of [`DcSummary`].
-#[derive(Clone, Debug, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct SummaryWire {
     pub dc: String,
     pub config_version: ConfigVersion,
@@ -142,7 +148,8 @@
 }
 
 /// Wire form of [`LeaveRequest`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaveWire {
     pub name: String,
     pub incarnation: u64,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -22,7 +22,8 @@
 pub use client::PlatformSettings;
 
 /// A call to the platform that brought no usable answer.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum PlatformError {
     /// No whole answer came. A write may have taken effect all the same.
     #[snafu(display("step={step} {source}"))]
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -18,7 +18,8 @@
 pub const INDEX_HEADER: &str = "x-consul-index";
 
 /// A value in an answer of the key-value service.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct ValueWire {
     pub key: String,
@@ -30,7 +31,8 @@
 }
 
 /// Request to create a session.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct SessionWire {
     pub name: String,
@@ -41,14 +43,16 @@
 }
 
 /// Answer to the creation of a session.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct SessionIdWire {
     #[serde(rename = "ID")]
     pub id: String,
 }
 
 /// A VM of the platform's list.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ListedWire {
     pub name: String,
     pub dc: String,
@@ -58,13 +62,15 @@
 }
 
 /// Request to carry out an operation.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct OperationWire {
     pub kind: String,
 }
 
 /// How far an operation has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ProgressWire {
     Running,
@@ -73,13 +79,15 @@
 }
 
 /// Answer about an operation.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct OperationStateWire {
     pub state: ProgressWire,
 }
 
 /// A value that is not base64.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(display("value of {key}: {source}"))]
 pub struct ValueError {
     key: String,
--- a/src/report/budget.rs
+++ b/src/report/budget.rs
@@ -14,17 +14,8 @@
 use crate::report::vm_of;
 
 /// Why a pool went over its budget.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum BreachCause {
     /// VMs failed or left; nothing was planned while it lasted.
@@ -36,7 +27,8 @@
 }
 
 /// A time at which a pool was over its budget.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BudgetBreach {
     /// Pool.
     pub pool: String,
--- a/src/report/chain.rs
+++ b/src/report/chain.rs
@@ -9,7 +9,8 @@
 use crate::report::ReportEvidence;
 
 /// State of one chain.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChainFinding {
     /// `config`, or `audit/<dc>`.
     pub chain: String,
--- a/src/report/maintenance.rs
+++ b/src/report/maintenance.rs
@@ -10,7 +10,8 @@
 use crate::report::vm_of;
 
 /// A VM that was not maintained within the period.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LateMaintenance {
     /// VM.
     pub vm: String,
--- a/src/report/rollout.rs
+++ b/src/report/rollout.rs
@@ -11,7 +11,8 @@
 use crate::report::ReportSpan;
 
 /// One accepted version.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VersionFinding {
     /// Number.
     pub version: u64,
@@ -27,7 +28,8 @@
 }
 
 /// A data centre that went back to an earlier version.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VersionRevert {
     /// Data centre.
     pub dc: String,
--- a/src/report/stop.rs
+++ b/src/report/stop.rs
@@ -10,7 +10,8 @@
 use crate::report::vm_of;
 
 /// One planned stop, move or hold.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StopFinding {
     /// Data centre.
     pub dc: String,
--- a/src/report/wire.rs
+++ b/src/report/wire.rs
@@ -12,7 +12,8 @@
 use crate::report::stop::StopFinding;
 
 /// JSON form of [`FleetReport`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ReportWire {
     pub from_ms: u64,
     pub to_ms: u64,
@@ -27,7 +28,8 @@
 }
 
 /// Whether each condition held.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ConditionsWire {
     pub budgets: bool,
     pub stops: bool,
--- a/src/request/headers.rs
+++ b/src/request/headers.rs
@@ -41,7 +41,8 @@
 pub const MAX_DEADLINE: Duration = Duration::from_secs(600);
 
 /// A header that is missing or malformed.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum HeaderError {
     /// A required header is not there.
     #[snafu(display("header {name} is missing"))]
--- a/src/service/audit.rs
+++ b/src/service/audit.rs
@@ -18,7 +18,8 @@
 pub const SEGMENT_ROWS: u64 = 512;
 
 /// Rows that could not be moved; they stay in the outbox.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum AuditError {
     /// The platform gave no usable answer.
     #[snafu(display("{source}"))]
--- a/src/service/control/wire.rs
+++ b/src/service/control/wire.rs
@@ -18,7 +18,8 @@
 use crate::report::ReportSpan;
 
 /// A patch as an operator submits it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PatchWire {
     pub base: u64,
@@ -41,13 +42,15 @@
 }
 
 /// Answer to an accepted patch.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct PatchAnswerWire {
     pub version: u64,
 }
 
 /// A version with its document.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigWire {
     pub version: u64,
     pub digest: String,
@@ -65,13 +68,15 @@
 }
 
 /// Accepted versions, oldest first.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct LogWire {
     pub versions: Vec<VersionWire>,
 }
 
 /// State of one entry VM and what it knows of the others.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct StatusWire {
     pub name: String,
     pub dc: String,
@@ -104,7 +109,8 @@
 }
 
 /// A VM that failed at this entry VM.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct EjectedWire {
     pub pool: String,
     pub cause: String,
@@ -124,7 +130,8 @@
 }
 
 /// Another entry VM of the same data centre.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct EntryStatusWire {
     pub name: String,
     pub address: String,
@@ -134,20 +141,23 @@
 }
 
 /// Another data centre.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct RemoteStatusWire {
     pub dc: String,
     pub entries: usize,
 }
 
 /// Entry VMs of all data centres, as the platform has them.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct RostersWire {
     pub rosters: BTreeMap<String, RosterWire>,
 }
 
 /// VMs of a data centre.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct VmsWire {
     pub dc: String,
     pub sequence: u64,
@@ -156,20 +166,23 @@
 }
 
 /// One VM.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct VmStatusWire {
     pub name: String,
     pub record: VmWire,
 }
 
 /// Audit rows of all data centres.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct AuditListWire {
     pub trails: Vec<AuditTrailWire>,
 }
 
 /// Audit rows of one data centre.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct AuditTrailWire {
     pub dc: String,
     pub rows: Vec<AuditWire>,
@@ -194,7 +207,8 @@
 }
 
 /// An error for an operator.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorWire {
     pub error: String,
     /// Current version, if the patch was made against another.
--- a/src/service/daemon.rs
+++ b/src/service/daemon.rs
@@ -39,7 +39,8 @@
 const BACKEND_POLL: Duration = Duration::from_millis(20);
 
 /// A daemon that could not be started.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum StartError {
     /// An address cannot be listened on.
     #[snafu(display("step=listen peer={address}: {source}"))]
--- a/src/service/evidence.rs
+++ b/src/service/evidence.rs
@@ -23,7 +23,8 @@
 const FLEET_PREFIX: &str = "fleet/";
 
 /// Evidence that could not be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum EvidenceError {
     /// The platform gave no usable answer.
     #[snafu(display("{source}"))]
--- a/src/service/fleet/mod.rs
+++ b/src/service/fleet/mod.rs
@@ -48,7 +48,8 @@
 pub const NAME: ServiceName = "fleet";
 
 /// A round of the controller that could not be completed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 enum FleetError {
     #[snafu(display("{source}"))]
     Platform { source: PlatformError },
--- a/src/service/peers/client.rs
+++ b/src/service/peers/client.rs
@@ -24,7 +24,8 @@
 use crate::peer::wire::WireError;
 
 /// A call to a peer that brought no usable answer.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub(super) enum PeerError {
     #[snafu(display("{source}"))]
     NoAnswer { source: CallError },
--- a/src/service/peers/recover.rs
+++ b/src/service/peers/recover.rs
@@ -45,7 +45,8 @@
 /// Time in which the version of the platform has to come into force.
 const FOLLOW_LIMIT: Duration = Duration::from_secs(2);
 
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 enum RecoverError {
     #[snafu(display("{source}"))]
     Roster { source: RosterError },
--- a/src/service/peers/roster.rs
+++ b/src/service/peers/roster.rs
@@ -11,7 +11,8 @@
 use crate::platform::PlatformError;
 
 /// A roster that could not be read or written.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub(super) enum RosterError {
     #[snafu(display("{source}"))]
     Platform { source: PlatformError },
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -67,7 +67,8 @@
 }
 
 /// Faults that a backend server shows; set over HTTP at `/standin/faults`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct BackendFaults {
     /// Added to each service time, in milliseconds.
@@ -87,7 +88,8 @@
 }
 
 /// What a backend server has recorded.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct BackendRecord {
     /// Runs by request id.
     pub runs: BTreeMap<String, u32>,
--- a/standin/src/cmd/backend.rs
+++ b/standin/src/cmd/backend.rs
@@ -7,7 +7,8 @@
 use bpaf::Bpaf;
 use standin::backend::BackendSettings;
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct BackendOptions {
     /// Where it listens.
     #[bpaf(argument("ADDR"))]
--- a/standin/src/cmd/call.rs
+++ b/standin/src/cmd/call.rs
@@ -11,7 +11,8 @@
 use standin::call::LoadSettings;
 use standin::call::compare;
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct CallOptions {
     /// Entry VMs, separated by commas; requests go to them in turn.
     #[bpaf(argument::<String>("ADDR[,ADDR...]"), parse(parse_list))]
--- a/standin/src/cmd/demo.rs
+++ b/standin/src/cmd/demo.rs
@@ -5,7 +5,8 @@
 use bpaf::Bpaf;
 use standin::deployment::DeploymentShape;
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct DemoOptions {
     /// Shape: evasapu or nilebench.
     #[bpaf(argument::<String>("NAME"), parse(parse_shape), fallback(standin::deployment::EVASAPU))]
--- a/standin/src/cmd/mod.rs
+++ b/standin/src/cmd/mod.rs
@@ -21,7 +21,8 @@
 use platform::platform_options;
 
 /// Small stand-ins of the platform, backend servers and callers.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 pub enum StandinCommand {
     /// Runs the platform.
--- a/standin/src/cmd/platform.rs
+++ b/standin/src/cmd/platform.rs
@@ -5,7 +5,8 @@
 
 use bpaf::Bpaf;
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct PlatformOptions {
     /// Where it listens.
     #[bpaf(argument("ADDR"))]
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -29,7 +29,8 @@
 use vms::VmsState;
 
 /// Faults that the platform shows; set over HTTP at `/standin/faults`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlatformFaults {
     /// Every call is dropped without an answer.
