--- a/src/service/entry/exchange.rs
+++ b/src/service/entry/exchange.rs
@@ -24,6 +24,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header;
+use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -123,31 +124,52 @@
         }
     };
     let response = Response::from_parts(parts, body);
-    let broken = |step: &str| {
-        let problem = format!("step={step} peer={address}: not an answer to this request");
-        ExchangeEnd::Unknown(problem, FailureCause::Broken)
-    };
-    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
-        return broken("status");
-    }
-    if !is_head && !is_delimited(&response) {
-        return broken("length");
-    }
-    let echo = response.headers().get(headers::REQUEST_ID);
-    if echo.is_some() && echo != id.as_ref() {
-        return broken("request_id");
-    }
+    let checked = check_answer(&response, is_head, id.as_ref(), limits.states_outcome);
     connection.idle_since = Instant::now();
-    match stated_outcome(&response) {
-        Some(RequestOutcome::NotRun) => {
+    match checked {
+        Ok(AnswerKind::Run) => ExchangeEnd::Answered(response, connection),
+        Ok(AnswerKind::NotRun) => {
             let problem = format!("step=run peer={address}: refused");
             ExchangeEnd::Refused(problem, connection)
         }
-        Some(RequestOutcome::Answered) => ExchangeEnd::Answered(response, connection),
-        None if !limits.states_outcome && !response.headers().contains_key(headers::OUTCOME) => {
-            ExchangeEnd::Answered(response, connection)
+        Err(step) => {
+            let problem = format!("step={step} peer={address}: not an answer to this request");
+            ExchangeEnd::Unknown(problem, FailureCause::Broken)
         }
-        _ => broken("outcome"),
+    }
+}
+
+/// What an answer says of its request.
+enum AnswerKind {
+    Run,
+    NotRun,
+}
+
+/// Checks that a response is the whole answer to a request.
+///
+/// An error names the step at which it turned out not to be.
+fn check_answer(
+    response: &Response<Bytes>,
+    is_head: bool,
+    id: Option<&HeaderValue>,
+    states_outcome: bool,
+) -> Result<AnswerKind, &'static str> {
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        return Err("status");
+    }
+    if !is_head && !is_delimited(response) {
+        return Err("length");
+    }
+    let echo = response.headers().get(headers::REQUEST_ID);
+    if echo.is_some() && echo != id {
+        return Err("request_id");
+    }
+    let silent = !response.headers().contains_key(headers::OUTCOME);
+    match stated_outcome(response) {
+        Some(RequestOutcome::NotRun) => Ok(AnswerKind::NotRun),
+        Some(RequestOutcome::Answered) => Ok(AnswerKind::Run),
+        None if silent && !states_outcome => Ok(AnswerKind::Run),
+        _ => Err("outcome"),
     }
 }
 
