--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -54,13 +54,6 @@
     recorder().map(PrometheusHandle::render).unwrap_or_default()
 }
 
-/// Removes old samples from the recorder's buffers; to be called now and then.
-pub fn upkeep() {
-    if let Some(recorder) = recorder() {
-        recorder.run_upkeep();
-    }
-}
-
 /// Counts a message between entry VMs; `direction` is `in` or `out`.
 pub fn count_peer_message(direction: &'static str, bytes: usize) {
     metrics::counter!(PEER_MESSAGES, "direction" => direction).increment(1);
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -14,6 +14,7 @@
 use crate::http::CallAnswer;
 use crate::http::CallRequest;
 use crate::http::call;
+use crate::metrics::PLATFORM_CALLS;
 use crate::names::DcName;
 use crate::names::OperationId;
 use crate::names::VmName;
@@ -266,8 +267,7 @@
             limit,
             ..CallRequest::default()
         };
-        let answer = call(self.settings.address, request).await;
-        let answer = answer.context(NoAnswerSnafu { step })?;
+        let answer = self.call(step, request).await?;
         let index = answer.headers.get(INDEX_HEADER);
         let index = index.and_then(|index| index.to_str().ok()?.parse().ok());
         if answer.status == StatusCode::NOT_FOUND {
@@ -324,12 +324,27 @@
         step: &'static str,
         request: CallRequest<'_>,
     ) -> Result<CallAnswer, PlatformError> {
-        let answer = call(self.settings.address, request).await;
-        let answer = answer.context(NoAnswerSnafu { step })?;
+        let answer = self.call(step, request).await?;
         self.check_status(step, &answer)?;
         Ok(answer)
     }
 
+    /// Makes and counts one call.
+    async fn call(
+        &self,
+        step: &'static str,
+        request: CallRequest<'_>,
+    ) -> Result<CallAnswer, PlatformError> {
+        let answer = call(self.settings.address, request).await;
+        let result = match &answer {
+            Ok(answer) if answer.status.is_server_error() => "refused",
+            Ok(_) => "answered",
+            Err(_) => "no_answer",
+        };
+        metrics::counter!(PLATFORM_CALLS, "step" => step, "result" => result).increment(1);
+        answer.context(NoAnswerSnafu { step })
+    }
+
     fn check_status(&self, step: &'static str, answer: &CallAnswer) -> Result<(), PlatformError> {
         if answer.status.is_success() {
             return Ok(());
--- a/src/service/fleet/controller.rs
+++ b/src/service/fleet/controller.rs
@@ -11,7 +11,7 @@
 use super::ControllerReport;
 use super::ControllerTerm;
 use super::FleetError;
-use super::backoff::BackoffPause;
+use super::failure_backoff;
 use super::lease::HeldLease;
 use super::round::TermState;
 use super::round::TermTools;
@@ -41,7 +41,7 @@
     senders: &ControllerSenders,
 ) {
     let sync = tools.settings.control.sync;
-    let mut pause = BackoffPause::new(sync);
+    let mut backoff = failure_backoff(sync);
     let mut lease = tools.lease.clone();
     let mut term = None;
     let mut at_once = 0;
@@ -58,7 +58,7 @@
         senders.publish(Some(&held), &term);
         match round(kernel, tools, &mut config, senders, &held, &mut term).await {
             Ok(wrote) => {
-                pause.reset();
+                backoff.reset();
                 at_once = if wrote { at_once + 1 } else { 0 };
                 if !wrote || at_once > MAX_ROUNDS_AT_ONCE {
                     at_once = 0;
@@ -74,7 +74,7 @@
                 if matches!(error, FleetError::Deposed { .. }) {
                     term = None;
                 }
-                sleep(pause.next()).await;
+                sleep(backoff.pause(rand::random())).await;
             }
         }
     }
--- a/src/service/fleet/follow.rs
+++ b/src/service/fleet/follow.rs
@@ -7,10 +7,11 @@
 use tokio::time::sleep;
 
 use super::FleetMessage;
-use super::backoff::BackoffPause;
+use super::failure_backoff;
 use super::store::decode_record;
 use super::store::fleet_key;
 use crate::fleet::FleetRecord;
+use crate::metrics::FLEET_SEQUENCE;
 use crate::platform::KeyValue;
 use crate::platform::PlatformClient;
 use crate::settings::DaemonSettings;
@@ -49,12 +50,12 @@
 
 async fn watch_record(settings: &DaemonSettings, client: &PlatformClient, sender: &RecordSender) {
     let key = fleet_key(&settings.dc);
-    let mut pause = BackoffPause::new(settings.control.sync);
+    let mut backoff = failure_backoff(settings.control.sync);
     let mut index = 0;
     loop {
         match client.watch(&key, index).await {
             Ok(answer) => {
-                pause.reset();
+                backoff.reset();
                 index = answer.index;
                 if let Some(value) = answer.value {
                     publish(sender, &value);
@@ -62,7 +63,7 @@
             }
             Err(error) => {
                 log::warn!(event = "fleet_watch_failed", error:% = error; "");
-                sleep(pause.next()).await;
+                sleep(backoff.pause(rand::random())).await;
             }
         }
     }
@@ -82,6 +83,7 @@
         let newer = record.sequence > known;
         if newer {
             log::info!(event = "fleet_in_force", sequence = record.sequence; "");
+            metrics::gauge!(FLEET_SEQUENCE).set(record.sequence as f64);
             *current = Some(record);
         }
         newer
--- a/src/service/fleet/lease.rs
+++ b/src/service/fleet/lease.rs
@@ -15,10 +15,10 @@
 
 use super::FleetError;
 use super::PlatformSnafu;
+use super::failure_backoff;
 use crate::kernel::ShutdownPhase;
 use crate::kernel::reached;
 use crate::platform::PlatformClient;
-use crate::service::fleet::backoff::BackoffPause;
 use crate::settings::DaemonSettings;
 
 /// Renewals in one time to live.
@@ -61,7 +61,7 @@
     client: &PlatformClient,
     sender: &watch::Sender<Option<HeldLease>>,
 ) {
-    let mut pause = BackoffPause::new(settings.control.sync);
+    let mut backoff = failure_backoff(settings.control.sync);
     let mut index = 0;
     loop {
         let held = sender.borrow().clone();
@@ -71,13 +71,13 @@
         };
         match result {
             Ok(wait) => {
-                pause.reset();
+                backoff.reset();
                 sleep(wait).await;
             }
             Err(error) => {
                 log::warn!(event = "lease_call_failed", error:% = error; "");
                 drop_lapsed(sender);
-                sleep(pause.next()).await;
+                sleep(backoff.pause(rand::random())).await;
             }
         }
     }
--- a/src/service/fleet/mod.rs
+++ b/src/service/fleet/mod.rs
@@ -7,7 +7,6 @@
 //! ledgers, [`operations`] calls the platform and probes VMs, [`follow`] puts
 //! records in force.
 
-mod backoff;
 mod controller;
 mod follow;
 mod lease;
@@ -17,6 +16,7 @@
 mod store;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use snafu::Snafu;
 use tokio::sync::mpsc;
@@ -29,6 +29,8 @@
 use crate::names::NameError;
 use crate::platform::PlatformClient;
 use crate::platform::PlatformError;
+use crate::platform::backoff::BackoffSettings;
+use crate::platform::backoff::BackoffState;
 use crate::service::audit::AuditError;
 use crate::service::config::ConfigView;
 use crate::settings::DaemonSettings;
@@ -46,6 +48,8 @@
 
 /// Name of the service.
 pub const NAME: ServiceName = "fleet";
+/// Longest pause after failed calls, in periods of the rounds.
+const MAX_BACKOFF_PERIODS: u32 = 16;
 
 /// A round of the controller that could not be completed.
 #[derive(Debug)]
@@ -102,3 +106,11 @@
         }
     });
 }
+
+/// Makes the pauses after failed calls, from the period of the rounds upwards.
+fn failure_backoff(sync: Duration) -> BackoffState {
+    BackoffState::new(BackoffSettings {
+        first: sync,
+        most: sync * MAX_BACKOFF_PERIODS,
+    })
+}
