Tests of entry VMs share one set-up

Cause: eight tests of peers_members and peers_outage repeated the same six lines. Change: cluster::sharing_site; no check, bound or wait differs. Conclusion: each test begins with what it is about.

--- a/tests/peers_members.rs
+++ b/tests/peers_members.rs
@@ -12,6 +12,7 @@
 
 use support::DaemonProcess;
 use support::cluster;
+use support::cluster::SharingSite;
 
 const VMS: [&str; 2] = ["vm-1", "vm-2"];
 /// More than two VMs with 8 slots run at 50 ms a request.
@@ -39,12 +40,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn members_join_and_leave() {
-    let platform = support::start_platform().await;
-    let backends = support::start_backends(&platform, "dc", &VMS).await;
-    let plans = cluster::plans("dc", 3);
-    let mut daemons = cluster::start(&plans, 2, &platform);
-    cluster::patch(&daemons[0], 0, cluster::one_pool(&VMS)).await;
-    cluster::all_share(&daemons, 2, 2).await;
+    let SharingSite {
+        platform,
+        backends,
+        plans,
+        mut daemons,
+    } = cluster::sharing_site(&VMS, 3, 2).await;
     // Callers try the third one too, from before it is there.
     let load = cluster::load(&daemons, OVERLOAD, Duration::from_secs(3));
     let load = call::LoadSettings {
@@ -79,12 +80,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn members_restarted() {
-    let platform = support::start_platform().await;
-    let backends = support::start_backends(&platform, "dc", &VMS).await;
-    let plans = cluster::plans("dc", 3);
-    let mut daemons = cluster::start(&plans, 3, &platform);
-    cluster::patch(&daemons[0], 0, cluster::one_pool(&VMS)).await;
-    cluster::all_share(&daemons, 3, 2).await;
+    let SharingSite {
+        platform,
+        backends,
+        plans,
+        mut daemons,
+    } = cluster::sharing_site(&VMS, 3, 3).await;
     let before = roster(&platform);
     daemons.remove(1).kill();
     // Without a word of the platform the dead one keeps its share.
@@ -144,12 +145,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn members_frozen_and_left_out() {
-    let platform = support::start_platform().await;
-    let backends = support::start_backends(&platform, "dc", &VMS).await;
-    let plans = cluster::plans("dc", 4);
-    let mut daemons = cluster::start(&plans, 3, &platform);
-    cluster::patch(&daemons[0], 0, cluster::one_pool(&VMS)).await;
-    cluster::all_share(&daemons, 3, 2).await;
+    let SharingSite {
+        platform,
+        backends,
+        plans,
+        mut daemons,
+    } = cluster::sharing_site(&VMS, 4, 3).await;
     let first = controller(&platform, &daemons).expect("controller");
     let frozen = daemons.remove((first + 1) % 3);
     frozen.signal("STOP");
@@ -186,12 +187,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn members_frozen_in_drain() {
-    let platform = support::start_platform().await;
-    let _backends = support::start_backends(&platform, "dc", &VMS).await;
-    let plans = cluster::plans("dc", 3);
-    let daemons = cluster::start(&plans, 3, &platform);
-    cluster::patch(&daemons[0], 0, cluster::one_pool(&VMS)).await;
-    cluster::all_share(&daemons, 3, 2).await;
+    let SharingSite {
+        platform,
+        backends: _backends,
+        plans: _,
+        daemons,
+    } = cluster::sharing_site(&VMS, 3, 3).await;
     let first = controller(&platform, &daemons).expect("controller");
     let frozen = &daemons[(first + 1) % 3];
     frozen.signal("STOP");
@@ -210,12 +211,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn members_controller_killed() {
-    let platform = support::start_platform().await;
-    let backends = support::start_backends(&platform, "dc", &VMS).await;
-    let plans = cluster::plans("dc", 3);
-    let mut daemons = cluster::start(&plans, 3, &platform);
-    cluster::patch(&daemons[0], 0, cluster::one_pool(&VMS)).await;
-    cluster::all_share(&daemons, 3, 2).await;
+    let SharingSite {
+        platform,
+        backends,
+        plans: _,
+        mut daemons,
+    } = cluster::sharing_site(&VMS, 3, 3).await;
     let first = controller(&platform, &daemons).expect("controller");
     let mut killed = daemons.remove(first);
     killed.kill();
@@ -239,12 +240,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn members_controller_frozen() {
-    let platform = support::start_platform().await;
-    let backends = support::start_backends(&platform, "dc", &VMS).await;
-    let plans = cluster::plans("dc", 3);
-    let daemons = cluster::start(&plans, 3, &platform);
-    cluster::patch(&daemons[0], 0, cluster::one_pool(&VMS)).await;
-    cluster::all_share(&daemons, 3, 2).await;
+    let SharingSite {
+        platform,
+        backends,
+        plans: _,
+        daemons,
+    } = cluster::sharing_site(&VMS, 3, 3).await;
     let first = controller(&platform, &daemons).expect("controller");
     daemons[first].signal("STOP");
     support::eventually("another controller", || async {
--- a/tests/peers_outage.rs
+++ b/tests/peers_outage.rs
@@ -17,6 +17,7 @@
 use support::DaemonPlan;
 use support::DaemonProcess;
 use support::cluster;
+use support::cluster::SharingSite;
 
 const VMS: [&str; 2] = ["vm-1", "vm-2"];
 /// Data centres that share the platform's rates.
@@ -35,12 +36,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn fresh_start_from_peer() {
-    let platform = support::start_platform().await;
-    let backends = support::start_backends(&platform, "dc", &VMS).await;
-    let plans = cluster::plans("dc", 3);
-    let mut daemons = cluster::start(&plans, 2, &platform);
-    cluster::patch(&daemons[0], 0, cluster::one_pool(&VMS)).await;
-    cluster::all_share(&daemons, 2, 2).await;
+    let SharingSite {
+        platform,
+        backends,
+        plans,
+        mut daemons,
+    } = cluster::sharing_site(&VMS, 3, 2).await;
     set_down(&platform, true);
     // Leases lapse.
     sleep(Duration::from_secs(3)).await;
@@ -96,12 +97,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn platform_return_no_stampede() {
-    let platform = support::start_platform().await;
-    let _backends = support::start_backends(&platform, "dc", &VMS).await;
-    let plans = cluster::plans("dc", 3);
-    let daemons = cluster::start(&plans, 3, &platform);
-    cluster::patch(&daemons[0], 0, cluster::one_pool(&VMS)).await;
-    cluster::all_share(&daemons, 3, 2).await;
+    let SharingSite {
+        platform,
+        backends: _backends,
+        plans: _,
+        daemons,
+    } = cluster::sharing_site(&VMS, 3, 3).await;
     set_down(&platform, true);
     sleep(Duration::from_secs(8)).await;
     set_down(&platform, false);
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -63,6 +63,31 @@
     }
 }
 
+/// A data centre `dc` whose entry VMs share the slots of its VMs.
+pub struct SharingSite {
+    pub platform: RunningPlatform,
+    pub backends: Vec<RunningBackend>,
+    /// Plans of all entry VMs, started or not.
+    pub plans: Vec<DaemonPlan>,
+    pub daemons: Vec<DaemonProcess>,
+}
+
+/// Starts a data centre and waits until `started` of the `planned` entry VMs share.
+pub async fn sharing_site(vms: &[&str], planned: usize, started: usize) -> SharingSite {
+    let platform = super::start_platform().await;
+    let backends = super::start_backends(&platform, "dc", vms).await;
+    let plans = plans("dc", planned);
+    let daemons = start(&plans, started, &platform);
+    patch(&daemons[0], 0, one_pool(vms)).await;
+    all_share(&daemons, started, vms.len()).await;
+    SharingSite {
+        platform,
+        backends,
+        plans,
+        daemons,
+    }
+}
+
 /// Returns the load of a test: more than the VMs can run.
 pub fn load(daemons: &[DaemonProcess], rate: f64, length: Duration) -> LoadSettings {
     LoadSettings {
