--- a/src/bin/chicory/entry.rs
+++ b/src/bin/chicory/entry.rs
@@ -82,6 +82,7 @@
         content_type: "application/json",
         body: Bytes::from(body.map(Value::to_string).unwrap_or_default()),
         limit: CALL_LIMIT,
+        ..CallRequest::default()
     };
     let runtime = Runtime::new().context(StartSnafu)?;
     let answer = runtime.block_on(call(peer, request)).context(CallSnafu)?;
--- a/src/http.rs
+++ b/src/http.rs
@@ -20,6 +20,7 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 /// Largest answer that is read, in bytes; four values of the platform in base64.
@@ -28,6 +29,7 @@
 /// A call that brought no whole answer.
 #[derive(Debug)]
 #[derive(Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum CallError {
     /// The peer could not be connected to; nothing was sent.
     #[snafu(display("step=connect peer={peer}: {source}"))]
@@ -80,6 +82,8 @@
     pub path: &'a str,
     /// Type of the body; none is stated if empty.
     pub content_type: &'a str,
+    /// Further headers.
+    pub headers: &'a [(&'static str, String)],
     /// Body.
     pub body: Bytes,
     /// Time allowed for the whole call.
@@ -92,6 +96,7 @@
             method: Method::GET,
             path: "/",
             content_type: "",
+            headers: &[],
             body: Bytes::new(),
             limit: Duration::from_secs(2),
         }
@@ -123,30 +128,53 @@
 }
 
 async fn exchange(peer: SocketAddr, request: CallRequest<'_>) -> Result<CallAnswer, CallError> {
-    let stream = TcpStream::connect(peer).await;
-    let stream = stream.context(ConnectSnafu { peer })?;
-    stream.set_nodelay(true).context(ConnectSnafu { peer })?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.context(ExchangeSnafu { peer })?;
-    let driver = tokio::spawn(connection);
-    let answer = send(peer, &mut sender, request).await;
-    driver.abort();
-    answer
+    let mut connection = OpenConnection::open(peer).await?;
+    send(peer, &mut connection.sender, &request).await
 }
 
-async fn send(
+/// An open connection; its task ends with it.
+#[derive(Debug)]
+pub(crate) struct OpenConnection {
+    pub(crate) sender: http1::SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl OpenConnection {
+    /// Connects to a peer.
+    pub(crate) async fn open(peer: SocketAddr) -> Result<Self, CallError> {
+        let stream = TcpStream::connect(peer).await;
+        let stream = stream.context(ConnectSnafu { peer })?;
+        stream.set_nodelay(true).context(ConnectSnafu { peer })?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.context(ExchangeSnafu { peer })?;
+        let driver = tokio::spawn(connection).abort_handle();
+        Ok(Self { sender, driver })
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Sends one request on an open connection and reads the whole answer.
+pub(crate) async fn send(
     peer: SocketAddr,
     sender: &mut http1::SendRequest<Full<Bytes>>,
-    request: CallRequest<'_>,
+    request: &CallRequest<'_>,
 ) -> Result<CallAnswer, CallError> {
     let mut builder = Request::builder()
-        .method(request.method)
+        .method(request.method.clone())
         .uri(request.path)
         .header(header::HOST, peer.to_string());
     if !request.content_type.is_empty() {
         builder = builder.header(header::CONTENT_TYPE, request.content_type);
     }
-    let message = builder.body(Full::new(request.body));
+    for (name, value) in request.headers {
+        builder = builder.header(*name, value);
+    }
+    let message = builder.body(Full::new(request.body.clone()));
     let message = message.context(BuildSnafu { peer })?;
     let response = sender.send_request(message).await;
     let (parts, body) = response.context(ExchangeSnafu { peer })?.into_parts();
--- /dev/null
+++ b/src/jobs/admit.rs
@@ -0,0 +1,96 @@
+//! Whether a submission is taken: projected completion against its objective.
+//!
+//! A job that would be late for sure only takes room from others, and its caller
+//! is better off knowing at once. Nothing is refused while workers are free.
+
+use crate::jobs::callers::Submission;
+use crate::jobs::engine::JobEngine;
+use crate::jobs::place::remaining;
+use crate::jobs::types::JobSpec;
+
+/// A submission is refused if its projected time is this many times its objective;
+/// estimates are off by half either way.
+const REFUSE_FACTOR: f64 = 2.5;
+
+/// Shortest and longest advice when to come back, in milliseconds. Callers give up
+/// after seconds, so longer advice is none.
+const RETRY_MS: (u64, u64) = (300, 3000);
+
+/// State of a pool as far as admission needs it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PoolLoad {
+    /// Processor of the workers that take work, in thousandths of a core.
+    pub room: f64,
+    /// Of this, free.
+    pub free: f64,
+    /// Remaining work of accepted jobs, in milliseconds of a thousandth of a core.
+    pub backlog: f64,
+}
+
+impl JobEngine {
+    /// Decides on a submission.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time after which to come back, in milliseconds.
+    pub(crate) fn admit(&mut self, submission: &Submission, now: u64) -> Result<(), u64> {
+        let queue = self.config.queue(&submission.queue);
+        let pool = queue.map_or(submission.pool.clone(), |queue| queue.pool.clone());
+        let (slack, target_ms) = queue.map_or((1.0, 0), |queue| (queue.slack, queue.target_ms));
+        let spec = &submission.spec;
+        if spec.lasts() || spec.schedule.is_some() {
+            return Ok(());
+        }
+        let load = self.pool_load(&pool, now);
+        let objective_ms = spec.chain_ms() as f64 * slack.max(1.0) + target_ms as f64;
+        let verdict = judge(&load, spec, objective_ms);
+        if let Err(retry_ms) = verdict {
+            log::info!(
+                event = "job_refused", job = &*submission.id, reason = "late",
+                pool = pool.as_str(), room = load.room as u64, backlog = load.backlog as u64,
+                objective_ms = objective_ms as u64, retry_ms = retry_ms; ""
+            );
+            return verdict;
+        }
+        let work = submission.spec.work();
+        self.note_work(&submission.queue, work);
+        self.note_arrival(&pool, work, now);
+        verdict
+    }
+
+    /// Sums up a pool.
+    #[must_use]
+    pub fn pool_load(&self, pool: &str, now: u64) -> PoolLoad {
+        let mut load = PoolLoad::default();
+        for view in self.workers.values() {
+            if view.entry.pool == pool && view.takes_work(now) {
+                load.room += view.entry.room.cpu as f64;
+                load.free += view.free().cpu as f64;
+            }
+        }
+        for job in self.jobs.values() {
+            if !job.state.is_final() && self.pool_of(job) == pool && !job.body.spec.lasts() {
+                load.backlog += remaining(job).0 as f64;
+            }
+        }
+        load
+    }
+}
+
+/// Judges a submission against the load of its pool.
+///
+/// # Errors
+///
+/// Fails with the time after which to come back, in milliseconds.
+pub fn judge(load: &PoolLoad, spec: &JobSpec, objective_ms: f64) -> Result<(), u64> {
+    if load.room <= 0.0 || load.free > 0.0 && load.backlog < load.room {
+        return Ok(());
+    }
+    let wait_ms = load.backlog / load.room;
+    let projected_ms = wait_ms + spec.chain_ms() as f64;
+    if projected_ms <= objective_ms * REFUSE_FACTOR {
+        return Ok(());
+    }
+    let excess_ms = projected_ms - objective_ms;
+    Err((excess_ms as u64).clamp(RETRY_MS.0, RETRY_MS.1))
+}
--- /dev/null
+++ b/src/jobs/callers.rs
@@ -0,0 +1,123 @@
+//! What callers ask: submissions, states, cancellations, counts.
+
+use crate::jobs::engine::CallerAnswer;
+use crate::jobs::engine::JobEngine;
+use crate::jobs::engine::TimePair;
+use crate::jobs::engine::WaiterId;
+use crate::jobs::job::JobEntry;
+use crate::jobs::record::BodyRecord;
+use crate::jobs::types::JobId;
+use crate::jobs::types::JobSpec;
+use crate::jobs::types::JobState;
+
+/// When to come back while the store takes no commits, in milliseconds; its
+/// outages last seconds.
+const STORE_RETRY_MS: u64 = 1000;
+
+/// A job as it was handed in.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// Identifier.
+    pub id: JobId,
+    /// Queue.
+    pub queue: String,
+    /// Pool that the receiving entry VM knows for the queue.
+    pub pool: String,
+    /// The job.
+    pub spec: JobSpec,
+}
+
+impl JobEngine {
+    /// Takes a submission; the answer follows once the job is stored.
+    pub fn submit(&mut self, submission: Submission, waiter: WaiterId, time: TimePair) {
+        let id = submission.id.clone();
+        if self.ended.contains_key(&id) {
+            return self.answer(waiter, CallerAnswer::Accepted);
+        }
+        if let Some(job) = self.jobs.get(&id) {
+            if job.stored > 0 {
+                return self.answer(waiter, CallerAnswer::Accepted);
+            }
+            return self.wait_stored(&id, 1, waiter, CallerAnswer::Accepted);
+        }
+        if let Some(fault) = submission.spec.fault() {
+            log::info!(event = "job_invalid", job = &*id, fault = fault.as_str(); "");
+            return self.answer(waiter, CallerAnswer::Invalid);
+        }
+        if let Some(since_ms) = self.store_down_ms {
+            let down_ms = time.boot.saturating_sub(since_ms);
+            log::info!(event = "job_refused", job = &*id, reason = "store_down", down_ms = down_ms; "");
+            let retry_ms = STORE_RETRY_MS;
+            return self.answer(waiter, CallerAnswer::Refused { retry_ms });
+        }
+        if let Err(retry_ms) = self.admit(&submission, time.boot) {
+            return self.answer(waiter, CallerAnswer::Refused { retry_ms });
+        }
+        let queue = self.config.queue(&submission.queue);
+        let body = BodyRecord {
+            queue: submission.queue,
+            pool: queue.map_or(submission.pool, |queue| queue.pool.clone()),
+            submitted_ms: time.unix,
+            spec: submission.spec,
+        };
+        let mut job = JobEntry::new(id.clone(), body, time.boot);
+        job.open_due(time.boot, time.unix + self.settings.early_ms);
+        self.jobs.insert(id.clone(), job);
+        self.unplaced.insert(id.clone());
+        self.plan_due = true;
+        self.mark(&id, time.boot);
+        self.wait_stored(&id, 1, waiter, CallerAnswer::Accepted);
+    }
+
+    /// Returns the state of a job as far as it is stored.
+    pub fn query(&mut self, id: &JobId, waiter: WaiterId) {
+        let answer = if let Some(ended) = self.ended.get(id) {
+            CallerAnswer::State(ended.state)
+        } else {
+            match self.jobs.get(id) {
+                None => CallerAnswer::Unknown,
+                Some(job) if job.stored == 0 => CallerAnswer::Unknown,
+                Some(job) if job.state.is_final() && job.stored < job.version => {
+                    CallerAnswer::State(JobState::Running)
+                }
+                Some(job) => CallerAnswer::State(job.state),
+            }
+        };
+        self.answer(waiter, answer);
+    }
+
+    /// Cancels a job; the answer follows once that is stored.
+    pub fn cancel(&mut self, id: &JobId, waiter: WaiterId, now: u64) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            let known = self.ended.contains_key(id);
+            let answer = if known { CallerAnswer::Cancelled } else { CallerAnswer::Unknown };
+            return self.answer(waiter, answer);
+        };
+        if !job.state.is_final() {
+            job.state = JobState::Cancelled;
+            job.touch();
+            log::info!(event = "job_cancelled", job = &**id, age_ms = now.saturating_sub(job.came_ms); "");
+        }
+        let version = job.version;
+        if job.stored >= version {
+            return self.answer(waiter, CallerAnswer::Cancelled);
+        }
+        self.mark(id, now);
+        self.wait_stored(id, version, waiter, CallerAnswer::Cancelled);
+    }
+
+    /// Counts the accepted jobs of a queue for which nothing has started.
+    pub fn pending(&mut self, queue: &str, waiter: WaiterId) {
+        let jobs = self.jobs.values();
+        let queued = jobs.filter(|job| {
+            job.body.queue == queue && job.state == JobState::Queued && job.stored > 0
+        });
+        let count = queued.count() as u64;
+        self.answer(waiter, CallerAnswer::Pending(count));
+    }
+
+    fn wait_stored(&mut self, id: &JobId, version: u64, waiter: WaiterId, answer: CallerAnswer) {
+        let waiting = self.waiting.entry(id.clone()).or_default();
+        waiting.push((version, waiter, answer));
+    }
+}
--- /dev/null
+++ b/src/jobs/fleet.rs
@@ -0,0 +1,499 @@
+//! The fleet of a shard: list of VMs, maintenance waves and orders under way.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::jobs::engine::Action;
+use crate::jobs::engine::JobEngine;
+use crate::jobs::record::EncodeError;
+use crate::jobs::record::ShardKeys;
+use crate::jobs::record::WaveRecord;
+use crate::jobs::record::encode;
+use crate::jobs::types::TaskId;
+use crate::jobs::types::WorkerState;
+use crate::jobs::wave::WaveOrder;
+use crate::jobs::wave::WaveProgress;
+use crate::jobs::writes::WriteBatch;
+use crate::ports::FleetCall;
+use crate::ports::FleetReply;
+use crate::ports::fleet::MachineRow;
+use crate::ports::fleet::MachineState;
+
+/// Time between two readings of the list, in milliseconds, while nothing is under way.
+const LIST_MS: u64 = 3000;
+
+/// Likewise while VMs move or are in maintenance.
+const LIST_BUSY_MS: u64 = 400;
+
+/// Pause after an order that was refused or not answered, in milliseconds.
+const ORDER_PAUSE_MS: u64 = 500;
+
+/// VMs of a wave that are emptied ahead of the one whose turn it is, for each that
+/// may be down.
+const EMPTY_AHEAD: usize = 1;
+
+/// How long a wave waits for the last tasks on a VM, in milliseconds; most end
+/// within this time by themselves.
+const EMPTY_WAIT_MS: u64 = 4000;
+
+/// An order for a VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MachineOrder {
+    /// To another pool.
+    Move(String),
+    /// Maintenance for a wave.
+    Maintain(u64),
+}
+
+/// An order under way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderState {
+    /// What is ordered.
+    pub order: MachineOrder,
+    /// When the emptying began, on the boot clock.
+    pub since_ms: u64,
+    /// Whether a call is under way.
+    pub calling: bool,
+    /// No call before this time on the boot clock.
+    pub not_before_ms: u64,
+    /// When it was carried out, on the boot clock.
+    pub done_ms: Option<u64>,
+}
+
+/// VMs, waves and orders.
+#[derive(Clone, Debug, Default)]
+pub struct FleetBoard {
+    /// VMs by name, as last listed.
+    pub rows: BTreeMap<String, MachineRow>,
+    /// When the list was last read in full, on the boot clock.
+    pub listed_ms: Option<u64>,
+    /// Whether a reading is under way, and since when.
+    pub listing_ms: Option<u64>,
+    /// Pages read so far.
+    pub pages: Vec<MachineRow>,
+    /// Waves.
+    pub waves: BTreeMap<u64, WaveProgress>,
+    /// Orders under way by VM.
+    pub orders: BTreeMap<String, OrderState>,
+    /// Whether there is a list of VMs to call.
+    pub enabled: bool,
+    /// Workers of VMs that are due for maintenance.
+    pub due_workers: BTreeSet<String>,
+}
+
+impl FleetBoard {
+    /// Tells whether a worker's VM is due for maintenance.
+    #[must_use]
+    pub fn is_due(&self, worker: &str) -> bool {
+        self.due_workers.contains(worker)
+    }
+
+    /// Returns when a wave's record is to be stored; at once, if any.
+    #[must_use]
+    pub fn write_due(&self) -> Option<u64> {
+        self.waves.values().any(|wave| wave.dirty).then_some(0)
+    }
+
+    pub(crate) fn take_writes(&mut self, keys: ShardKeys, batch: &mut WriteBatch) -> Result<(), EncodeError> {
+        for (number, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.dirty) {
+            let key = format!("{}{number}", keys.waves());
+            batch.writes.push(crate::ports::store::StoreWrite {
+                key,
+                value: encode(&wave.record)?,
+                lease: 0,
+            });
+            batch.waves.push((*number, wave.record.clone()));
+            wave.dirty = false;
+        }
+        Ok(())
+    }
+
+    pub(crate) fn written(&mut self, batch: &WriteBatch) {
+        for (number, record) in &batch.waves {
+            log::info!(
+                event = "wave_stored", wave = number, ordered = record.ordered.len(),
+                complete = record.complete; ""
+            );
+        }
+    }
+
+    pub(crate) fn not_written(&mut self, batch: &WriteBatch) {
+        for (number, _) in &batch.waves {
+            if let Some(wave) = self.waves.get_mut(number) {
+                wave.dirty = true;
+            }
+        }
+    }
+
+    /// Returns the VM of a worker.
+    #[must_use]
+    pub fn machine_of(&self, worker: &str) -> Option<&MachineRow> {
+        self.rows.values().find(|row| row.worker == worker)
+    }
+
+    fn note_due(&mut self) {
+        let waves = self.waves.values().filter(|wave| !wave.record.complete);
+        let due: BTreeSet<&String> = waves.flat_map(WaveProgress::due).collect();
+        let rows = self.rows.values().filter(|row| due.contains(&row.machine));
+        self.due_workers = rows.map(|row| row.worker.clone()).collect();
+    }
+}
+
+impl JobEngine {
+    /// Takes in a requested wave.
+    pub fn set_wave(&mut self, order: WaveOrder, record: Option<WaveRecord>, now: u64) {
+        let number = order.wave;
+        if self.fleet.waves.contains_key(&number) {
+            return;
+        }
+        log::info!(
+            event = "wave_requested", wave = number, vms = order.machines.len(),
+            most = order.most, limit_s = order.limit_s, taken_over = record.is_some(); ""
+        );
+        let dirty = record.is_none();
+        let record = record.unwrap_or_default();
+        // Those ordered by a former owner may still be down.
+        let down = if record.complete { BTreeSet::new() } else { record.ordered.iter().cloned().collect() };
+        self.fleet.waves.insert(number, WaveProgress {
+            order,
+            record,
+            down,
+            dirty,
+            seen_ms: now,
+            ..WaveProgress::default()
+        });
+        self.fleet.listed_ms = None;
+    }
+
+    /// Plans moves and maintenance and gives the orders that are due.
+    pub(crate) fn plan_fleet(&mut self, now: u64) {
+        if !self.fleet.enabled || self.deposed {
+            return;
+        }
+        self.list_machines(now);
+        if self.fleet.listed_ms.is_none() {
+            return;
+        }
+        self.fleet.note_due();
+        self.follow_waves();
+        self.plan_waves(now);
+        self.plan_moves(now);
+        self.empty_machines(now);
+        self.give_orders(now);
+    }
+
+    fn list_machines(&mut self, now: u64) {
+        let busy = self.fleet.orders.values().any(|order| order.done_ms.is_some())
+            || self.fleet.waves.values().any(|wave| !wave.down.is_empty());
+        let period_ms = if busy { LIST_BUSY_MS } else { LIST_MS };
+        let stale = self.fleet.listed_ms.is_none_or(|at| now >= at + period_ms);
+        if stale && self.fleet.listing_ms.is_none() {
+            self.fleet.listing_ms = Some(now);
+            self.fleet.pages.clear();
+            let page = String::new();
+            self.actions.push(Action::Fleet(FleetCall::List { page }));
+        }
+    }
+
+    /// Takes in what became of a call to the list of VMs; none if not answered.
+    pub fn fleet_called(&mut self, call: &FleetCall, reply: Option<FleetReply>, now: u64) {
+        match call {
+            FleetCall::List { .. } => self.machines_listed(reply, now),
+            FleetCall::Move { machine, .. } | FleetCall::Maintain { machine, .. } => {
+                self.machine_ordered(machine, reply, now);
+            }
+        }
+    }
+
+    fn machines_listed(&mut self, reply: Option<FleetReply>, now: u64) {
+        let Some(FleetReply::Page { rows, next }) = reply else {
+            log::info!(event = "list_failed", reply:? = reply; "");
+            self.fleet.listing_ms = None;
+            self.fleet.listed_ms = self.fleet.listed_ms.map(|_| now);
+            return;
+        };
+        self.fleet.pages.extend(rows);
+        if !next.is_empty() {
+            self.actions.push(Action::Fleet(FleetCall::List { page: next }));
+            return;
+        }
+        let started_ms = self.fleet.listing_ms.take().unwrap_or(now);
+        let rows = std::mem::take(&mut self.fleet.pages);
+        self.fleet.rows = rows.into_iter().map(|row| (row.machine.clone(), row)).collect();
+        self.fleet.listed_ms = Some(now);
+        let (move_ms, maintenance_ms) = (self.settings.move_ms, self.settings.maintenance_ms);
+        let rows = &self.fleet.rows;
+        let mut back = Vec::new();
+        self.fleet.orders.retain(|machine, order| {
+            let Some(done_ms) = order.done_ms else {
+                return rows.contains_key(machine);
+            };
+            let takes_ms = match order.order {
+                MachineOrder::Move(_) => move_ms,
+                MachineOrder::Maintain(_) => maintenance_ms,
+            };
+            let up = rows.get(machine).is_none_or(|row| row.state == MachineState::Up);
+            let ended = up && started_ms > done_ms + takes_ms / 2;
+            if ended {
+                back.push(machine.clone());
+            }
+            !ended
+        });
+        let orders = &self.fleet.orders;
+        for wave in self.fleet.waves.values_mut() {
+            wave.down.retain(|machine| {
+                let under_way = orders.contains_key(machine);
+                let up = rows.get(machine).is_none_or(|row| row.state == MachineState::Up);
+                under_way || !up
+            });
+            let missing = wave.order.machines.iter().filter(|machine| !rows.contains_key(*machine));
+            let missing: Vec<String> = missing.cloned().collect();
+            wave.gone.extend(missing);
+        }
+        for machine in back {
+            log::info!(event = "vm_back", vm = machine.as_str(); "");
+        }
+        self.plan_due = true;
+    }
+
+    fn follow_waves(&mut self) {
+        for (number, wave) in &mut self.fleet.waves {
+            if wave.is_finished() && !wave.record.complete {
+                log::info!(event = "wave_complete", wave = number; "");
+                wave.record.complete = true;
+                wave.dirty = true;
+            }
+        }
+    }
+
+    /// Chooses the VMs that are emptied for maintenance next.
+    fn plan_waves(&mut self, now: u64) {
+        let mut chosen = Vec::new();
+        for (number, wave) in &self.fleet.waves {
+            if wave.record.complete {
+                continue;
+            }
+            let emptying = |machine: &&String| {
+                self.fleet.orders.get(*machine).is_some_and(|order| order.done_ms.is_none())
+            };
+            let emptied = wave.due().filter(emptying).count();
+            let most = wave.order.most.max(1);
+            let wanted = (wave.room() + most * EMPTY_AHEAD).saturating_sub(emptied);
+            let mut due: Vec<(u64, &String)> = Vec::new();
+            for machine in wave.due().filter(|machine| !self.fleet.orders.contains_key(*machine)) {
+                let row = self.fleet.rows.get(machine);
+                if let Some(row) = row.filter(|row| row.state == MachineState::Up) {
+                    due.push((self.empty_cost(row), machine));
+                }
+            }
+            due.sort_unstable();
+            chosen.extend(due.into_iter().take(wanted).map(|(_, machine)| (machine.clone(), *number)));
+        }
+        for (machine, wave) in chosen {
+            self.begin_order(&machine, MachineOrder::Maintain(wave), now);
+        }
+    }
+
+    /// Cost of emptying a VM; the least is taken first.
+    fn empty_cost(&self, row: &MachineRow) -> u64 {
+        let Some(view) = self.workers.get(&row.worker) else {
+            return 0;
+        };
+        let crowd = self.crowd_at(view);
+        u64::from(crowd.lasting) * 100 + view.runs.len() as u64
+    }
+
+    pub(crate) fn begin_order(&mut self, machine: &str, order: MachineOrder, now: u64) {
+        log::info!(event = "vm_emptying", vm = machine, order:? = order; "");
+        if let Some(row) = self.fleet.rows.get(machine)
+            && let Some(view) = self.workers.get_mut(&row.worker)
+        {
+            view.evacuating = true;
+        }
+        self.fleet.orders.insert(machine.to_owned(), OrderState {
+            order,
+            since_ms: now,
+            calling: false,
+            not_before_ms: now,
+            done_ms: None,
+        });
+    }
+
+    /// Stops lasting tasks on VMs that are being emptied or whose worker drains, as
+    /// far as their steps allow.
+    fn empty_machines(&mut self, now: u64) {
+        let orders = self.fleet.orders.iter().filter(|(_, order)| order.done_ms.is_none());
+        let emptied = orders.filter_map(|(machine, _)| self.fleet.rows.get(machine));
+        let mut workers: Vec<String> = emptied.map(|row| row.worker.clone()).collect();
+        for worker in &workers {
+            if let Some(view) = self.workers.get_mut(worker) {
+                view.evacuating = true;
+            }
+        }
+        let draining = self.workers.iter().filter(|(_, view)| view.entry.state == WorkerState::Draining);
+        workers.extend(draining.map(|(id, _)| id.clone()));
+        for worker in workers {
+            let Some(view) = self.workers.get(&worker) else {
+                continue;
+            };
+            let runs: Vec<_> = view.runs.iter().cloned().collect();
+            for (task, run) in runs {
+                if self.may_evict(&task, &worker, run, now) {
+                    log::info!(event = "run_evicted", task:% = task, run = run, worker = worker.as_str(); "");
+                    self.stop_run(&task, &worker, run);
+                }
+            }
+        }
+    }
+
+    /// Tells whether a lasting run may be stopped now to run elsewhere.
+    fn may_evict(&mut self, task: &TaskId, worker: &str, run: u32, now: u64) -> bool {
+        let phase = self.run_phase(task, worker, run);
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let Some(spec) = job.step_spec(task).filter(|spec| spec.lasting).cloned() else {
+            return false;
+        };
+        if phase.is_none_or(crate::jobs::job::RunPhase::is_stopping) {
+            return false;
+        }
+        let steps = job.open.get(&task.occurrence);
+        let Some(step) = steps.and_then(|steps| steps.get(task.step as usize)) else {
+            return false;
+        };
+        let others = step.tasks.iter().enumerate().filter(|(index, _)| *index as u32 != task.index);
+        let away = others.filter(|(_, state)| {
+            !state.placed.iter().any(|run| {
+                let heard = self.workers.get(&run.worker).is_some_and(|view| view.misses == 0);
+                run.percent >= 100 && heard && !run.phase.is_stopping()
+            })
+        });
+        let away = away.count() as u32;
+        if spec.may_miss.is_some_and(|most| away >= most) {
+            return false;
+        }
+        let pool = self.pool_of(job).to_owned();
+        self.choose_worker(task, &pool, &spec, false, now).is_some()
+    }
+
+    /// Calls for the orders whose VM is empty.
+    fn give_orders(&mut self, now: u64) {
+        if now < self.started_ms + self.settings.fleet_wait_ms {
+            return;
+        }
+        let mut room: BTreeMap<u64, usize> = BTreeMap::new();
+        for (number, wave) in &self.fleet.waves {
+            let calling = self.fleet.orders.values().filter(|order| {
+                order.calling && order.order == MachineOrder::Maintain(*number)
+            });
+            room.insert(*number, wave.room().saturating_sub(calling.count()));
+        }
+        let mut calls = Vec::new();
+        for (machine, order) in &self.fleet.orders {
+            let idle = order.done_ms.is_none() && !order.calling && now >= order.not_before_ms;
+            let Some(row) = self.fleet.rows.get(machine).filter(|_| idle) else {
+                continue;
+            };
+            if row.state != MachineState::Up || !self.is_empty(row, order, now) {
+                continue;
+            }
+            if let MachineOrder::Maintain(wave) = &order.order {
+                let Some(left) = room.get_mut(wave).filter(|left| **left > 0) else {
+                    continue;
+                };
+                *left -= 1;
+            }
+            calls.push((machine.clone(), order.order.clone()));
+        }
+        for (machine, order) in calls {
+            if let Some(state) = self.fleet.orders.get_mut(&machine) {
+                state.calling = true;
+            }
+            let (holder, epoch) = (self.settings.holder.clone(), self.epoch);
+            log::info!(event = "vm_ordered", vm = machine.as_str(), order:? = order, epoch = epoch; "");
+            self.actions.push(Action::Fleet(match order {
+                MachineOrder::Move(pool) => FleetCall::Move { machine, pool, holder, epoch },
+                MachineOrder::Maintain(wave) => FleetCall::Maintain { machine, wave, holder, epoch },
+            }));
+        }
+    }
+
+    /// Tells whether an order may be given: nothing runs on the VM, or only tasks
+    /// that a wave does not wait for.
+    fn is_empty(&self, row: &MachineRow, order: &OrderState, now: u64) -> bool {
+        let Some(view) = self.workers.get(&row.worker) else {
+            return true;
+        };
+        if view.runs.is_empty() {
+            return true;
+        }
+        let patient = matches!(order.order, MachineOrder::Move(_)) || now < order.since_ms + EMPTY_WAIT_MS;
+        !patient && self.crowd_at(view).lasting == 0
+    }
+
+    fn machine_ordered(&mut self, machine: &str, reply: Option<FleetReply>, now: u64) {
+        let Some(order) = self.fleet.orders.get_mut(machine) else {
+            return;
+        };
+        order.calling = false;
+        let kind = order.order.clone();
+        log::info!(event = "vm_order_answered", vm = machine, order:? = kind, reply:? = reply; "");
+        match reply {
+            Some(FleetReply::Done) => {
+                order.done_ms = Some(now);
+                self.machine_left(machine, &kind, now);
+            }
+            Some(FleetReply::Refused { status: 400, .. }) => {
+                self.fleet.orders.remove(machine);
+                for wave in self.fleet.waves.values_mut() {
+                    if kind == MachineOrder::Maintain(wave.order.wave) {
+                        wave.gone.insert(machine.to_owned());
+                    }
+                }
+            }
+            _ => {
+                // It may have been carried out; repeating it does no harm.
+                order.not_before_ms = now + ORDER_PAUSE_MS;
+                if let MachineOrder::Move(_) = kind {
+                    self.cancel_order(machine);
+                }
+            }
+        }
+    }
+
+    fn cancel_order(&mut self, machine: &str) {
+        self.fleet.orders.remove(machine);
+        self.fleet.listed_ms = self.fleet.listed_ms.map(|_| 0);
+        if let Some(row) = self.fleet.rows.get(machine)
+            && let Some(view) = self.workers.get_mut(&row.worker)
+        {
+            view.evacuating = false;
+        }
+    }
+
+    /// Takes in that a VM has left its pool: its worker runs nothing any more.
+    fn machine_left(&mut self, machine: &str, order: &MachineOrder, now: u64) {
+        let Some(row) = self.fleet.rows.get_mut(machine) else {
+            return;
+        };
+        let worker = row.worker.clone();
+        match order {
+            MachineOrder::Move(pool) => {
+                row.state = MachineState::Moving;
+                row.pool.clone_from(pool);
+            }
+            MachineOrder::Maintain(number) => {
+                row.state = MachineState::Maintenance;
+                if let Some(wave) = self.fleet.waves.get_mut(number) {
+                    wave.record.ordered.push(machine.to_owned());
+                    wave.down.insert(machine.to_owned());
+                    wave.dirty = true;
+                }
+            }
+        }
+        if !worker.is_empty() {
+            self.lose_runs(&worker, "vm_ordered", now);
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/holds.rs
@@ -0,0 +1,504 @@
+//! Workers' entries, leases and lists of runs.
+
+use std::collections::BTreeMap;
+
+use crate::jobs::engine::CallToken;
+use crate::jobs::engine::JobEngine;
+use crate::jobs::job::RunEnding;
+use crate::jobs::job::RunPhase;
+use crate::jobs::types::RunEnd;
+use crate::jobs::types::StepSpec;
+use crate::jobs::types::TaskId;
+use crate::jobs::worker::ClockSample;
+use crate::jobs::worker::PendingEnd;
+use crate::jobs::worker::WorkerView;
+use crate::ports::WorkerEntry;
+use crate::ports::WorkerReply;
+use crate::ports::worker::EndedRow;
+use crate::ports::worker::RefusalReason;
+use crate::ports::worker::RunningRow;
+use crate::ports::worker::WorkerOrder;
+
+/// Calls without an answer after which the pause between calls is longest.
+const MOST_MISSES: u32 = 5;
+
+/// Longest wait of a call for the lists of a worker without runs, in milliseconds;
+/// the longest that the platform allows.
+const IDLE_WAIT_MS: u64 = 2000;
+
+/// Longest wait while tasks that serve and tasks that fill share a worker, in
+/// milliseconds; loads are figures of the last half second.
+const SHARED_WAIT_MS: u64 = 500;
+
+/// How long the next call waits for the last ends to be stored, in milliseconds.
+/// Until then the worker would list them again at once.
+const STORE_WAIT_MS: u64 = 150;
+
+/// Most failures that are remembered against a worker.
+pub(crate) const MOST_DEMERITS: u32 = 6;
+
+/// Failures in a row of tasks that had not failed elsewhere, after which a worker is
+/// set aside.
+pub(crate) const ASIDE_DEMERITS: u32 = 3;
+
+/// How long a worker is set aside for each failure above the limit, in
+/// milliseconds; a trial follows.
+pub(crate) const ASIDE_MS: u64 = 2000;
+
+impl JobEngine {
+    /// Takes in a worker's entry.
+    pub fn worker_listed(&mut self, entry: WorkerEntry, now: u64) {
+        self.plan_due = true;
+        let Some(view) = self.workers.get_mut(&entry.id) else {
+            log::info!(
+                event = "worker_found", worker = entry.id.as_str(), pool = entry.pool.as_str(),
+                address:% = entry.address, born_ms = entry.born_ms; ""
+            );
+            let (id, born_ms) = (entry.id.clone(), entry.born_ms);
+            self.workers.insert(id.clone(), WorkerView::new(entry, now));
+            self.book_orphans(&id, born_ms);
+            return;
+        };
+        let reborn = entry.born_ms > view.entry.born_ms && view.entry.born_ms > 0;
+        if entry.born_ms < view.entry.born_ms {
+            // An entry of an earlier life, such as a late write.
+            return;
+        }
+        if entry.state != view.entry.state {
+            log::info!(
+                event = "worker_state", worker = entry.id.as_str(),
+                state:? = entry.state, leaves_in_ms = entry.leaves_in_ms; ""
+            );
+        }
+        view.unlisted_ms = None;
+        let id = entry.id.clone();
+        if reborn {
+            self.renew_worker(&id, entry, now);
+        } else {
+            view.entry = entry;
+        }
+    }
+
+    /// Books inherited runs at a worker whose entry was missing so far.
+    fn book_orphans(&mut self, worker: &str, born_ms: u64) {
+        let found: Vec<_> = self.orphans.extract_if(.., |(_, at, _)| at == worker).collect();
+        for (task, _, run) in found {
+            let job = self.jobs.get(&task.job);
+            let need = job.and_then(|job| job.step_spec(&task)).map(StepSpec::counted);
+            if let Some(view) = self.workers.get_mut(worker) {
+                log::info!(event = "run_booked", task:% = task, run = run, worker = worker, born_ms = born_ms; "");
+                view.runs.insert((task, run));
+                view.used.add(&need.unwrap_or_default());
+            }
+        }
+    }
+
+    /// Takes in that a worker's entry is gone.
+    pub fn worker_unlisted(&mut self, worker: &str, now: u64) {
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.unlisted_ms.get_or_insert(now);
+            log::info!(event = "worker_unlisted", worker = worker, runs = view.runs.len(); "");
+        }
+    }
+
+    /// Takes in all entries; workers without one count as unlisted.
+    pub fn workers_synced(&mut self, listed: Vec<WorkerEntry>, now: u64) {
+        let names: Vec<String> = listed.iter().map(|entry| entry.id.clone()).collect();
+        for entry in listed {
+            self.worker_listed(entry, now);
+        }
+        let known: Vec<String> = self.workers.keys().cloned().collect();
+        for worker in known.iter().filter(|worker| !names.contains(worker)) {
+            let listed = self.workers.get(worker).is_some_and(|view| view.unlisted_ms.is_none());
+            if listed {
+                self.worker_unlisted(worker, now);
+            }
+        }
+    }
+
+    /// Starts a new life of a worker: nothing of the former one runs any more.
+    fn renew_worker(&mut self, worker: &str, entry: WorkerEntry, now: u64) {
+        log::info!(event = "worker_reborn", worker = worker, born_ms = entry.born_ms; "");
+        self.lose_runs(worker, "reborn", now);
+        self.workers.insert(worker.to_owned(), WorkerView::new(entry, now));
+    }
+
+    /// Gives up all runs at a worker: its lease has lapsed or its life has ended.
+    pub(crate) fn lose_runs(&mut self, worker: &str, reason: &str, now: u64) {
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let runs: Vec<_> = view.runs.iter().cloned().collect();
+        for (task, run) in runs {
+            log::info!(
+                event = "run_lost", task:% = task, run = run, worker = worker, reason = reason; ""
+            );
+            let reserved = self.run_phase(&task, worker, run);
+            self.release_run(&task, worker, run);
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                if let Some(state) = job.task_mut(&task) {
+                    state.ended_ms = now;
+                    if !matches!(reserved, Some(RunPhase::Reserved(_))) {
+                        state.lost.push(run);
+                    }
+                }
+                job.touch();
+            }
+            self.mark(&task.job, now + self.settings.flush_ms);
+            self.settle(&task.job, now);
+        }
+    }
+
+    pub(crate) fn run_phase(&self, task: &TaskId, worker: &str, run: u32) -> Option<RunPhase> {
+        let state = self.jobs.get(&task.job)?.task(task)?;
+        let mut placed = state.placed.iter();
+        let placed = placed.find(|placed| placed.run == run && placed.worker == worker);
+        placed.map(|placed| placed.phase)
+    }
+
+    /// Gives up runs at workers whose lease has surely ended.
+    pub(crate) fn lapse_workers(&mut self, now: u64) {
+        let grace = self.settings.entry_grace_ms;
+        let mut lapsed = Vec::new();
+        let mut gone = Vec::new();
+        for (id, view) in &self.workers {
+            let silent = view.misses > 0 || view.contact_ms.is_none();
+            // Without a contact under this epoch the former owner may have renewed
+            // the lease until its own ended.
+            let lapse_ms = match view.contact_ms {
+                Some(_) => view.lapse_ms().unwrap_or(self.inherit_ms),
+                None => self.inherit_ms,
+            };
+            if silent && !view.runs.is_empty() && now > lapse_ms {
+                lapsed.push(id.clone());
+            }
+            let unlisted = view.unlisted_ms.is_some_and(|since| now > since + grace);
+            if unlisted && silent && view.runs.is_empty() && view.pending.is_empty() {
+                gone.push(id.clone());
+            }
+        }
+        for worker in lapsed {
+            self.lose_runs(&worker, "lapsed", now);
+        }
+        for worker in gone {
+            log::info!(event = "worker_gone", worker = worker.as_str(); "");
+            self.workers.remove(&worker);
+        }
+    }
+
+    /// Calls for the lists of all workers whose turn has come.
+    pub(crate) fn hold_workers(&mut self, now: u64) {
+        let workers: Vec<String> = self.workers.keys().cloned().collect();
+        for worker in workers {
+            self.hold_worker(&worker, now);
+        }
+    }
+
+    pub(crate) fn hold_worker(&mut self, worker: &str, now: u64) {
+        if self.deposed {
+            return;
+        }
+        let (lease_ms, wait_ms) = (self.settings.lease_ms, self.settings.hold_wait_ms);
+        let grace = self.settings.entry_grace_ms;
+        let shared = self.is_shared(worker);
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let unstored = !view.pending.is_empty() && now < view.hold_at_ms + STORE_WAIT_MS;
+        if view.holding || now < view.hold_at_ms || unstored {
+            return;
+        }
+        // A worker whose entry stays away is not kept alive any longer.
+        let kept = view.unlisted_ms.is_none_or(|since| now < since + grace);
+        let lease = (kept && !view.runs.is_empty()).then(|| view.lease_from(now, lease_ms));
+        let lease_until_ms = lease.flatten();
+        if let Some(until) = lease_until_ms {
+            view.lease_until_ms = view.lease_until_ms.max(until);
+        }
+        let wait_ms = match (view.clock, view.runs.is_empty(), shared) {
+            (None, _, _) => 0,
+            (_, true, _) => IDLE_WAIT_MS,
+            (_, false, true) => SHARED_WAIT_MS,
+            (_, false, false) => wait_ms,
+        };
+        view.holding = true;
+        let order = WorkerOrder::Hold {
+            lease_until_ms,
+            cursor: view.cursor,
+            wait_ms: if view.pending.is_empty() { wait_ms } else { 0 },
+        };
+        let token = CallToken::Hold {
+            worker: worker.to_owned(),
+        };
+        self.order(worker, order, token);
+    }
+
+    /// Takes in a worker's lists.
+    pub fn held(&mut self, worker: &str, reply: WorkerReply, sent_ms: u64, now: u64) {
+        match reply {
+            WorkerReply::Held {
+                clock_ms,
+                born_ms,
+                running,
+                ended,
+            } => {
+                if self.note_contact(worker, clock_ms, born_ms, now) {
+                    self.apply_ended(worker, &ended, now);
+                    self.apply_running(worker, &running, sent_ms, now);
+                }
+            }
+            WorkerReply::Refused { reason } => self.hold_refused(worker, reason, now),
+            WorkerReply::Done { .. } => self.hold_missed(worker, now),
+        }
+        self.hold_worker(worker, now);
+    }
+
+    /// Takes in an answer of a worker; false if it is of another life than known.
+    fn note_contact(&mut self, worker: &str, clock_ms: u64, born_ms: u64, now: u64) -> bool {
+        let Some(view) = self.workers.get_mut(worker) else {
+            return false;
+        };
+        view.holding = false;
+        if born_ms > 0 && view.entry.born_ms > 0 && born_ms != view.entry.born_ms {
+            if born_ms > view.entry.born_ms {
+                let entry = WorkerEntry {
+                    born_ms,
+                    ..view.entry.clone()
+                };
+                self.renew_worker(worker, entry, now);
+            }
+            return false;
+        }
+        if view.misses > 0 {
+            log::info!(event = "worker_regained", worker = worker, misses = view.misses; "");
+        }
+        view.misses = 0;
+        view.contact_ms = Some(now);
+        view.hold_at_ms = now;
+        view.observe_clock(ClockSample {
+            clock_ms,
+            received_ms: now,
+        });
+        self.plan_due = true;
+        true
+    }
+
+    fn hold_refused(&mut self, worker: &str, reason: RefusalReason, now: u64) {
+        log::warn!(event = "hold_refused", worker = worker, reason:? = reason, epoch = self.epoch; "");
+        if reason == RefusalReason::Epoch {
+            self.deposed = true;
+        }
+        self.hold_missed(worker, now);
+    }
+
+    /// Takes in that a call for a worker's lists brought no answer.
+    pub fn hold_missed(&mut self, worker: &str, now: u64) {
+        let retry_ms = self.settings.hold_retry_ms;
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        view.holding = false;
+        view.misses += 1;
+        view.hold_at_ms = now + retry_ms * u64::from(view.misses.min(MOST_MISSES));
+        if view.misses == 1 {
+            log::info!(event = "worker_lost", worker = worker, runs = view.runs.len(); "");
+        }
+    }
+
+    fn apply_ended(&mut self, worker: &str, ended: &[EndedRow], now: u64) {
+        let seen = self.workers.get(worker).map_or(0, |view| view.seen);
+        for row in ended.iter().filter(|row| row.number > seen) {
+            let change = self.end_listed(worker, row, now);
+            let Some(view) = self.workers.get_mut(worker) else {
+                return;
+            };
+            view.seen = row.number;
+            if let Some((job, version)) = change {
+                view.pending.push_back(PendingEnd {
+                    number: row.number,
+                    job,
+                    version,
+                });
+            } else if view.pending.is_empty() {
+                view.cursor = row.number;
+            }
+        }
+    }
+
+    /// Applies one end; returns the job and the version that includes it.
+    fn end_listed(
+        &mut self,
+        worker: &str,
+        row: &EndedRow,
+        now: u64,
+    ) -> Option<(crate::jobs::types::JobId, u64)> {
+        let task = TaskId::parse(&row.task)?;
+        let attempts = self.attempts_of(&task);
+        let first = self.is_first_failure(&task);
+        self.judge_worker(worker, row.end, first, now);
+        let ending = RunEnding {
+            task: &task,
+            worker,
+            run: row.run,
+            end: row.end,
+            checkpoint: &row.checkpoint,
+        };
+        let job = self.jobs.get_mut(&task.job)?;
+        let before = job.state;
+        let changed = job.end_run(&ending, attempts, now);
+        if changed {
+            job.touch();
+        }
+        let (state, version, age_ms) = (job.state, job.version, now.saturating_sub(job.came_ms));
+        self.release_run(&task, worker, row.run);
+        if row.end != RunEnd::Done {
+            log::info!(
+                event = "run_ended", task:% = task, run = row.run, worker = worker,
+                end:? = row.end, counted = changed; ""
+            );
+        }
+        self.stop_spare_copies(&task);
+        if state != before && state.is_final() {
+            log::info!(
+                event = "job_ended", job = &*task.job, state:? = state, age_ms = age_ms; ""
+            );
+            self.mark(&task.job, now);
+        } else {
+            self.mark(&task.job, now + self.settings.flush_ms);
+        }
+        self.settle(&task.job, now);
+        self.jobs.contains_key(&task.job).then(|| (task.job.clone(), version))
+    }
+
+    fn attempts_of(&self, task: &TaskId) -> u32 {
+        let job = self.jobs.get(&task.job);
+        let queue = job.and_then(|job| self.queue_of(job));
+        queue.map_or(u32::MAX, |queue| queue.attempts.max(1))
+    }
+
+    fn is_first_failure(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let state = job.and_then(|job| job.task(task));
+        state.is_some_and(|state| state.failed == 0)
+    }
+
+    /// Stops the other runs of a task that is done.
+    fn stop_spare_copies(&mut self, task: &TaskId) {
+        let Some(state) = self.jobs.get(&task.job).and_then(|job| job.task(task)) else {
+            return;
+        };
+        if !state.done {
+            return;
+        }
+        let copies: Vec<_> = state.placed.iter().map(|run| (run.worker.clone(), run.run, run.phase)).collect();
+        for (worker, run, phase) in copies {
+            match phase {
+                RunPhase::Reserved(_) => self.release_run(task, &worker, run),
+                phase if phase.is_stopping() => {}
+                _ => self.stop_run(task, &worker, run),
+            }
+        }
+    }
+
+    /// Counts an end for or against its worker and sets it aside on evidence.
+    pub(crate) fn judge_worker(&mut self, worker: &str, end: RunEnd, first: bool, now: u64) {
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        match end {
+            RunEnd::Done => view.demerits = 0,
+            RunEnd::Failed if first => {
+                view.demerits = (view.demerits + 1).min(MOST_DEMERITS);
+                if view.demerits >= ASIDE_DEMERITS {
+                    let excess = u64::from(view.demerits - ASIDE_DEMERITS + 1);
+                    view.blocked_until_ms = now + ASIDE_MS * excess;
+                    log::info!(
+                        event = "worker_aside", worker = worker, failures = view.demerits,
+                        for_ms = ASIDE_MS * excess; ""
+                    );
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn apply_running(&mut self, worker: &str, rows: &[RunningRow], sent_ms: u64, now: u64) {
+        let mut listed = BTreeMap::new();
+        for row in rows {
+            let task = TaskId::parse(&row.task);
+            let known = task.filter(|task| self.run_phase(task, worker, row.run).is_some());
+            let Some(task) = known else {
+                log::info!(
+                    event = "run_unknown", task = row.task.as_str(), run = row.run, worker = worker; ""
+                );
+                self.order_stop(worker, row.task.clone(), row.run);
+                continue;
+            };
+            self.note_running(&task, worker, row, now);
+            listed.insert((task, row.run), ());
+        }
+        let Some(view) = self.workers.get(worker) else {
+            return;
+        };
+        let runs: Vec<_> = view.runs.iter().filter(|key| !listed.contains_key(*key)).cloned().collect();
+        for (task, run) in runs {
+            let gone = match self.run_phase(&task, worker, run) {
+                Some(RunPhase::Inherited) => true,
+                Some(RunPhase::Running(since) | RunPhase::Stopped(since)) => sent_ms > since,
+                _ => false,
+            };
+            if gone {
+                log::info!(event = "run_absent", task:% = task, run = run, worker = worker; "");
+                self.give_up_run(&task, worker, run, now);
+            }
+        }
+    }
+
+    /// Removes a run that is surely not alive; its task runs again.
+    pub(crate) fn give_up_run(&mut self, task: &TaskId, worker: &str, run: u32, now: u64) {
+        self.release_run(task, worker, run);
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            if let Some(state) = job.task_mut(task) {
+                state.ended_ms = now;
+            }
+            job.touch();
+        }
+        self.mark(&task.job, now + self.settings.flush_ms);
+        self.settle(&task.job, now);
+    }
+
+    fn note_running(&mut self, task: &TaskId, worker: &str, row: &RunningRow, now: u64) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let ended = job.state.is_final();
+        let Some(state) = job.task_mut(task) else {
+            return;
+        };
+        if !row.checkpoint.is_empty() && row.checkpoint != state.checkpoint {
+            state.checkpoint.clone_from(&row.checkpoint);
+        }
+        let done = state.done;
+        let placed = state.placed.iter_mut();
+        let mut stop = false;
+        for placed in placed.filter(|placed| placed.run == row.run && placed.worker == worker) {
+            if row.percent != placed.percent {
+                placed.placed_ms = now;
+            }
+            placed.percent = row.percent;
+            placed.load = row.load;
+            match placed.phase {
+                RunPhase::Ordered | RunPhase::Inherited => {
+                    placed.phase = RunPhase::Running(now);
+                    stop = done || ended;
+                }
+                _ => {}
+            }
+        }
+        if stop {
+            self.stop_run(task, worker, row.run);
+        } else {
+            self.note_started(&task.job);
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/job.rs
@@ -0,0 +1,424 @@
+//! A job's state in the memory of its owner, and how ends of runs change it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::jobs::record::BodyRecord;
+use crate::jobs::record::OccurrenceRecord;
+use crate::jobs::record::PlacedRecord;
+use crate::jobs::record::ProgressRecord;
+use crate::jobs::record::TaskRecord;
+use crate::jobs::types::JobId;
+use crate::jobs::types::JobState;
+use crate::jobs::types::RunEnd;
+use crate::jobs::types::StepSpec;
+use crate::jobs::types::TaskId;
+
+/// How far the start of a run has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPhase {
+    /// Will be ordered once the placement is stored with this version of the job.
+    Reserved(u64),
+    /// Ordered; the answer is not known.
+    Ordered,
+    /// Runs, as the worker said at this time on the boot clock.
+    Running(u64),
+    /// Placed by a former owner; the worker has not been asked yet.
+    Inherited,
+    /// To be stopped; the order is not answered yet.
+    Stopping,
+    /// The order to stop was answered at this time on the boot clock; the end is not
+    /// listed yet.
+    Stopped(u64),
+}
+
+impl RunPhase {
+    /// Tells whether the run was ordered to stop.
+    #[must_use]
+    pub fn is_stopping(self) -> bool {
+        matches!(self, Self::Stopping | Self::Stopped(_))
+    }
+}
+
+/// A run that may be alive at a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskRun {
+    /// Life of the worker.
+    pub worker: String,
+    /// Start of that life, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
+    /// Number of the run.
+    pub run: u32,
+    /// How far it has come.
+    pub phase: RunPhase,
+    /// When it was placed or last seen to get on, on the boot clock in milliseconds.
+    pub placed_ms: u64,
+    /// When it was placed, on the boot clock in milliseconds.
+    pub started_ms: u64,
+    /// Share of its work that is done, 0 to 100.
+    pub percent: u32,
+    /// Share at which it works, 0 to 100.
+    pub pace: u32,
+    /// Last load that the worker listed.
+    pub load: u64,
+}
+
+/// A task.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TaskState {
+    /// Highest number of a run.
+    pub runs: u32,
+    /// Runs that failed.
+    pub failed: u32,
+    /// Whether a run has finished the work.
+    pub done: bool,
+    /// Newest checkpoint; empty if there is none.
+    pub checkpoint: String,
+    /// Runs that may be alive.
+    pub placed: Vec<TaskRun>,
+    /// Runs given up as lost; a failure that is listed later still counts.
+    pub lost: Vec<u32>,
+    /// When it last lost a run, on the boot clock in milliseconds; 0 for never.
+    pub ended_ms: u64,
+}
+
+/// Advice about a step.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StepAdvice {
+    /// Workers that may run the step: ticket and end of its validity on the boot clock.
+    pub tickets: BTreeMap<String, (String, u64)>,
+    /// Whether a question is under way.
+    pub asking: bool,
+    /// Workers asked about that were not allowed, until this time on the boot clock.
+    pub refused: BTreeMap<String, u64>,
+    /// No question before this time on the boot clock.
+    pub not_before_ms: u64,
+}
+
+/// A step of an occurrence.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StepState {
+    /// Tasks.
+    pub tasks: Vec<TaskState>,
+    /// Whether all earlier steps are done, since when on the boot clock.
+    pub open_ms: Option<u64>,
+    /// Advice.
+    pub advice: StepAdvice,
+}
+
+impl StepState {
+    /// Tells whether all tasks are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.done)
+    }
+}
+
+/// A job.
+#[derive(Clone, Debug)]
+pub struct JobEntry {
+    /// Identifier.
+    pub id: JobId,
+    /// What was stored at acceptance.
+    pub body: BodyRecord,
+    /// State as shown to callers.
+    pub state: JobState,
+    /// Occurrences in progress.
+    pub open: BTreeMap<u32, Vec<StepState>>,
+    /// Occurrences that are complete.
+    pub finished: BTreeSet<u32>,
+    /// Counts the changes.
+    pub version: u64,
+    /// Last version that is stored; 0 if nothing is.
+    pub stored: u64,
+    /// Whether the body is stored.
+    pub body_stored: bool,
+    /// Whether the body was part of a commit that may have taken effect.
+    pub sent: bool,
+    /// When the job came, on the boot clock in milliseconds.
+    pub came_ms: u64,
+}
+
+impl JobEntry {
+    /// Makes a job that was just handed in.
+    #[must_use]
+    pub fn new(id: JobId, body: BodyRecord, now: u64) -> Self {
+        Self {
+            id,
+            body,
+            state: JobState::Queued,
+            open: BTreeMap::new(),
+            finished: BTreeSet::new(),
+            version: 1,
+            stored: 0,
+            body_stored: false,
+            sent: false,
+            came_ms: now,
+        }
+    }
+
+    /// Takes a job over as it is stored; `age_ms` is the time since it came.
+    #[must_use]
+    pub fn restore(
+        id: JobId,
+        body: BodyRecord,
+        progress: Option<ProgressRecord>,
+        now: u64,
+        age_ms: u64,
+    ) -> Self {
+        let mut job = Self::new(id, body, now.saturating_sub(age_ms));
+        job.body_stored = true;
+        job.stored = 1;
+        let Some(progress) = progress else {
+            return job;
+        };
+        job.state = progress.state;
+        job.finished = progress.finished.into_iter().collect();
+        for record in progress.open {
+            let steps = record.steps.into_iter().map(|tasks| StepState {
+                tasks: tasks.into_iter().map(|task| restore_task(task, now)).collect(),
+                ..StepState::default()
+            });
+            job.open.insert(record.number, steps.collect());
+        }
+        let numbers: Vec<_> = job.open.keys().copied().collect();
+        for number in numbers {
+            job.open_steps(number, now);
+        }
+        job
+    }
+
+    /// Returns the progress as it is to be stored.
+    #[must_use]
+    pub fn progress(&self, unix_ms: u64) -> ProgressRecord {
+        let open = self.open.iter().map(|(number, steps)| OccurrenceRecord {
+            number: *number,
+            steps: steps.iter().map(|step| step.tasks.iter().map(store_task).collect()).collect(),
+        });
+        let drop = self.state.is_final();
+        ProgressRecord {
+            state: self.state,
+            written_ms: unix_ms,
+            finished: if drop { Vec::new() } else { self.finished.iter().copied().collect() },
+            open: if drop { Vec::new() } else { open.collect() },
+        }
+    }
+
+    /// Counts a change.
+    pub fn touch(&mut self) {
+        self.version += 1;
+    }
+
+    /// Opens the occurrences that are due and the steps whose turn has come.
+    ///
+    /// Returns whether anything was opened.
+    pub fn open_due(&mut self, now: u64, unix_ms: u64) -> bool {
+        if self.state.is_final() {
+            return false;
+        }
+        let (times, due) = match self.body.spec.schedule {
+            None => (1, 1),
+            Some(schedule) => {
+                let past = unix_ms.checked_sub(schedule.first_ms);
+                let due = past.map_or(0, |past| past / schedule.interval_ms.max(1) + 1);
+                (schedule.times, due.min(u64::from(schedule.times)) as u32)
+            }
+        };
+        let mut opened = false;
+        for number in 0..due.min(times) {
+            if self.open.contains_key(&number) || self.finished.contains(&number) {
+                continue;
+            }
+            let steps = self.body.spec.steps.iter().map(|step| StepState {
+                tasks: vec![TaskState::default(); step.tasks as usize],
+                ..StepState::default()
+            });
+            self.open.insert(number, steps.collect());
+            self.open_steps(number, now);
+            opened = true;
+        }
+        opened
+    }
+
+    /// Returns when the next occurrence is due, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn next_due(&self) -> Option<u64> {
+        let schedule = self.body.spec.schedule?;
+        let known = |number: &u32| self.open.contains_key(number) || self.finished.contains(number);
+        let next = (0..schedule.times).find(|number| !known(number))?;
+        Some(schedule.first_ms + u64::from(next) * schedule.interval_ms)
+    }
+
+    fn open_steps(&mut self, number: u32, now: u64) {
+        let Some(steps) = self.open.get_mut(&number) else {
+            return;
+        };
+        let done: Vec<bool> = steps.iter().map(StepState::is_done).collect();
+        for (spec, step) in self.body.spec.steps.iter().zip(steps.iter_mut()) {
+            let ready = spec.after.iter().all(|after| done[*after as usize]);
+            if ready && step.open_ms.is_none() {
+                step.open_ms = Some(now);
+            }
+        }
+    }
+
+    /// Finds a task.
+    #[must_use]
+    pub fn task(&self, task: &TaskId) -> Option<&TaskState> {
+        let step = self.open.get(&task.occurrence)?.get(task.step as usize)?;
+        step.tasks.get(task.index as usize)
+    }
+
+    /// Finds a task to change it.
+    pub fn task_mut(&mut self, task: &TaskId) -> Option<&mut TaskState> {
+        let step = self.open.get_mut(&task.occurrence)?;
+        let step = step.get_mut(task.step as usize)?;
+        step.tasks.get_mut(task.index as usize)
+    }
+
+    /// Returns what a task's step was asked to be.
+    #[must_use]
+    pub fn step_spec(&self, task: &TaskId) -> Option<&StepSpec> {
+        self.body.spec.steps.get(task.step as usize)
+    }
+
+    /// Applies the end of a run and returns whether the job changed.
+    ///
+    /// `attempts` is the number of runs of a task that may fail.
+    pub fn end_run(&mut self, end: &RunEnding<'_>, attempts: u32, now: u64) -> bool {
+        let Some(spec) = self.step_spec(end.task) else {
+            return false;
+        };
+        let (gang, lasting) = (spec.gang, spec.lasting);
+        let Some(task) = self.task_mut(end.task) else {
+            return false;
+        };
+        let known = take_run(task, end.worker, end.run);
+        if end.end == RunEnd::Done && !lasting {
+            if task.done {
+                return known;
+            }
+            task.done = true;
+            self.finish_task(end.task, gang, now);
+            return true;
+        }
+        if !known {
+            return false;
+        }
+        if !end.checkpoint.is_empty() {
+            task.checkpoint = end.checkpoint.to_owned();
+        }
+        task.ended_ms = now;
+        if end.end == RunEnd::Failed {
+            task.failed += 1;
+            if !lasting && task.failed >= attempts && !self.state.is_final() {
+                self.state = JobState::Failed;
+            }
+        }
+        true
+    }
+
+    /// Takes in that a task is done: its gang with it, later steps, the job.
+    fn finish_task(&mut self, task: &TaskId, gang: bool, now: u64) {
+        let Some(steps) = self.open.get_mut(&task.occurrence) else {
+            return;
+        };
+        if gang && let Some(step) = steps.get_mut(task.step as usize) {
+            // One end of a gang stands for all its members.
+            step.tasks.iter_mut().for_each(|member| member.done = true);
+        }
+        if steps.iter().all(StepState::is_done) {
+            let leftover = steps.iter().flat_map(|step| &step.tasks);
+            if leftover.clone().all(|task| task.placed.is_empty()) {
+                self.open.remove(&task.occurrence);
+            }
+            self.finished.insert(task.occurrence);
+            let times = self.body.spec.schedule.map_or(1, |schedule| schedule.times);
+            if self.finished.len() as u32 >= times && !self.state.is_final() {
+                self.state = JobState::Completed;
+            }
+        }
+        self.open_steps(task.occurrence, now);
+    }
+
+    /// Returns all runs that may be alive.
+    pub fn live_runs(&self) -> impl Iterator<Item = (TaskId, &TaskRun)> {
+        let tasks = self.open.iter().flat_map(move |(occurrence, steps)| {
+            steps.iter().enumerate().flat_map(move |(step, state)| {
+                let id = move |index: usize| TaskId {
+                    job: self.id.clone(),
+                    occurrence: *occurrence,
+                    step: step as u32,
+                    index: index as u32,
+                };
+                let tasks = state.tasks.iter().enumerate();
+                tasks.map(move |(index, task)| (id(index), task))
+            })
+        });
+        tasks.flat_map(|(id, task)| task.placed.iter().map(move |run| (id.clone(), run)))
+    }
+}
+
+/// The end of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct RunEnding<'a> {
+    /// Task.
+    pub task: &'a TaskId,
+    /// Worker that listed it.
+    pub worker: &'a str,
+    /// Number of the run.
+    pub run: u32,
+    /// How it ended.
+    pub end: RunEnd,
+    /// Last checkpoint; empty if there is none.
+    pub checkpoint: &'a str,
+}
+
+/// Removes a run from a task; true if it was there or had been given up as lost.
+fn take_run(task: &mut TaskState, worker: &str, run: u32) -> bool {
+    let before = task.placed.len();
+    task.placed.retain(|placed| placed.run != run || placed.worker != worker);
+    if task.placed.len() != before {
+        return true;
+    }
+    let lost = task.lost.iter().position(|lost| *lost == run);
+    lost.map(|position| task.lost.swap_remove(position)).is_some()
+}
+
+fn store_task(task: &TaskState) -> TaskRecord {
+    let placed = task.placed.iter().map(|run| PlacedRecord {
+        worker: run.worker.clone(),
+        born_ms: run.born_ms,
+        run: run.run,
+    });
+    TaskRecord {
+        runs: task.runs,
+        failed: task.failed,
+        done: task.done,
+        checkpoint: task.checkpoint.clone(),
+        placed: placed.collect(),
+    }
+}
+
+fn restore_task(record: TaskRecord, now: u64) -> TaskState {
+    let placed = record.placed.into_iter().map(|placed| TaskRun {
+        worker: placed.worker,
+        born_ms: placed.born_ms,
+        run: placed.run,
+        phase: RunPhase::Inherited,
+        placed_ms: now,
+        started_ms: now,
+        percent: 0,
+        pace: 100,
+        load: 0,
+    });
+    TaskState {
+        runs: record.runs,
+        failed: record.failed,
+        done: record.done,
+        checkpoint: record.checkpoint,
+        placed: placed.collect(),
+        lost: Vec::new(),
+        ended_ms: now,
+    }
+}
--- /dev/null
+++ b/src/jobs/mod.rs
@@ -0,0 +1,19 @@
+//! Durable jobs over pools of workers: types, stored records and the scheduler.
+
+pub mod admit;
+pub mod advice;
+pub mod callers;
+pub mod config;
+pub mod engine;
+pub mod fleet;
+pub mod holds;
+pub mod job;
+pub mod lend;
+pub mod orders;
+pub mod pace;
+pub mod place;
+pub mod record;
+pub mod types;
+pub mod wave;
+pub mod worker;
+pub mod writes;
--- /dev/null
+++ b/src/jobs/place.rs
@@ -0,0 +1,415 @@
+//! Which task runs next, and where.
+//!
+//! Jobs are taken in an order: lasting tasks first, then by priority those that can
+//! still meet their objective, those with the most value for their remaining work
+//! first, then the rest. A task that does not fit does not hold up smaller ones.
+
+use crate::jobs::engine::JobEngine;
+use crate::jobs::job::JobEntry;
+use crate::jobs::job::RunPhase;
+use crate::jobs::job::TaskRun;
+use crate::jobs::job::TaskState;
+use crate::jobs::types::JobId;
+use crate::jobs::types::RoomSize;
+use crate::jobs::types::StepSpec;
+use crate::jobs::types::TaskId;
+use crate::jobs::worker::WorkerView;
+
+/// How long work waits for room near its data, as a share of its estimate; beyond
+/// this the slower run elsewhere ends sooner.
+const NEAR_WAIT_SHARE: f64 = 1.0;
+
+/// A run counts as a straggler after this many times its estimate.
+const STRAGGLER_FACTOR: f64 = 2.0;
+
+/// Added to a straggler's limit, in milliseconds, for start and reporting.
+const STRAGGLER_SLACK_MS: u64 = 400;
+
+/// Time after a failed run until its task runs again, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 20;
+
+/// Rank of a job among those that wait; lower comes first.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct PlaceRank {
+    /// Lasting jobs come first.
+    pub class: u32,
+    /// Priority of the queue.
+    pub priority: u32,
+    /// Remaining work for the job's value.
+    pub price: f64,
+}
+
+/// Class of jobs whose tasks last.
+const CLASS_LASTING: u32 = 0;
+/// Class of jobs that can meet their objective.
+const CLASS_TIMELY: u32 = 1;
+/// Class of jobs that cannot any more.
+const CLASS_LATE: u32 = 2;
+
+impl JobEngine {
+    /// Places runs for all tasks whose turn has come, as far as there is room.
+    pub(crate) fn place_runs(&mut self, now: u64) {
+        let waiting: Vec<JobId> = self.unplaced.iter().cloned().collect();
+        let mut ranked: Vec<(PlaceRank, JobId)> = Vec::with_capacity(waiting.len());
+        for id in waiting {
+            match self.jobs.get(&id) {
+                Some(job) if !job.state.is_final() => ranked.push((self.rank(job, now), id)),
+                _ => {
+                    self.unplaced.remove(&id);
+                }
+            }
+        }
+        ranked.sort_by(|one, other| one.partial_cmp(other).unwrap_or(std::cmp::Ordering::Equal));
+        for (_, id) in ranked {
+            self.place_job(&id, now);
+        }
+    }
+
+    fn rank(&self, job: &JobEntry, now: u64) -> PlaceRank {
+        let queue = self.queue_of(job);
+        let priority = queue.map_or(0, |queue| queue.priority);
+        if job.body.spec.lasts() {
+            return PlaceRank {
+                class: CLASS_LASTING,
+                priority,
+                price: 0.0,
+            };
+        }
+        let (work, chain_ms) = remaining(job);
+        let total = job.body.spec.work().max(1) as f64;
+        let due_ms = job.came_ms + self.objective_ms(job);
+        let class = if now + chain_ms <= due_ms { CLASS_TIMELY } else { CLASS_LATE };
+        // A job's worth has a part that does not depend on its work, so small ones
+        // are worth more for their work; what is left counts, not what is spent.
+        let mean = self.mean_work(&job.body.queue).max(1.0);
+        let worth = 0.3 + 0.7 * (total / mean).min(5.0);
+        PlaceRank {
+            class,
+            priority,
+            price: work as f64 / mean / worth,
+        }
+    }
+
+    /// Returns the time after its arrival within which a job should be complete.
+    #[must_use]
+    pub fn objective_ms(&self, job: &JobEntry) -> u64 {
+        let Some(queue) = self.queue_of(job) else {
+            return 0;
+        };
+        let chain_ms = job.body.spec.chain_ms() as f64;
+        (chain_ms * queue.slack.max(1.0)) as u64 + queue.target_ms
+    }
+
+    /// Returns the mean work of the jobs of a queue that are in progress.
+    fn mean_work(&self, queue: &str) -> f64 {
+        self.work_means.get(queue).copied().unwrap_or(1.0)
+    }
+
+    /// Takes the work of a new job into its queue's mean.
+    pub(crate) fn note_work(&mut self, queue: &str, work: u64) {
+        /// Weight of a new job in the mean; some 20 jobs of memory.
+        const MEAN_WEIGHT: f64 = 0.05;
+        let mean = self.work_means.entry(queue.to_owned()).or_insert(work as f64);
+        *mean += (work as f64 - *mean) * MEAN_WEIGHT;
+    }
+
+    fn place_job(&mut self, id: &JobId, now: u64) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let pool = self.pool_of(job).to_owned();
+        let steps = job.open.iter().flat_map(|(occurrence, steps)| {
+            let open = steps.iter().enumerate().filter(|(_, step)| step.open_ms.is_some());
+            open.map(move |(number, _)| (*occurrence, number as u32))
+        });
+        let steps: Vec<_> = steps.collect();
+        let mut waits = job.next_due().is_some();
+        for (occurrence, step) in steps {
+            waits |= self.place_step(id, &pool, occurrence, step, now);
+        }
+        if !waits {
+            self.unplaced.remove(id);
+        }
+    }
+
+    /// Places the tasks of a step; true if some still wait or may need copies.
+    fn place_step(&mut self, id: &JobId, pool: &str, occurrence: u32, step: u32, now: u64) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let Some(spec) = job.body.spec.steps.get(step as usize).cloned() else {
+            return false;
+        };
+        let Some(state) = job.open.get(&occurrence).and_then(|steps| steps.get(step as usize)) else {
+            return false;
+        };
+        let wanting = |task: &TaskState| {
+            !task.done && task.placed.is_empty() && now >= task.ended_ms + RETRY_PAUSE_MS
+        };
+        let mut open = state.tasks.iter().enumerate();
+        let wanted: Vec<u32> = open.by_ref().filter(|(_, task)| wanting(task)).map(|(index, _)| index as u32).collect();
+        let unfinished = state.tasks.iter().any(|task| !task.done);
+        let open_ms = state.open_ms.unwrap_or(now);
+        let first = TaskId {
+            job: id.clone(),
+            occurrence,
+            step,
+            index: 0,
+        };
+        if spec.gang {
+            if wanted.len() == state.tasks.len() {
+                self.place_gang(&first, pool, &spec, now);
+            }
+            return unfinished;
+        }
+        let count = wanted.len();
+        for index in wanted {
+            let task = TaskId { index, ..first.clone() };
+            let near_until_ms = open_ms + (spec.estimate_ms as f64 * NEAR_WAIT_SHARE) as u64;
+            let near_only = now < near_until_ms;
+            match self.choose_worker(&task, pool, &spec, near_only, now) {
+                Some(worker) => self.reserve(&task, &worker, &spec, now),
+                // Tasks of a step are alike: where one does not fit, none does.
+                None => break,
+            }
+        }
+        if count == 0 && spec.speculative {
+            self.place_copies(&first, pool, &spec, now);
+        }
+        unfinished
+    }
+
+    /// Starts copies of stragglers.
+    fn place_copies(&mut self, first: &TaskId, pool: &str, spec: &StepSpec, now: u64) {
+        let Some(job) = self.jobs.get(&first.job) else {
+            return;
+        };
+        let Some(step) = job.open.get(&first.occurrence).and_then(|steps| steps.get(first.step as usize)) else {
+            return;
+        };
+        let limit_ms = (spec.estimate_ms as f64 * STRAGGLER_FACTOR) as u64 + STRAGGLER_SLACK_MS;
+        let late = |task: &TaskState| match task.placed.as_slice() {
+            [run] => !task.done && now > run.started_ms + limit_ms && run.percent < 80,
+            _ => false,
+        };
+        let stragglers = step.tasks.iter().enumerate().filter(|(_, task)| late(task));
+        let stragglers: Vec<u32> = stragglers.map(|(index, _)| index as u32).collect();
+        for index in stragglers {
+            let task = TaskId { index, ..first.clone() };
+            if let Some(worker) = self.choose_worker(&task, pool, spec, false, now) {
+                log::info!(event = "copy_placed", task:% = task, worker = worker.as_str(); "");
+                self.reserve(&task, &worker, spec, now);
+            }
+        }
+    }
+
+    /// Places all tasks of a gang at once, or none.
+    fn place_gang(&mut self, first: &TaskId, pool: &str, spec: &StepSpec, now: u64) {
+        let racks: Vec<Option<String>> = if spec.one_rack {
+            let names = self.workers.values().filter(|view| view.entry.pool == pool);
+            let mut racks: Vec<String> = names.map(|view| view.rack().to_owned()).collect();
+            racks.sort_unstable();
+            racks.dedup();
+            racks.sort_by_key(|rack| *rack != spec.data_rack);
+            racks.into_iter().map(Some).collect()
+        } else {
+            vec![None]
+        };
+        let spread = racks.into_iter().find_map(|rack| self.spread_gang(first, pool, spec, rack.as_deref(), now));
+        for (index, worker) in spread.into_iter().flatten().enumerate() {
+            let task = TaskId { index: index as u32, ..first.clone() };
+            self.reserve(&task, &worker, spec, now);
+        }
+    }
+
+    fn spread_gang(
+        &self,
+        first: &TaskId,
+        pool: &str,
+        spec: &StepSpec,
+        rack: Option<&str>,
+        now: u64,
+    ) -> Option<Vec<String>> {
+        let need = spec.counted();
+        let mut chosen = Vec::new();
+        for (id, view) in &self.workers {
+            let on_rack = rack.is_none_or(|rack| view.rack() == rack);
+            if !on_rack || !self.may_run(first, pool, spec, view, now) {
+                continue;
+            }
+            let mut free = view.free();
+            let mut own = self.tasks_at(first, id);
+            while chosen.len() < spec.tasks as usize
+                && free.fits(&need)
+                && (spec.per_worker == 0 || own < spec.per_worker)
+            {
+                free = free.less(&need);
+                own += 1;
+                chosen.push(id.clone());
+            }
+        }
+        (chosen.len() == spec.tasks as usize).then_some(chosen)
+    }
+
+    /// Chooses a worker for a task.
+    pub(crate) fn choose_worker(
+        &mut self,
+        task: &TaskId,
+        pool: &str,
+        spec: &StepSpec,
+        near_only: bool,
+        now: u64,
+    ) -> Option<String> {
+        let need = spec.counted();
+        let near = |view: &WorkerView| spec.data_rack.is_empty() || view.rack() == spec.data_rack;
+        let in_pool = self.workers.values().filter(|view| view.entry.pool == pool);
+        let near_exists = in_pool.clone().any(|view| near(view) && view.takes_work(now));
+        let near_only = near_only && near_exists;
+        let mut best: Option<(f64, &String)> = None;
+        for (id, view) in &self.workers {
+            if !view.free().fits(&need) || !self.may_run(task, pool, spec, view, now) {
+                continue;
+            }
+            let is_near = near(view);
+            if near_only && !is_near {
+                continue;
+            }
+            if spec.per_worker > 0 && self.tasks_at(task, id) >= spec.per_worker {
+                continue;
+            }
+            if self.holds_task(task, id) {
+                continue;
+            }
+            let cost = self.place_cost(spec, view) + if is_near { 0.0 } else { 10.0 };
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, id));
+            }
+        }
+        let best = best.map(|(_, id)| id.clone());
+        if best.is_none() {
+            self.want_advice(task, pool, spec, now);
+        }
+        best
+    }
+
+    /// Tells whether a task may run at a worker at all.
+    fn may_run(&self, task: &TaskId, pool: &str, spec: &StepSpec, view: &WorkerView, now: u64) -> bool {
+        view.entry.pool == pool
+            && view.takes_work(now)
+            && (spec.label.is_empty() || view.has_label(&spec.label))
+            && self.is_advised(task, &view.entry.id, now)
+    }
+
+    /// Number of live runs of a task's step at a worker.
+    fn tasks_at(&self, task: &TaskId, worker: &str) -> u32 {
+        let job = self.jobs.get(&task.job);
+        let steps = job.and_then(|job| job.open.get(&task.occurrence));
+        let step = steps.and_then(|steps| steps.get(task.step as usize));
+        let runs = step.into_iter().flat_map(|step| step.tasks.iter().flat_map(|task| &task.placed));
+        runs.filter(|run| run.worker == worker).count() as u32
+    }
+
+    fn holds_task(&self, task: &TaskId, worker: &str) -> bool {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        state.is_some_and(|state| state.placed.iter().any(|run| run.worker == worker))
+    }
+
+    /// Cost of a worker for a step; the least is chosen.
+    ///
+    /// Work is packed onto workers that are in use, so that others can be emptied
+    /// for moves and maintenance; tasks that fill keep away from tasks that serve.
+    fn place_cost(&self, spec: &StepSpec, view: &WorkerView) -> f64 {
+        let room = view.entry.room.cpu.max(1) as f64;
+        let used = view.used.cpu as f64 / room;
+        let crowd = self.crowd_at(view);
+        let due = if self.fleet.is_due(&view.entry.id) { 0.5 } else { 0.0 };
+        if spec.fills {
+            return f64::from(crowd.serving) * 2.0 + f64::from(crowd.filling) * 0.5 + used;
+        }
+        if spec.lasting {
+            let home = if crowd.lasting > 0 { 0.0 } else { 0.3 };
+            return f64::from(crowd.serving) * 0.25 + f64::from(crowd.filling) * 2.0 + home + used + due * 6.0;
+        }
+        1.0 - used + if crowd.lasting > 0 { -0.5 } else { 0.0 } + due
+    }
+
+    /// Reserves room for a run; it is ordered once that is stored.
+    fn reserve(&mut self, task: &TaskId, worker: &str, spec: &StepSpec, now: u64) {
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let born_ms = view.entry.born_ms;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.touch();
+        let version = job.version;
+        let gang_run = spec.gang.then(|| {
+            let step = job.open.get(&task.occurrence).and_then(|steps| steps.get(task.step as usize));
+            let runs = step.into_iter().flat_map(|step| step.tasks.iter().map(|task| (task.runs, task.placed.len())));
+            // Members reserved before this one already carry the new number.
+            let (placed, free): (Vec<_>, Vec<_>) = runs.partition(|(_, placed)| *placed > 0);
+            let started = placed.first().map(|(runs, _)| *runs);
+            started.unwrap_or_else(|| free.iter().map(|(runs, _)| *runs).max().unwrap_or(0) + 1)
+        });
+        let Some(state) = job.task_mut(task) else {
+            return;
+        };
+        state.runs = gang_run.unwrap_or(state.runs + 1);
+        let run = state.runs;
+        state.placed.push(TaskRun {
+            worker: worker.to_owned(),
+            born_ms,
+            run,
+            phase: RunPhase::Reserved(version),
+            placed_ms: now,
+            started_ms: now,
+            percent: 0,
+            pace: 100,
+            load: 0,
+        });
+        view.runs.insert((task.clone(), run));
+        view.used.add(&spec.counted());
+        view.busy_ms = now;
+        self.mark(&task.job, now);
+    }
+}
+
+/// Returns the remaining work in milliseconds of a thousandth of a core, and the
+/// longest remaining chain in milliseconds.
+#[must_use]
+pub fn remaining(job: &JobEntry) -> (u64, u64) {
+    let specs = &job.body.spec.steps;
+    let mut work = 0;
+    let mut longest = 0;
+    for steps in job.open.values() {
+        let mut ends: Vec<u64> = Vec::with_capacity(specs.len());
+        for (spec, step) in specs.iter().zip(steps) {
+            let left = step.tasks.iter().filter(|task| !task.done);
+            let (mut left_work, mut left_ms) = (0, 0);
+            for task in left {
+                let percent = task.placed.iter().map(|run| run.percent).max().unwrap_or(0);
+                let rest_ms = spec.estimate_ms * u64::from(100 - percent.min(100)) / 100;
+                left_work += rest_ms * spec.need.cpu;
+                left_ms = left_ms.max(rest_ms);
+            }
+            let before = spec.after.iter().map(|after| ends[*after as usize]).max();
+            ends.push(before.unwrap_or(0) + left_ms);
+            work += left_work;
+        }
+        longest = longest.max(ends.into_iter().max().unwrap_or(0));
+    }
+    (work, longest)
+}
+
+/// Sums up what a step needs of a pool.
+#[must_use]
+pub fn step_need(spec: &StepSpec) -> RoomSize {
+    let need = spec.counted();
+    let tasks = u64::from(spec.tasks);
+    RoomSize {
+        cpu: need.cpu * tasks,
+        memory_mb: need.memory_mb * tasks,
+        gpu: need.gpu * tasks,
+    }
+}
--- /dev/null
+++ b/src/jobs/writes.rs
@@ -0,0 +1,309 @@
+//! What is to be stored, and what follows once it is.
+//!
+//! All commits of a shard form a chain: each expects the revision that the one
+//! before gave the chain key, so one that is carried out late finds its condition
+//! broken, and a deposed owner, whose successor wrote the chain key, changes
+//! nothing.
+
+use crate::jobs::engine::CallerAnswer;
+use crate::jobs::engine::EndedJob;
+use crate::jobs::engine::JobEngine;
+use crate::jobs::engine::TimePair;
+use crate::jobs::engine::WaiterId;
+use crate::jobs::job::JobEntry;
+use crate::jobs::job::RunPhase;
+use crate::jobs::record::BodyRecord;
+use crate::jobs::record::EncodeError;
+use crate::jobs::record::ProgressRecord;
+use crate::jobs::record::ShardKeys;
+use crate::jobs::record::WaveRecord;
+use crate::jobs::record::encode;
+use crate::jobs::types::JobId;
+use crate::ports::store::StoreWrite;
+
+/// Entries of a commit besides the chain key and its condition; the platform takes
+/// 32 in all.
+const BATCH_ENTRIES: usize = 28;
+
+/// Most bytes of values in a commit; well below the limit on one value.
+const BATCH_BYTES: usize = 256 << 10;
+
+/// Changes of one commit and the versions of jobs that they hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WriteBatch {
+    /// Keys to write.
+    pub writes: Vec<StoreWrite>,
+    /// Keys to remove.
+    pub removals: Vec<String>,
+    /// Jobs and their versions.
+    pub versions: Vec<(JobId, u64)>,
+    /// Waves and the number of VMs ordered that they hold.
+    pub waves: Vec<(u64, WaveRecord)>,
+}
+
+impl WriteBatch {
+    /// Tells whether there is nothing to store.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.writes.is_empty() && self.removals.is_empty()
+    }
+
+    fn entries(&self) -> usize {
+        self.writes.len() + self.removals.len()
+    }
+
+    fn bytes(&self) -> usize {
+        self.writes.iter().map(|write| write.value.len()).sum()
+    }
+
+    fn push(&mut self, key: String, value: Vec<u8>) {
+        self.writes.push(StoreWrite {
+            key,
+            value,
+            lease: 0,
+        });
+    }
+}
+
+impl JobEngine {
+    /// Returns when the next commit is due, on the boot clock.
+    #[must_use]
+    pub fn write_due(&self) -> Option<u64> {
+        let jobs = self.dirty.values().min().copied();
+        let fleet = self.fleet.write_due();
+        jobs.into_iter().chain(fleet).min()
+    }
+
+    /// Takes the next batch to store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a record cannot be encoded.
+    pub fn take_writes(&mut self, keys: ShardKeys, time: TimePair) -> Result<WriteBatch, EncodeError> {
+        let mut batch = WriteBatch::default();
+        self.fleet.take_writes(keys, &mut batch)?;
+        let mut order: Vec<_> = self.dirty.iter().map(|(id, due)| (*due, id.clone())).collect();
+        order.sort_unstable();
+        for (_, id) in order {
+            if batch.entries() + 2 > BATCH_ENTRIES || batch.bytes() > BATCH_BYTES {
+                break;
+            }
+            self.dirty.remove(&id);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.sent = true;
+                add_job(&mut batch, keys, job, time.unix)?;
+            }
+        }
+        while batch.entries() < BATCH_ENTRIES
+            && let Some(id) = self.expired.pop_front()
+        {
+            batch.removals.push(format!("{}{id}", keys.progress()));
+        }
+        Ok(batch)
+    }
+
+    /// Takes in that a batch is stored: answers, starts, cursors.
+    pub fn written(&mut self, batch: &WriteBatch, now: u64) {
+        if let Some(since_ms) = self.store_down_ms.take() {
+            log::info!(event = "store_regained", down_ms = now.saturating_sub(since_ms); "");
+        }
+        self.fleet.written(batch);
+        for (id, version) in &batch.versions {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.stored = job.stored.max(*version);
+                job.body_stored = true;
+            }
+            self.answer_waiting(id, *version);
+            self.start_stored(id, *version, now);
+            self.settle(id, now);
+        }
+        self.advance_cursors(now);
+        self.plan_due = true;
+    }
+
+    /// Takes in that a batch was not stored: it is to be stored again.
+    pub fn not_written(&mut self, batch: &WriteBatch, now: u64) {
+        self.fleet.not_written(batch);
+        for (id, _) in &batch.versions {
+            self.mark(id, now);
+        }
+        for key in &batch.removals {
+            if let Some((_, id)) = key.rsplit_once('/')
+                && !self.jobs.contains_key(id)
+            {
+                self.expired.push_back(id.into());
+            }
+        }
+    }
+
+    /// Takes in that the store takes no commits: submissions that are in no commit
+    /// yet are refused.
+    pub fn store_failed(&mut self, in_flight: &WriteBatch, now: u64) {
+        if self.store_down_ms.is_none() {
+            log::warn!(event = "store_lost", waiting = self.dirty.len(); "");
+            self.store_down_ms = Some(now);
+        }
+        let fresh = self.jobs.values().filter(|job| {
+            job.stored == 0 && !job.sent && !in_flight.versions.iter().any(|(id, _)| *id == job.id)
+        });
+        let fresh: Vec<JobId> = fresh.map(|job| job.id.clone()).collect();
+        for id in fresh {
+            self.drop_job(&id);
+        }
+    }
+
+    /// Forgets a submission that was never part of a commit.
+    fn drop_job(&mut self, id: &JobId) {
+        let runs: Vec<_> = self.jobs.get(id).map_or_else(Vec::new, |job| {
+            job.live_runs().map(|(task, run)| (task, run.worker.clone(), run.run)).collect()
+        });
+        for (task, worker, run) in runs {
+            self.release_run(&task, &worker, run);
+        }
+        self.jobs.remove(id);
+        self.unplaced.remove(id);
+        self.dirty.remove(id);
+        for (_, waiter, answer) in self.waiting.remove(id).unwrap_or_default() {
+            log::info!(event = "job_refused", job = &**id, reason = "store_lost"; "");
+            let refused = CallerAnswer::Refused { retry_ms: 1000 };
+            let cancelled = answer == CallerAnswer::Cancelled;
+            self.answer(waiter, if cancelled { CallerAnswer::Unknown } else { refused });
+        }
+    }
+
+    fn answer_waiting(&mut self, id: &JobId, version: u64) {
+        let Some(waiting) = self.waiting.get_mut(id) else {
+            return;
+        };
+        let due: Vec<(u64, WaiterId, CallerAnswer)> =
+            waiting.extract_if(.., |(wanted, ..)| *wanted <= version).collect();
+        if waiting.is_empty() {
+            self.waiting.remove(id);
+        }
+        for (_, waiter, answer) in due {
+            self.answer(waiter, answer);
+        }
+    }
+
+    /// Orders the runs whose placement is stored.
+    fn start_stored(&mut self, id: &JobId, version: u64, now: u64) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if job.state.is_final() {
+            return;
+        }
+        let reserved = job.live_runs().filter(|(_, run)| {
+            matches!(run.phase, RunPhase::Reserved(wanted) if wanted <= version)
+        });
+        let reserved: Vec<_> = reserved.map(|(task, run)| (task, run.worker.clone(), run.run)).collect();
+        for (task, worker, run) in reserved {
+            self.send_start(&task, &worker, run, 0, now);
+        }
+    }
+
+    /// Moves the cursors of workers past the ends that are stored.
+    fn advance_cursors(&mut self, now: u64) {
+        let mut moved = Vec::new();
+        for (id, view) in &mut self.workers {
+            let before = view.cursor;
+            while let Some(end) = view.pending.front() {
+                let stored = self.jobs.get(&end.job).is_none_or(|job| job.stored >= end.version);
+                if !stored {
+                    break;
+                }
+                view.cursor = end.number;
+                view.pending.pop_front();
+            }
+            if view.pending.is_empty() {
+                view.cursor = view.cursor.max(view.seen);
+            }
+            if view.cursor != before {
+                moved.push(id.clone());
+            }
+        }
+        for worker in moved {
+            self.hold_worker(&worker, now);
+        }
+    }
+
+    /// Takes a finished job over from the store.
+    pub fn restore_ended(&mut self, id: JobId, record: &ProgressRecord, time: TimePair) {
+        let age_ms = time.unix.saturating_sub(record.written_ms);
+        let ended_ms = time.boot.saturating_sub(age_ms);
+        self.ended_order.push_back((ended_ms, id.clone()));
+        let state = record.state;
+        self.ended.insert(id, EndedJob { state, ended_ms });
+    }
+
+    /// Takes a job in progress over from the store.
+    pub fn restore_job(
+        &mut self,
+        id: JobId,
+        body: BodyRecord,
+        progress: Option<ProgressRecord>,
+        time: TimePair,
+    ) {
+        let age_ms = time.unix.saturating_sub(body.submitted_ms);
+        let mut job = JobEntry::restore(id.clone(), body, progress, time.boot, age_ms);
+        job.open_due(time.boot, time.unix + self.settings.early_ms);
+        self.jobs.insert(id.clone(), job);
+        self.unplaced.insert(id);
+    }
+
+    /// Books the inherited runs at their workers, once the workers are known.
+    pub fn book_inherited(&mut self, now: u64) {
+        let mut runs = Vec::new();
+        for job in self.jobs.values() {
+            for (task, run) in job.live_runs() {
+                let need = job.step_spec(&task).map(|spec| spec.counted()).unwrap_or_default();
+                runs.push((task, run.worker.clone(), run.born_ms, run.run, need));
+            }
+        }
+        for (task, worker, born_ms, run, need) in runs {
+            match self.workers.get_mut(&worker) {
+                Some(view) if view.entry.born_ms == born_ms || born_ms == 0 => {
+                    view.runs.insert((task, run));
+                    view.used.add(&need);
+                }
+                Some(_) => self.give_up_run(&task, &worker, run, now),
+                // Without an entry the worker cannot be asked: its lease decides.
+                None => self.orphans.push((task, worker, run)),
+            }
+        }
+    }
+
+    /// Gives up inherited runs at workers without an entry once their lease has ended.
+    pub(crate) fn lapse_orphans(&mut self, now: u64) {
+        if now < self.inherit_ms {
+            return;
+        }
+        for (task, worker, run) in std::mem::take(&mut self.orphans) {
+            log::info!(event = "run_lost", task:% = task, run = run, worker = worker.as_str(), reason = "no_entry"; "");
+            self.give_up_run(&task, &worker, run, now);
+        }
+    }
+}
+
+fn add_job(
+    batch: &mut WriteBatch,
+    keys: ShardKeys,
+    job: &JobEntry,
+    unix_ms: u64,
+) -> Result<(), EncodeError> {
+    let body_key = format!("{}{}", keys.bodies(), job.id);
+    if job.state.is_final() {
+        if job.body_stored {
+            batch.removals.push(body_key);
+        }
+    } else if !job.body_stored {
+        batch.push(body_key, encode(&job.body)?);
+    }
+    let fresh = !job.body_stored && job.live_runs().next().is_none();
+    if !fresh || job.state.is_final() {
+        let key = format!("{}{}", keys.progress(), job.id);
+        batch.push(key, encode(&job.progress(unix_ms))?);
+    }
+    batch.versions.push((job.id.clone(), job.version));
+    Ok(())
+}
--- /dev/null
+++ b/src/kept.rs
@@ -0,0 +1,146 @@
+//! An HTTP client that keeps its connections open.
+//!
+//! One connection carries one call at a time. A connection on which a call failed
+//! or took too long is closed: it may have gone silent for good.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use snafu::IntoError;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use crate::http::CallAnswer;
+use crate::http::CallError;
+use crate::http::CallRequest;
+use crate::http::ConnectSnafu;
+use crate::http::OpenConnection;
+use crate::http::TimeoutSnafu;
+use crate::http::send;
+
+/// Bounds on connections.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeptSettings {
+    /// Limit on connecting.
+    pub connect_limit: Duration,
+    /// An idle connection is not used after this time; below the idle limit that
+    /// servers commonly have.
+    pub idle_limit: Duration,
+    /// Most idle connections to a peer.
+    pub idle_most: usize,
+}
+
+impl Default for KeptSettings {
+    fn default() -> Self {
+        Self {
+            connect_limit: Duration::from_millis(400),
+            idle_limit: Duration::from_secs(10),
+            idle_most: 8,
+        }
+    }
+}
+
+type IdleMap = HashMap<SocketAddr, Vec<(Instant, OpenConnection)>>;
+
+/// A client with open connections to many peers.
+#[derive(Clone, Debug, Default)]
+pub struct KeptClient {
+    settings: KeptSettings,
+    idle: Arc<Mutex<IdleMap>>,
+}
+
+impl KeptClient {
+    /// Makes a client without connections.
+    #[must_use]
+    pub fn new(settings: KeptSettings) -> Self {
+        Self {
+            settings,
+            idle: Arc::default(),
+        }
+    }
+
+    /// Makes one call.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no whole answer comes; [`CallError::Connect`] says that nothing was
+    /// sent.
+    pub async fn call(
+        &self,
+        peer: SocketAddr,
+        request: CallRequest<'_>,
+    ) -> Result<CallAnswer, CallError> {
+        let limit = request.limit;
+        match timeout(limit, self.exchange(peer, &request)).await {
+            Ok(result) => result,
+            Err(_) => TimeoutSnafu { peer, limit }.fail(),
+        }
+    }
+
+    /// Closes all idle connections to a peer.
+    pub fn forget(&self, peer: SocketAddr) {
+        self.lock().remove(&peer);
+    }
+
+    async fn exchange(
+        &self,
+        peer: SocketAddr,
+        request: &CallRequest<'_>,
+    ) -> Result<CallAnswer, CallError> {
+        while let Some(mut connection) = self.take(peer) {
+            match send(peer, &mut connection.sender, request).await {
+                // The peer had closed the idle connection; nothing was sent.
+                Err(CallError::Exchange { source, .. }) if source.is_canceled() => {}
+                result => return self.keep(peer, connection, result),
+            }
+        }
+        let opening = timeout(self.settings.connect_limit, OpenConnection::open(peer));
+        let mut connection = match opening.await {
+            Ok(connection) => connection?,
+            Err(_) => {
+                let source = io::Error::from(io::ErrorKind::TimedOut);
+                return Err(ConnectSnafu { peer }.into_error(source));
+            }
+        };
+        let result = send(peer, &mut connection.sender, request).await;
+        self.keep(peer, connection, result)
+    }
+
+    fn take(&self, peer: SocketAddr) -> Option<OpenConnection> {
+        let mut idle = self.lock();
+        let connections = idle.get_mut(&peer)?;
+        while let Some((since, connection)) = connections.pop() {
+            let fresh = since.elapsed() < self.settings.idle_limit;
+            if fresh && !connection.sender.is_closed() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn keep(
+        &self,
+        peer: SocketAddr,
+        connection: OpenConnection,
+        result: Result<CallAnswer, CallError>,
+    ) -> Result<CallAnswer, CallError> {
+        let answer = result?;
+        if !connection.sender.is_closed() {
+            let mut idle = self.lock();
+            let connections = idle.entry(peer).or_default();
+            if connections.len() < self.settings.idle_most {
+                connections.push((Instant::now(), connection));
+            }
+        }
+        Ok(answer)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, IdleMap> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,16 +6,20 @@
 //! both.
 
 pub mod audit;
+pub mod clock;
 pub mod config;
 pub mod decide;
 pub mod fleet;
 pub mod http;
+pub mod jobs;
+pub mod kept;
 pub mod kernel;
 pub mod logs;
 pub mod metrics;
 pub mod names;
 pub mod peer;
 pub mod platform;
+pub mod ports;
 pub mod report;
 pub mod request;
 pub mod service;
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -13,6 +13,7 @@
 /// A second start in one process has no effect.
 pub fn start() {
     let mut builder = Builder::from_env(Env::default().default_filter_or("info"));
+    builder.target(env_logger::Target::Stdout);
     builder.format(|buffer, record| {
         let mut pairs = PairWriter {
             line: format!(
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -315,6 +315,7 @@
             content_type: JSON,
             body: Bytes::from(body),
             limit: self.settings.call_limit,
+            ..CallRequest::default()
         };
         self.checked(step, request).await
     }
--- /dev/null
+++ b/src/service/jobs/bid.rs
@@ -0,0 +1,165 @@
+//! Bidding for the shard and keeping its lease.
+//!
+//! The owner's key goes with a lease of the store; the chain key stays and carries
+//! the epoch. Taking the shard is one commit that needs the owner's key to be free
+//! and moves the chain, so the former owner's commits fail from then on.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::clock::boot_ms;
+use crate::jobs::record::ChainRecord;
+use crate::jobs::record::MemberRecord;
+use crate::jobs::record::ShardKeys;
+use crate::jobs::record::decode;
+use crate::jobs::record::encode;
+use crate::ports::StoreCall;
+use crate::ports::StoreReply;
+use crate::ports::store::LeaseId;
+use crate::ports::store::StoreCommit;
+use crate::ports::store::StoreWrite;
+use crate::service::jobs::messages::OwnerEvent;
+use crate::service::jobs::settings::NodeSettings;
+use crate::service::jobs::store::StoreLink;
+
+/// Limit on a call of a bid.
+const BID_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Renewals in a time to live.
+const RENEWALS: u32 = 5;
+
+/// Limit on a renewal; several fit into a time to live.
+const RENEW_LIMIT: Duration = Duration::from_millis(500);
+
+/// A shard that was won.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WonShard {
+    /// Epoch.
+    pub epoch: u64,
+    /// Revision of the chain key.
+    pub chain: u64,
+    /// Lease of the owner's key.
+    pub lease: LeaseId,
+    /// Until when the ownership is sure, on the boot clock.
+    pub valid_ms: u64,
+    /// Record under the owner's key.
+    pub record: MemberRecord,
+}
+
+/// Bids for the shard; `held` is the revision of the owner's key, 0 if there is none.
+pub async fn bid(
+    settings: &NodeSettings,
+    link: &StoreLink,
+    held: u64,
+    started_ms: u64,
+) -> Option<WonShard> {
+    let keys = ShardKeys::default();
+    let ttl_ms = settings.owner_ttl.as_millis() as u64;
+    let sent_ms = boot_ms();
+    let grant = StoreCall::Grant { ttl_ms };
+    let StoreReply::Lease { id: lease, ttl_ms } = call(link, &grant).await? else {
+        return None;
+    };
+    let StoreReply::Item(chain) = call(link, &StoreCall::Get { key: keys.chain() }).await? else {
+        return None;
+    };
+    let revision = chain.as_ref().map_or(0, |item| item.revision);
+    let last: ChainRecord = match &chain {
+        None => ChainRecord::default(),
+        Some(item) => match decode(&item.key, &item.value) {
+            Ok(record) => record,
+            Err(error) => {
+                log::error!(event = "chain_unreadable", error:% = error; "");
+                return None;
+            }
+        },
+    };
+    let epoch = last.epoch + 1;
+    let record = MemberRecord {
+        name: settings.name.clone(),
+        address: settings.control.to_string(),
+        epoch,
+        started_ms,
+    };
+    let commit = StoreCommit {
+        expected: vec![(keys.owner(), held), (keys.chain(), revision)],
+        writes: vec![
+            write(keys.chain(), encode(&ChainRecord { epoch, commit: 0 }).ok()?, 0),
+            write(keys.owner(), encode(&record).ok()?, lease),
+        ],
+        removals: Vec::new(),
+    };
+    let reply = call(link, &StoreCall::Commit(commit)).await;
+    if let Some(StoreReply::Committed(chain)) = reply {
+        return Some(WonShard {
+            epoch,
+            chain,
+            lease,
+            valid_ms: sent_ms + ttl_ms,
+            record,
+        });
+    }
+    log::info!(event = "bid_lost", epoch = epoch, reply:? = reply; "");
+    // If it took effect all the same, the key goes with its lease.
+    call(link, &StoreCall::Revoke(lease)).await;
+    None
+}
+
+/// Makes the write that puts the owner's key back.
+pub(super) fn owner_write(record: &MemberRecord, lease: LeaseId) -> Option<StoreWrite> {
+    let value = encode(record).ok()?;
+    Some(write(ShardKeys::default().owner(), value, lease))
+}
+
+fn write(key: String, value: Vec<u8>, lease: LeaseId) -> StoreWrite {
+    StoreWrite { key, value, lease }
+}
+
+async fn call(link: &StoreLink, call: &StoreCall) -> Option<StoreReply> {
+    match link.call(call, BID_LIMIT).await {
+        Ok(reply) => Some(reply),
+        Err(error) => {
+            log::info!(event = "bid_failed", error:% = error; "");
+            None
+        }
+    }
+}
+
+/// Renews the owner's lease for ever and keeps `valid_ms` up to date.
+///
+/// The ownership counts from the sending of each renewal. If the lease is gone, a
+/// new one is granted and the scheduler is told to put its key back.
+pub async fn renew(
+    settings: NodeSettings,
+    link: StoreLink,
+    mut lease: LeaseId,
+    valid_ms: Arc<AtomicU64>,
+    events: mpsc::UnboundedSender<OwnerEvent>,
+) {
+    let ttl_ms = settings.owner_ttl.as_millis() as u64;
+    let period = settings.owner_ttl / RENEWALS;
+    loop {
+        sleep(period).await;
+        let sent_ms = boot_ms();
+        match link.call(&StoreCall::Renew(lease), RENEW_LIMIT).await {
+            Ok(StoreReply::Done) => valid_ms.store(sent_ms + ttl_ms, Ordering::Relaxed),
+            Ok(StoreReply::NoLease) => {
+                log::warn!(event = "owner_lease_gone", lease = lease; "");
+                let grant = StoreCall::Grant { ttl_ms };
+                if let Ok(StoreReply::Lease { id, .. }) = link.call(&grant, RENEW_LIMIT).await {
+                    lease = id;
+                    if events.send(OwnerEvent::LeaseLost(id)).is_err() {
+                        return;
+                    }
+                }
+            }
+            Ok(reply) => log::info!(event = "renew_refused", reply:? = reply; ""),
+            Err(error) => log::info!(event = "renew_failed", error:% = error; ""),
+        }
+    }
+}
--- /dev/null
+++ b/src/service/jobs/commit.rs
@@ -0,0 +1,131 @@
+//! One link of the chain of commits, repeated until its outcome is known.
+
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::jobs::record::ChainRecord;
+use crate::jobs::record::ShardKeys;
+use crate::jobs::record::decode;
+use crate::jobs::record::encode;
+use crate::jobs::writes::WriteBatch;
+use crate::platform::backoff::BackoffState;
+use crate::ports::StoreCall;
+use crate::ports::StoreReply;
+use crate::ports::store::StoreCommit;
+use crate::ports::store::StoreItem;
+use crate::ports::store::StoreWrite;
+use crate::service::jobs::messages::CommitOutcome;
+use crate::service::jobs::messages::OwnerEvent;
+use crate::service::jobs::store::StoreLink;
+use crate::service::jobs::watch::STORE_BACKOFF;
+
+/// Limit on one attempt; a slow store answers in a quarter of a second.
+const COMMIT_LIMIT: Duration = Duration::from_millis(600);
+
+/// A commit.
+#[derive(Clone, Debug)]
+pub struct ChainCommit {
+    /// Epoch of the ownership.
+    pub epoch: u64,
+    /// Number of the commit in this epoch.
+    pub number: u64,
+    /// Revision of the chain key that it needs.
+    pub chain: u64,
+    /// Changes.
+    pub batch: WriteBatch,
+    /// Further writes, such as reports on waves or the owner's key.
+    pub extra: Vec<StoreWrite>,
+    /// Keys that must not exist.
+    pub absent: Vec<String>,
+}
+
+/// Commits and reports; every attempt has the same condition, so one takes effect.
+pub async fn run(link: StoreLink, commit: ChainCommit, events: mpsc::UnboundedSender<OwnerEvent>) {
+    let Some(call) = build(&commit) else {
+        let outcome = CommitOutcome::Deposed;
+        let _ = events.send(OwnerEvent::Committed(Box::new(commit.batch), outcome));
+        return;
+    };
+    let mut backoff = BackoffState::new(STORE_BACKOFF);
+    let mut delayed = false;
+    loop {
+        let outcome = match link.call(&call, COMMIT_LIMIT).await {
+            Ok(StoreReply::Committed(revision)) => Some(CommitOutcome::Stored(revision)),
+            Ok(StoreReply::Conflict(items)) => Some(resolve(&commit, &items)),
+            Ok(StoreReply::NoLease) => Some(CommitOutcome::Deposed),
+            Ok(reply) => {
+                log::info!(event = "commit_refused", number = commit.number, reply:? = reply; "");
+                None
+            }
+            Err(error) => {
+                log::info!(event = "commit_unknown", number = commit.number, error:% = error; "");
+                None
+            }
+        };
+        if let Some(outcome) = outcome {
+            // The receiver ends only with the ownership.
+            let _ = events.send(OwnerEvent::Committed(Box::new(commit.batch), outcome));
+            return;
+        }
+        if !std::mem::replace(&mut delayed, true) {
+            let batch = Box::new(commit.batch.clone());
+            let _ = events.send(OwnerEvent::Committed(batch, CommitOutcome::Delayed));
+        }
+        sleep(backoff.pause(rand::random())).await;
+    }
+}
+
+/// Tells from the chain key whether an earlier attempt took effect.
+fn resolve(commit: &ChainCommit, items: &[StoreItem]) -> CommitOutcome {
+    let key = ShardKeys::default().chain();
+    let Some(item) = items.iter().find(|item| item.key == key) else {
+        log::error!(event = "chain_missing", epoch = commit.epoch; "");
+        return CommitOutcome::Deposed;
+    };
+    let record: ChainRecord = match decode(&item.key, &item.value) {
+        Ok(record) => record,
+        Err(error) => {
+            log::error!(event = "chain_unreadable", error:% = error; "");
+            return CommitOutcome::Deposed;
+        }
+    };
+    if record.epoch == commit.epoch && record.commit == commit.number {
+        return CommitOutcome::Stored(item.revision);
+    }
+    log::warn!(
+        event = "commit_conflict", epoch = commit.epoch, number = commit.number,
+        stored_epoch = record.epoch, stored_number = record.commit; ""
+    );
+    CommitOutcome::Deposed
+}
+
+fn build(commit: &ChainCommit) -> Option<StoreCall> {
+    let keys = ShardKeys::default();
+    let record = ChainRecord {
+        epoch: commit.epoch,
+        commit: commit.number,
+    };
+    let value = match encode(&record) {
+        Ok(value) => value,
+        Err(error) => {
+            log::error!(event = "commit_unencodable", error:% = error; "");
+            return None;
+        }
+    };
+    let mut writes = vec![StoreWrite {
+        key: keys.chain(),
+        value,
+        lease: 0,
+    }];
+    writes.extend(commit.batch.writes.iter().cloned());
+    writes.extend(commit.extra.iter().cloned());
+    let mut expected = vec![(keys.chain(), commit.chain)];
+    expected.extend(commit.absent.iter().map(|key| (key.clone(), 0)));
+    Some(StoreCall::Commit(StoreCommit {
+        expected,
+        writes,
+        removals: commit.batch.removals.clone(),
+    }))
+}
--- /dev/null
+++ b/src/service/jobs/front.rs
@@ -0,0 +1,166 @@
+//! Callers' requests: finds the queue, reads the job, relays to the owner.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::jobs::config::JobConfig;
+use crate::kernel::ShutdownPhase;
+use crate::metrics::REQUESTS;
+use crate::ports::DialectPort;
+use crate::ports::client::JSON;
+use crate::service::jobs::messages::OperatorView;
+use crate::service::jobs::messages::RelayAsk;
+use crate::service::jobs::messages::RelayReply;
+use crate::service::jobs::messages::RelayRequest;
+use crate::service::jobs::relay::RelayClient;
+use crate::service::jobs::relay::RelayOutcome;
+use crate::service::jobs::serve::HttpAnswer;
+use crate::service::jobs::serve::answer;
+
+/// Time that a caller waits if it does not say so.
+const DEFAULT_WAIT: Duration = Duration::from_secs(3);
+
+/// Taken off the caller's wait, so that the answer arrives in time.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+
+/// When to come back if no owner was reached, in milliseconds: a dead owner is
+/// replaced within about two seconds.
+const NO_OWNER_RETRY_MS: u64 = 1000;
+
+/// What the front needs.
+#[derive(Clone)]
+pub struct FrontState {
+    /// How the platform is spoken to.
+    pub dialect: DialectPort,
+    /// What the operator wants.
+    pub operator: OperatorView,
+    /// Passes requests on.
+    pub relay: RelayClient,
+    /// Phase of the shutdown.
+    pub phase: watch::Receiver<ShutdownPhase>,
+}
+
+/// Answers a caller.
+pub async fn handle(state: FrontState, request: Request<Incoming>) -> HttpAnswer {
+    let started = Instant::now();
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let mut response = serve(&state, request, started).await;
+    if *state.phase.borrow() > ShutdownPhase::Running {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    let status = response.status().as_u16();
+    metrics::counter!(REQUESTS, "outcome" => status.to_string(), "reason" => method.to_string()).increment(1);
+    metrics::histogram!("chicory_request_seconds").record(started.elapsed().as_secs_f64());
+    // Answers of the usual kind are counted only; their decisions are logged by the owner.
+    if status >= 400 && status != 410 || started.elapsed() > Duration::from_millis(500) {
+        let took_ms = started.elapsed().as_millis() as u64;
+        log::info!(
+            event = "request_answered", method:% = method, path = path.as_str(),
+            status = status, took_ms = took_ms; ""
+        );
+    }
+    response
+}
+
+async fn serve(state: &FrontState, request: Request<Incoming>, started: Instant) -> HttpAnswer {
+    let Some(config) = state.operator.borrow().config.clone() else {
+        return refused(503, NO_OWNER_RETRY_MS);
+    };
+    let wait = request.headers().get(state.dialect.deadline_header);
+    let wait = wait.and_then(|wait| wait.to_str().ok()?.parse().ok());
+    let wait = wait.map_or(DEFAULT_WAIT, Duration::from_millis);
+    let deadline = started + wait.saturating_sub(ANSWER_MARGIN);
+    let relay = match read(state, &config, request).await {
+        Ok(relay) => relay,
+        Err(response) => return *response,
+    };
+    let outcome = state.relay.relay(&relay, deadline).await;
+    respond(state, &relay, outcome)
+}
+
+/// Reads a request; an answer at once if it cannot be relayed.
+async fn read(
+    state: &FrontState,
+    config: &JobConfig,
+    request: Request<Incoming>,
+) -> Result<RelayRequest, Box<HttpAnswer>> {
+    let host = request.headers().get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or("").to_owned();
+    let path = request.uri().path().to_owned();
+    let Some((queue, rest)) = config.find(&host, &path) else {
+        return Err(Box::new(answer(404, "", Bytes::new())));
+    };
+    let mut relay = RelayRequest {
+        job: rest.to_owned(),
+        queue: queue.name.clone(),
+        pool: queue.pool.clone(),
+        ask: RelayAsk::Query,
+        version: config.version,
+    };
+    relay.ask = match (request.method(), rest) {
+        (&Method::GET, "") => RelayAsk::Pending,
+        (_, rest) if !is_job_id(rest) => return Err(Box::new(answer(404, "", Bytes::new()))),
+        (&Method::GET, _) => RelayAsk::Query,
+        (&Method::DELETE, _) => RelayAsk::Cancel,
+        (&Method::POST, _) => {
+            let body = Limited::new(request.into_body(), config.body_bytes).collect().await;
+            let Ok(body) = body else {
+                return Err(Box::new(answer(413, "", Bytes::new())));
+            };
+            match (state.dialect.job)(&body.to_bytes()) {
+                Ok(job) => RelayAsk::Submit(job),
+                Err(error) => {
+                    log::info!(event = "job_unreadable", job = rest, error:% = error; "");
+                    return Err(Box::new(answer(400, "text/plain", error.to_string())));
+                }
+            }
+        }
+        _ => return Err(Box::new(answer(405, "", Bytes::new()))),
+    };
+    Ok(relay)
+}
+
+fn is_job_id(text: &str) -> bool {
+    text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
+fn respond(state: &FrontState, relay: &RelayRequest, outcome: RelayOutcome) -> HttpAnswer {
+    let reply = match outcome {
+        RelayOutcome::Answered(reply) => reply,
+        RelayOutcome::NotReached => return refused(503, NO_OWNER_RETRY_MS),
+        RelayOutcome::Unknown => {
+            log::info!(event = "request_unknown", job = relay.job.as_str(), queue = relay.queue.as_str(); "");
+            return answer(504, "", Bytes::new());
+        }
+    };
+    match reply {
+        RelayReply::Accepted | RelayReply::Cancelled => answer(200, JSON, "{}"),
+        RelayReply::State(job) => answer(200, JSON, (state.dialect.job_state)(job)),
+        RelayReply::Pending(count) => answer(200, JSON, (state.dialect.queue_state)(count)),
+        RelayReply::Unknown => answer(410, "", Bytes::new()),
+        RelayReply::NoQueue => answer(404, "", Bytes::new()),
+        RelayReply::Invalid => answer(400, "", Bytes::new()),
+        RelayReply::Refused { retry_ms } => refused(429, retry_ms),
+        RelayReply::NotOwner => refused(503, NO_OWNER_RETRY_MS),
+    }
+}
+
+/// An answer that says that nothing has run, and when to come back.
+fn refused(status: u16, retry_ms: u64) -> HttpAnswer {
+    let mut response = answer(status, "", Bytes::new());
+    let seconds = retry_ms.div_ceil(1000).max(1);
+    response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    response
+}
--- /dev/null
+++ b/src/service/jobs/load.rs
@@ -0,0 +1,97 @@
+//! Taking a shard over from the store.
+
+use std::collections::HashMap;
+
+use crate::clock::boot_ms;
+use crate::clock::unix_ms;
+use crate::jobs::engine::JobEngine;
+use crate::jobs::engine::TimePair;
+use crate::jobs::record::BodyRecord;
+use crate::jobs::record::ProgressRecord;
+use crate::jobs::record::ShardKeys;
+use crate::jobs::record::WaveRecord;
+use crate::jobs::record::decode;
+use crate::ports::store::StoreItem;
+use crate::service::jobs::store::StoreError;
+use crate::service::jobs::store::StoreLink;
+use crate::service::jobs::watch::read_all;
+
+/// What a shard holds in the store.
+#[derive(Clone, Debug, Default)]
+pub struct ShardContent {
+    /// Bodies of jobs.
+    pub bodies: Vec<StoreItem>,
+    /// Progress of jobs.
+    pub progress: Vec<StoreItem>,
+    /// Progress of waves.
+    pub waves: HashMap<u64, WaveRecord>,
+}
+
+/// Reads a shard.
+///
+/// # Errors
+///
+/// Fails if a page cannot be read.
+pub async fn read_shard(link: &StoreLink, keys: ShardKeys) -> Result<ShardContent, StoreError> {
+    let (bodies, progress, waves) = (keys.bodies(), keys.progress(), keys.waves());
+    let (bodies, progress, waves) = tokio::join!(
+        read_all(link, &bodies),
+        read_all(link, &progress),
+        read_all(link, &waves),
+    );
+    let mut content = ShardContent {
+        bodies: bodies?.0,
+        progress: progress?.0,
+        waves: HashMap::new(),
+    };
+    for item in waves?.0 {
+        let number = item.key.rsplit('/').next().and_then(|number| number.parse().ok());
+        match (number, decode(&item.key, &item.value)) {
+            (Some(number), Ok(record)) => {
+                content.waves.insert(number, record);
+            }
+            (_, Err(error)) => log::error!(event = "wave_record_unreadable", error:% = error; ""),
+            (None, Ok(_)) => log::error!(event = "wave_record_unnamed", key = item.key.as_str(); ""),
+        }
+    }
+    Ok(content)
+}
+
+/// Puts what a shard holds into the scheduler.
+pub fn restore(engine: &mut JobEngine, content: ShardContent) {
+    let time = TimePair {
+        boot: boot_ms(),
+        unix: unix_ms(),
+    };
+    let mut progress = HashMap::new();
+    for item in content.progress {
+        let id = item.key.rsplit('/').next().unwrap_or_default().to_owned();
+        match decode::<ProgressRecord>(&item.key, &item.value) {
+            Ok(record) => {
+                progress.insert(id, record);
+            }
+            Err(error) => log::error!(event = "job_record_unreadable", error:% = error; ""),
+        }
+    }
+    for item in content.bodies {
+        let id = item.key.rsplit('/').next().unwrap_or_default().to_owned();
+        match decode::<BodyRecord>(&item.key, &item.value) {
+            Ok(body) => {
+                let record = progress.remove(&id);
+                engine.restore_job(id.as_str().into(), body, record, time);
+            }
+            Err(error) => log::error!(event = "job_record_unreadable", error:% = error; ""),
+        }
+    }
+    for (id, record) in progress {
+        if record.state.is_final() {
+            engine.restore_ended(id.as_str().into(), &record, time);
+        } else {
+            log::error!(event = "job_body_missing", job = id.as_str(); "");
+        }
+    }
+    log::info!(
+        event = "shard_loaded", jobs = engine.jobs.len(), ended = engine.ended.len(),
+        waves = content.waves.len(); ""
+    );
+}
--- /dev/null
+++ b/src/service/jobs/node.rs
@@ -0,0 +1,273 @@
+//! Composition of an entry VM that takes jobs.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::clock::boot_ms;
+use crate::clock::unix_ms;
+use crate::kept::KeptClient;
+use crate::kept::KeptSettings;
+use crate::kernel::ServiceKernel;
+use crate::kernel::ShutdownPhase;
+use crate::metrics;
+use crate::ports::DialectPort;
+use crate::ports::client::CallLimits;
+use crate::ports::client::PortClient;
+use crate::service::jobs::exchange;
+use crate::service::jobs::exchange::ExchangeState;
+use crate::service::jobs::front;
+use crate::service::jobs::front::FrontState;
+use crate::service::jobs::member;
+use crate::service::jobs::messages::MemberState;
+use crate::service::jobs::messages::OperatorState;
+use crate::service::jobs::operator;
+use crate::service::jobs::owner;
+use crate::service::jobs::owner::OwnerContext;
+use crate::service::jobs::peer;
+use crate::service::jobs::peer::PeerState;
+use crate::service::jobs::relay::RelayClient;
+use crate::service::jobs::serve;
+use crate::service::jobs::serve::ServeSettings;
+use crate::service::jobs::settings::NodeSettings;
+use crate::service::jobs::store::StoreLink;
+
+/// Name under which the services are registered.
+pub const NAME: &str = "jobs";
+
+/// Name of the service that answers callers.
+pub const FRONT: &str = "front";
+
+/// Name of the service that owns shards.
+pub const OWNER: &str = "owner";
+
+/// Time between the end of readiness and the end of accepting: the balancer needs
+/// two misses, a second apart.
+const LEAVE_ROTATION: Duration = Duration::from_millis(2400);
+
+/// Kept of the grace for the end of the process itself.
+const END_MARGIN: Duration = Duration::from_millis(600);
+
+/// An entry VM that heard nothing of store, owner and others for this long is not
+/// ready, in milliseconds: callers are better off elsewhere.
+const DEAF_MS: u64 = 2500;
+
+/// An entry VM that cannot be started.
+#[derive(Debug)]
+#[derive(Snafu)]
+pub enum NodeError {
+    /// An address cannot be listened on.
+    #[snafu(display("step=listen peer={address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// A running entry VM.
+pub struct RunningNode {
+    /// Where callers reach it.
+    pub front: SocketAddr,
+    /// Where other entry VMs reach it.
+    pub control: SocketAddr,
+    kernel: ServiceKernel,
+    grace: Duration,
+}
+
+/// Starts all services.
+///
+/// # Errors
+///
+/// Fails if a socket cannot be bound.
+pub async fn start(settings: NodeSettings, dialect: DialectPort) -> Result<RunningNode, NodeError> {
+    metrics::start();
+    let kernel = ServiceKernel::default();
+    let front = listen(settings.front).await?;
+    let ready = listen(settings.ready).await?;
+    let control = listen(settings.control).await?;
+    let front_address = front.local_addr().context(ListenSnafu { address: settings.front })?;
+    let address = settings.control;
+    let control_address = control.local_addr().context(ListenSnafu { address })?;
+    let settings = NodeSettings {
+        control: control_address,
+        front: front_address,
+        ..settings
+    };
+    let kept = KeptClient::new(KeptSettings::default());
+    let link = StoreLink::new(dialect, settings.addresses.store, kept.clone());
+    link.set_peers(settings.seeds.iter().copied().filter(|seed| *seed != settings.control).collect());
+    let (members, member_view) = watch::channel(MemberState::default());
+    let (operator, operator_view) = watch::channel(OperatorState::default());
+    let (inbox, inbox_view) = watch::channel(None);
+    let exchange = ExchangeState {
+        name: settings.name.clone(),
+        operator: operator.clone(),
+        members: members.clone(),
+        heard_ms: Arc::new(AtomicU64::new(boot_ms())),
+        kept: kept.clone(),
+    };
+    let relay = RelayClient {
+        name: settings.name.clone(),
+        members: member_view.clone(),
+        inbox: inbox_view.clone(),
+        kept: kept.clone(),
+    };
+    let context = OwnerContext {
+        settings: settings.clone(),
+        started_ms: unix_ms(),
+        link: link.clone(),
+        client: PortClient {
+            dialect,
+            addresses: settings.addresses,
+            kept,
+            limits: CallLimits::default(),
+        },
+        members: member_view,
+        operator: operator_view.clone(),
+        exchange: exchange.clone(),
+        phase: kernel.phase(),
+    };
+    kernel.spawn(NAME, member::register(settings.clone(), link.clone()));
+    kernel.spawn(NAME, member::run(settings.clone(), link.clone(), members));
+    kernel.spawn(NAME, operator::run(dialect, link.clone(), operator));
+    kernel.spawn(NAME, exchange::run(settings.clone(), exchange.clone()));
+    kernel.spawn(OWNER, owner::run(context, inbox));
+    start_servers(&kernel, &settings, [front, ready, control], ServerStates {
+        front: FrontState {
+            dialect,
+            operator: operator_view,
+            relay,
+            phase: kernel.phase(),
+        },
+        peer: PeerState {
+            owner: inbox_view,
+            exchange,
+            link,
+        },
+    });
+    start_metrics(&kernel, settings.metrics).await;
+    log::info!(
+        event = "node_started", name = settings.name.as_str(), dc = settings.dc.as_str(),
+        front:% = front_address, control:% = control_address; ""
+    );
+    Ok(RunningNode {
+        front: front_address,
+        control: control_address,
+        kernel,
+        grace: settings.grace,
+    })
+}
+
+struct ServerStates {
+    front: FrontState,
+    peer: PeerState,
+}
+
+fn start_servers(
+    kernel: &ServiceKernel,
+    settings: &NodeSettings,
+    listeners: [TcpListener; 3],
+    states: ServerStates,
+) {
+    let [front, ready, control] = listeners;
+    let ready_state = ReadyState {
+        front: states.front.clone(),
+        peer: states.peer.clone(),
+    };
+    let ready_path = states.front.dialect.ready_path;
+    let handler = move |request: hyper::Request<hyper::body::Incoming>| {
+        let state = ready_state.clone();
+        async move {
+            let known = request.uri().path() == ready_path;
+            let status = if known && state.is_ready() { 200 } else { 503 };
+            serve::answer(status, "", Bytes::new())
+        }
+    };
+    let bounds = ServeSettings {
+        name: "ready",
+        until: ShutdownPhase::Stopped,
+        ..ServeSettings::default()
+    };
+    kernel.spawn(NAME, serve::run(ready, bounds.clone(), kernel.phase(), handler));
+    let peer_state = states.peer;
+    let handler = move |request| peer::handle(peer_state.clone(), request);
+    let bounds = ServeSettings {
+        name: "control",
+        ..bounds
+    };
+    kernel.spawn(NAME, serve::run(control, bounds, kernel.phase(), handler));
+    let front_state = states.front;
+    let handler = move |request| front::handle(front_state.clone(), request);
+    let bounds = ServeSettings {
+        name: "front",
+        ..ServeSettings::default()
+    };
+    log::debug!(event = "serving", front:% = settings.front; "");
+    kernel.spawn(FRONT, serve::run(front, bounds, kernel.phase(), handler));
+}
+
+async fn start_metrics(kernel: &ServiceKernel, address: Option<SocketAddr>) {
+    let Some(address) = address else {
+        return;
+    };
+    let listener = match listen(address).await {
+        Ok(listener) => listener,
+        // Metrics are of use, but nothing waits for them.
+        Err(error) => return log::warn!(event = "metrics_unserved", error:% = error; ""),
+    };
+    let handler = |_request| async { serve::answer(200, "text/plain", metrics::render()) };
+    let bounds = ServeSettings {
+        name: "metrics",
+        until: ShutdownPhase::Stopped,
+        ..ServeSettings::default()
+    };
+    kernel.spawn(NAME, serve::run(listener, bounds, kernel.phase(), handler));
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+#[derive(Clone)]
+struct ReadyState {
+    front: FrontState,
+    peer: PeerState,
+}
+
+impl ReadyState {
+    fn is_ready(&self) -> bool {
+        let running = *self.front.phase.borrow() == ShutdownPhase::Running;
+        let configured = self.front.operator.borrow().config.is_some();
+        let owning = self.peer.owner.borrow().is_some();
+        let heard_ms = self.peer.exchange.heard_ms.load(Ordering::Relaxed);
+        let heard = boot_ms() < heard_ms + DEAF_MS || self.peer.link.is_direct();
+        running && configured && (owning || heard)
+    }
+}
+
+impl RunningNode {
+    /// Ends gracefully: leaves rotation, hands its shard over, finishes.
+    pub async fn stop(self) {
+        log::info!(event = "shutdown_started"; "");
+        self.kernel.advance(ShutdownPhase::Announced);
+        sleep(LEAVE_ROTATION).await;
+        self.kernel.advance(ShutdownPhase::Draining);
+        let left = self.grace.saturating_sub(LEAVE_ROTATION + END_MARGIN);
+        self.kernel.join_named(FRONT, left).await;
+        self.kernel.join_named(OWNER, END_MARGIN / 4).await;
+        self.kernel.advance(ShutdownPhase::Stopped);
+        log::info!(event = "shutdown_ended"; "");
+    }
+}
--- /dev/null
+++ b/src/service/jobs/owner.rs
@@ -0,0 +1,502 @@
+//! Owning the shard: waits for its turn, bids, runs the scheduler, hands over.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+use crate::clock::boot_ms;
+use crate::clock::unix_ms;
+use crate::jobs::callers::Submission;
+use crate::jobs::engine::JobEngine;
+use crate::jobs::engine::SchedulerSettings;
+use crate::jobs::engine::TimePair;
+use crate::jobs::record::ShardKeys;
+use crate::jobs::writes::WriteBatch;
+use crate::kernel::ShutdownPhase;
+use crate::platform::backoff::BackoffState;
+use crate::ports::StoreCall;
+use crate::ports::client::PortClient;
+use crate::ports::store::StoreEvent;
+use crate::ports::store::StoreItem;
+use crate::ports::store::StoreWrite;
+use crate::service::jobs::bid::WonShard;
+use crate::service::jobs::bid::bid;
+use crate::service::jobs::bid::owner_write;
+use crate::service::jobs::bid::renew;
+use crate::service::jobs::commit;
+use crate::service::jobs::commit::ChainCommit;
+use crate::service::jobs::exchange::ExchangeState;
+use crate::service::jobs::exchange::address_of;
+use crate::service::jobs::load::ShardContent;
+use crate::service::jobs::load::read_shard;
+use crate::service::jobs::load::restore;
+use crate::service::jobs::messages::CommitOutcome;
+use crate::service::jobs::messages::MemberView;
+use crate::service::jobs::messages::OperatorView;
+use crate::service::jobs::messages::OwnerEvent;
+use crate::service::jobs::messages::RelayAsk;
+use crate::service::jobs::messages::RelayReply;
+use crate::service::jobs::perform::ActionPerformer;
+use crate::service::jobs::perform::KEEP_ALIVE_MS;
+use crate::service::jobs::settings::NodeSettings;
+use crate::service::jobs::store::StoreLink;
+use crate::service::jobs::watch::PrefixNews;
+use crate::service::jobs::watch::STORE_BACKOFF;
+use crate::service::jobs::watch::follow;
+use crate::service::jobs::watch::read_all;
+
+/// Time between two rounds of what is due by time.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Events taken in before the next plan.
+const EVENT_BURST: usize = 256;
+
+/// Longest draw before a bid; smaller entry VMs wait longer, so that larger ones win.
+const BID_SPREAD: Duration = Duration::from_millis(40);
+
+/// Time given to a living former owner to put its key back.
+const FORMER_GRACE: Duration = Duration::from_millis(700);
+
+/// Limit on the last commit of a handover.
+const HANDOVER_LIMIT: Duration = Duration::from_millis(1200);
+
+/// What owning needs.
+#[derive(Clone)]
+pub struct OwnerContext {
+    /// Settings.
+    pub settings: NodeSettings,
+    /// Start of this process, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// The store.
+    pub link: StoreLink,
+    /// Workers, list of VMs, advice.
+    pub client: PortClient,
+    /// The members.
+    pub members: MemberView,
+    /// What the operator wants.
+    pub operator: OperatorView,
+    /// Notes to other entry VMs.
+    pub exchange: ExchangeState,
+    /// Phase of the shutdown.
+    pub phase: watch::Receiver<ShutdownPhase>,
+}
+
+/// Bids whenever the shard is free, and owns it while it can.
+pub async fn run(
+    mut context: OwnerContext,
+    inbox: watch::Sender<Option<mpsc::UnboundedSender<OwnerEvent>>>,
+) {
+    let mut backoff = BackoffState::new(STORE_BACKOFF);
+    loop {
+        let Some(held) = wait_turn(&mut context).await else {
+            return;
+        };
+        let won = bid(&context.settings, &context.link, held, context.started_ms).await;
+        let Some(won) = won else {
+            sleep(backoff.pause(rand::random())).await;
+            continue;
+        };
+        backoff.reset();
+        log::info!(event = "shard_won", epoch = won.epoch, held = held; "");
+        own(&context, won, &inbox).await;
+        inbox.send_replace(None);
+        if is_leaving(&context) {
+            return;
+        }
+        sleep(backoff.pause(rand::random())).await;
+    }
+}
+
+fn is_leaving(context: &OwnerContext) -> bool {
+    *context.phase.borrow() > ShutdownPhase::Running
+}
+
+/// Waits until a bid makes sense; returns the revision that the owner's key has.
+async fn wait_turn(context: &mut OwnerContext) -> Option<u64> {
+    loop {
+        if is_leaving(context) {
+            return None;
+        }
+        let (synced, owner, former) = {
+            let members = context.members.borrow_and_update();
+            (members.synced, members.owner.clone(), members.former.clone())
+        };
+        match owner {
+            // A former life of this process has ended: its address is bound again.
+            Some((owner, revision)) if owner.name == context.settings.name && revision > 0 => {
+                return Some(revision);
+            }
+            None if synced => {
+                let waits = 1.0 - context.settings.cpu_share.clamp(0.0, 1.0);
+                sleep(BID_SPREAD.mul_f64(waits * rand::random::<f64>())).await;
+                if let Some(former) = former.filter(|former| former.name != context.settings.name)
+                    && let Some(address) = address_of(&former)
+                    && let Some(note) = context.exchange.send(address, u64::MAX).await
+                    && note.owning
+                {
+                    log::info!(event = "former_owner_lives", owner = former.name.as_str(); "");
+                    let _ = timeout(FORMER_GRACE, context.members.changed()).await;
+                }
+                if context.members.borrow().owner.is_none() && !is_leaving(context) {
+                    return Some(0);
+                }
+                continue;
+            }
+            _ => {}
+        }
+        let mut phase = context.phase.clone();
+        tokio::select! {
+            _ = context.members.changed() => {}
+            _ = phase.changed() => {}
+        }
+    }
+}
+
+/// Tasks that end with the ownership.
+struct TaskGuard(Vec<JoinHandle<()>>);
+
+impl Drop for TaskGuard {
+    fn drop(&mut self) {
+        self.0.iter().for_each(JoinHandle::abort);
+    }
+}
+
+async fn own(
+    context: &OwnerContext,
+    won: WonShard,
+    inbox: &watch::Sender<Option<mpsc::UnboundedSender<OwnerEvent>>>,
+) {
+    let (events, mut received) = mpsc::unbounded_channel();
+    let valid_ms = Arc::new(AtomicU64::new(won.valid_ms));
+    let renewing = renew(
+        context.settings.clone(),
+        context.link.clone(),
+        won.lease,
+        Arc::clone(&valid_ms),
+        events.clone(),
+    );
+    let mut tasks = TaskGuard(vec![tokio::spawn(renewing)]);
+    let Some((content, entries, config)) = load(context, &valid_ms).await else {
+        log::warn!(event = "shard_not_loaded", epoch = won.epoch; "");
+        release(context, won.lease).await;
+        return;
+    };
+    let scheduler = SchedulerSettings {
+        holder: context.settings.name.clone(),
+        ..context.settings.scheduler.clone()
+    };
+    let now = boot_ms();
+    let mut engine = JobEngine::new(scheduler, won.epoch, config, now);
+    engine.inherit_ms = now + KEEP_ALIVE_MS + engine.settings.lease_ms * 21 / 20;
+    engine.fleet.enabled = context.client.addresses.fleet.is_some();
+    let waves = content.waves.clone();
+    restore(&mut engine, content);
+    let listed = entries.iter().filter_map(|item| decode_entry(context, item));
+    engine.workers_synced(listed.collect(), now);
+    engine.book_inherited(now);
+    tasks.0.push(tokio::spawn(watch_workers(context.clone(), events.clone())));
+    let mut owner = ShardOwner {
+        context: context.clone(),
+        chain: won.chain,
+        number: 0,
+        in_flight: None,
+        reclaim: None,
+        stored_waves: waves,
+        performer: ActionPerformer {
+            client: context.client.clone(),
+            valid_ms,
+            events: events.clone(),
+            waiters: HashMap::new(),
+            next_waiter: 0,
+        },
+        events: events.clone(),
+        record: won.record.clone(),
+        engine,
+    };
+    inbox.send_replace(Some(events));
+    let lease = owner.serve(&mut received, won.lease).await;
+    inbox.send_replace(None);
+    release(context, lease).await;
+}
+
+async fn release(context: &OwnerContext, lease: u64) {
+    let call = StoreCall::Revoke(lease);
+    if let Err(error) = context.link.call(&call, HANDOVER_LIMIT).await {
+        log::info!(event = "release_failed", error:% = error; "");
+    }
+}
+
+type LoadedShard = (ShardContent, Vec<StoreItem>, Arc<crate::jobs::config::JobConfig>);
+
+/// Reads all that the scheduler starts from, as long as the ownership is sure.
+async fn load(context: &OwnerContext, valid_ms: &AtomicU64) -> Option<LoadedShard> {
+    let mut backoff = BackoffState::new(STORE_BACKOFF);
+    let workers = context.client.dialect.keys.workers;
+    let mut operator = context.operator.clone();
+    while boot_ms() < valid_ms.load(Ordering::Relaxed) {
+        let config = operator.borrow_and_update().config.clone();
+        let (content, entries) = tokio::join!(
+            read_shard(&context.link, ShardKeys::default()),
+            read_all(&context.link, workers),
+        );
+        match (content, entries, config) {
+            (Ok(content), Ok((entries, _)), Some(config)) => return Some((content, entries, config)),
+            (Err(error), ..) | (_, Err(error), _) => {
+                log::info!(event = "load_failed", error:% = error; "");
+            }
+            (_, _, None) => {}
+        }
+        sleep(backoff.pause(rand::random())).await;
+    }
+    None
+}
+
+fn decode_entry(context: &OwnerContext, item: &StoreItem) -> Option<crate::ports::WorkerEntry> {
+    let id = item.key.strip_prefix(context.client.dialect.keys.workers)?;
+    match (context.client.dialect.worker_entry)(id, &item.value) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            log::info!(event = "entry_unreadable", worker = id, error:% = error; "");
+            None
+        }
+    }
+}
+
+/// Follows the workers' entries.
+async fn watch_workers(context: OwnerContext, events: mpsc::UnboundedSender<OwnerEvent>) {
+    let prefix = context.client.dialect.keys.workers;
+    let news = |news: PrefixNews| {
+        let event = match news {
+            PrefixNews::All(items) => {
+                let entries = items.iter().filter_map(|item| decode_entry(&context, item));
+                OwnerEvent::WorkersSynced(entries.collect())
+            }
+            PrefixNews::Changed(StoreEvent::Written(item)) => match decode_entry(&context, &item) {
+                Some(entry) => OwnerEvent::WorkerListed(entry),
+                None => OwnerEvent::WorkerUnlisted(item.key[prefix.len()..].to_owned()),
+            },
+            PrefixNews::Changed(StoreEvent::Removed { key, .. }) => {
+                OwnerEvent::WorkerUnlisted(key[prefix.len()..].to_owned())
+            }
+        };
+        events.send(event).is_ok()
+    };
+    follow(&context.link, prefix, news).await;
+}
+
+/// The scheduler of the shard with what it needs.
+struct ShardOwner {
+    context: OwnerContext,
+    engine: JobEngine,
+    chain: u64,
+    number: u64,
+    in_flight: Option<WriteBatch>,
+    reclaim: Option<u64>,
+    stored_waves: HashMap<u64, crate::jobs::record::WaveRecord>,
+    performer: ActionPerformer,
+    events: mpsc::UnboundedSender<OwnerEvent>,
+    record: crate::jobs::record::MemberRecord,
+}
+
+impl ShardOwner {
+    /// Runs until deposed or until the shutdown; returns the lease to release.
+    async fn serve(
+        &mut self,
+        received: &mut mpsc::UnboundedReceiver<OwnerEvent>,
+        mut lease: u64,
+    ) -> u64 {
+        let mut phase = self.context.phase.clone();
+        let mut operator = self.context.operator.clone();
+        operator.mark_changed();
+        let mut tick = Instant::now();
+        loop {
+            let mut leaving = false;
+            tokio::select! {
+                event = received.recv() => {
+                    let mut next = event;
+                    for _ in 0..EVENT_BURST {
+                        let Some(event) = next else { break };
+                        if let OwnerEvent::LeaseLost(id) = event {
+                            lease = id;
+                        }
+                        self.take(event);
+                        next = received.try_recv().ok();
+                    }
+                }
+                () = sleep_until(tick) => {
+                    self.engine.tick(now());
+                    tick = Instant::now() + TICK;
+                }
+                changed = operator.changed() => {
+                    if changed.is_ok() {
+                        let state = operator.borrow_and_update().clone();
+                        self.follow_operator(state);
+                    }
+                }
+                _ = phase.changed() => leaving = *phase.borrow() > ShutdownPhase::Running,
+            }
+            if self.engine.deposed {
+                log::warn!(event = "deposed", epoch = self.engine.epoch; "");
+                return lease;
+            }
+            if leaving {
+                self.hand_over(received).await;
+                return lease;
+            }
+            self.engine.plan(now());
+            self.commit_due();
+            self.perform_all();
+        }
+    }
+
+    fn perform_all(&mut self) {
+        for action in self.engine.take_actions() {
+            self.performer.perform(action);
+        }
+    }
+
+    fn follow_operator(&mut self, state: crate::service::jobs::messages::OperatorState) {
+        if let Some(config) = state.config {
+            self.engine.set_config(config);
+        }
+        for wave in state.waves {
+            let record = self.stored_waves.get(&wave.wave).cloned();
+            self.engine.set_wave(wave, record, boot_ms());
+        }
+    }
+
+    fn take(&mut self, event: OwnerEvent) {
+        let time = now();
+        match event {
+            OwnerEvent::Relay(request, answer) => {
+                let waiter = self.performer.wait(answer);
+                let id = request.job.as_str().into();
+                match request.ask {
+                    RelayAsk::Submit(spec) => {
+                        let submission = Submission {
+                            id,
+                            queue: request.queue,
+                            pool: request.pool,
+                            spec,
+                        };
+                        self.engine.submit(submission, waiter, time);
+                    }
+                    RelayAsk::Query => self.engine.query(&id, waiter),
+                    RelayAsk::Cancel => self.engine.cancel(&id, waiter, time.boot),
+                    RelayAsk::Pending => self.engine.pending(&request.queue, waiter),
+                }
+            }
+            OwnerEvent::Called {
+                token,
+                result,
+                sent_ms,
+            } => self.engine.called(token, result, sent_ms, time.boot),
+            OwnerEvent::FleetCalled(call, reply) => self.engine.fleet_called(&call, reply, time.boot),
+            OwnerEvent::Advised(step, asked, reply) => {
+                self.engine.advised(&step, &asked, reply, time.boot);
+            }
+            OwnerEvent::WorkersSynced(entries) => self.engine.workers_synced(entries, time.boot),
+            OwnerEvent::WorkerListed(entry) => self.engine.worker_listed(entry, time.boot),
+            OwnerEvent::WorkerUnlisted(worker) => self.engine.worker_unlisted(&worker, time.boot),
+            OwnerEvent::LeaseLost(lease) => self.reclaim = Some(lease),
+            OwnerEvent::Committed(batch, outcome) => self.committed(&batch, outcome, time.boot),
+        }
+    }
+
+    fn committed(&mut self, batch: &WriteBatch, outcome: CommitOutcome, now: u64) {
+        match outcome {
+            CommitOutcome::Stored(revision) => {
+                self.chain = revision;
+                self.in_flight = None;
+                self.engine.written(batch, now);
+            }
+            CommitOutcome::Delayed => self.engine.store_failed(batch, now),
+            CommitOutcome::Deposed => self.engine.deposed = true,
+        }
+    }
+
+    /// Starts the next commit, if one is due and none is under way.
+    fn commit_due(&mut self) {
+        let time = now();
+        let due = self.engine.write_due().is_some_and(|due| due <= time.boot);
+        if self.in_flight.is_some() || !(due || self.reclaim.is_some()) {
+            return;
+        }
+        let batch = match self.engine.take_writes(ShardKeys::default(), time) {
+            Ok(batch) => batch,
+            Err(error) => {
+                log::error!(event = "records_unencodable", error:% = error; "");
+                return;
+            }
+        };
+        if batch.is_empty() && self.reclaim.is_none() {
+            // Jobs that are gone were marked; their waiters were answered.
+            self.engine.written(&batch, time.boot);
+            return;
+        }
+        self.number += 1;
+        let keys = self.context.client.dialect.keys;
+        let mut extra: Vec<StoreWrite> = Vec::new();
+        for (wave, record) in &batch.waves {
+            extra.push(StoreWrite {
+                key: format!("{}{wave}", keys.wave_status),
+                value: (self.context.client.dialect.wave_status)(record.complete),
+                lease: 0,
+            });
+        }
+        let mut absent = Vec::new();
+        if let Some(lease) = self.reclaim.take() {
+            extra.extend(owner_write(&self.record, lease));
+            absent.push(ShardKeys::default().owner());
+        }
+        self.in_flight = Some(batch.clone());
+        let commit = ChainCommit {
+            epoch: self.engine.epoch,
+            number: self.number,
+            chain: self.chain,
+            batch,
+            extra,
+            absent,
+        };
+        tokio::spawn(commit::run(self.context.link.clone(), commit, self.events.clone()));
+    }
+
+    /// Stores what is not stored yet; the successor starts from it.
+    async fn hand_over(&mut self, received: &mut mpsc::UnboundedReceiver<OwnerEvent>) {
+        log::info!(event = "handing_over", epoch = self.engine.epoch, jobs = self.engine.jobs.len(); "");
+        let deadline = Instant::now() + HANDOVER_LIMIT;
+        loop {
+            self.commit_due();
+            self.perform_all();
+            let settled = self.in_flight.is_none() && self.engine.write_due().is_none();
+            if settled || self.engine.deposed {
+                return;
+            }
+            let event = tokio::time::timeout_at(deadline, received.recv()).await;
+            match event {
+                Ok(Some(OwnerEvent::Relay(_, answer))) => {
+                    let _ = answer.send(RelayReply::NotOwner);
+                }
+                Ok(Some(event)) => self.take(event),
+                Ok(None) | Err(_) => return,
+            }
+        }
+    }
+}
+
+fn now() -> TimePair {
+    TimePair {
+        boot: boot_ms(),
+        unix: unix_ms(),
+    }
+}
--- /dev/null
+++ b/src/service/jobs/peer.rs
@@ -0,0 +1,128 @@
+//! Server for other entry VMs: relayed requests, exchanged notes, calls to the store.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::metrics::count_peer_message;
+use crate::service::jobs::exchange::ExchangeState;
+use crate::service::jobs::messages::ExchangeNote;
+use crate::service::jobs::messages::OwnerInbox;
+use crate::service::jobs::messages::ProxyReply;
+use crate::service::jobs::messages::ProxyRequest;
+use crate::service::jobs::messages::RelayReply;
+use crate::service::jobs::messages::RelayRequest;
+use crate::service::jobs::relay::ask_owner;
+use crate::service::jobs::serve::HttpAnswer;
+use crate::service::jobs::serve::answer;
+use crate::service::jobs::store::StoreError;
+use crate::service::jobs::store::StoreLink;
+
+/// Type of bodies between entry VMs.
+pub const MSGPACK: &str = "application/msgpack";
+
+/// Path of relayed requests.
+pub const RELAY_PATH: &str = "/chicory/relay";
+
+/// Path of exchanged notes.
+pub const EXCHANGE_PATH: &str = "/chicory/exchange";
+
+/// Path of calls to the store.
+pub const STORE_PATH: &str = "/chicory/store";
+
+/// Largest message that is taken, in bytes; a configuration of thousands of queues.
+const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
+/// What the server needs.
+#[derive(Clone)]
+pub struct PeerState {
+    /// The scheduler, while this entry VM owns the shard.
+    pub owner: OwnerInbox,
+    /// What is exchanged.
+    pub exchange: ExchangeState,
+    /// The store.
+    pub link: StoreLink,
+}
+
+/// Answers another entry VM.
+pub async fn handle(state: PeerState, request: Request<Incoming>) -> HttpAnswer {
+    let path = request.uri().path().to_owned();
+    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::info!(event = "peer_message_cut", path = path.as_str(), error:% = error; "");
+            return answer(400, "", Bytes::new());
+        }
+    };
+    count_peer_message("in", body.len());
+    match path.as_str() {
+        RELAY_PATH => match parse::<RelayRequest>(&path, &body) {
+            Some(request) => reply(&relay(&state, request).await),
+            None => answer(400, "", Bytes::new()),
+        },
+        EXCHANGE_PATH => match parse::<ExchangeNote>(&path, &body) {
+            Some(note) => reply(&state.exchange.answer(note, state.owner.borrow().is_some())),
+            None => answer(400, "", Bytes::new()),
+        },
+        STORE_PATH => match parse::<ProxyRequest>(&path, &body) {
+            Some(request) => reply(&call_store(&state, request).await),
+            None => answer(400, "", Bytes::new()),
+        },
+        _ => answer(404, "", Bytes::new()),
+    }
+}
+
+async fn relay(state: &PeerState, request: RelayRequest) -> RelayReply {
+    let sender = state.owner.borrow().clone();
+    match sender {
+        None => RelayReply::NotOwner,
+        Some(sender) => ask_owner(&sender, request).await.unwrap_or(RelayReply::NotOwner),
+    }
+}
+
+async fn call_store(state: &PeerState, request: ProxyRequest) -> ProxyReply {
+    let Ok(method) = request.method.parse::<Method>() else {
+        return ProxyReply::NotSent;
+    };
+    let limit = Duration::from_millis(request.limit_ms);
+    let body = Bytes::from(request.body);
+    match state.link.send(method, &request.path, body, limit).await {
+        Ok(reply) => ProxyReply::Answered {
+            status: reply.status,
+            body: reply.body.to_vec(),
+        },
+        Err(StoreError::NotSent { .. }) => ProxyReply::NotSent,
+        Err(_) => ProxyReply::Unknown,
+    }
+}
+
+fn parse<T: DeserializeOwned>(path: &str, body: &[u8]) -> Option<T> {
+    match rmp_serde::from_slice(body) {
+        Ok(message) => Some(message),
+        Err(error) => {
+            log::warn!(event = "peer_message_unreadable", path = path, error:% = error; "");
+            None
+        }
+    }
+}
+
+fn reply<T: Serialize>(message: &T) -> HttpAnswer {
+    match rmp_serde::to_vec(message) {
+        Ok(body) => {
+            count_peer_message("out", body.len());
+            answer(200, MSGPACK, body)
+        }
+        Err(error) => {
+            log::error!(event = "peer_reply_failed", error:% = error; "");
+            answer(500, "", Bytes::new())
+        }
+    }
+}
--- /dev/null
+++ b/src/service/jobs/perform.rs
@@ -0,0 +1,132 @@
+//! Carrying out what the scheduler wants done: each call is a task that reports back.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::clock::boot_ms;
+use crate::jobs::engine::Action;
+use crate::jobs::engine::CallToken;
+use crate::jobs::engine::WaiterId;
+use crate::jobs::orders::CallResult;
+use crate::ports::FleetCall;
+use crate::ports::client::PortClient;
+use crate::service::jobs::messages::OwnerEvent;
+use crate::service::jobs::messages::RelayReply;
+
+/// How long after the end of its sure ownership an owner still keeps running work
+/// alive, in milliseconds: outages of the store last seconds. A successor waits as
+/// long before it gives up runs at workers that it cannot reach.
+pub const KEEP_ALIVE_MS: u64 = 6000;
+
+/// Carries actions out.
+pub struct ActionPerformer {
+    /// Calls workers, list of VMs and advice service.
+    pub client: PortClient,
+    /// Until when the ownership is sure, on the boot clock.
+    pub valid_ms: Arc<AtomicU64>,
+    /// Where results go.
+    pub events: mpsc::UnboundedSender<OwnerEvent>,
+    /// Who waits for an answer.
+    pub waiters: HashMap<WaiterId, oneshot::Sender<RelayReply>>,
+    /// Next waiter.
+    pub next_waiter: WaiterId,
+}
+
+impl ActionPerformer {
+    /// Remembers who waits for an answer.
+    pub fn wait(&mut self, answer: oneshot::Sender<RelayReply>) -> WaiterId {
+        self.next_waiter += 1;
+        self.waiters.insert(self.next_waiter, answer);
+        self.next_waiter
+    }
+
+    /// Carries out one action.
+    pub fn perform(&mut self, action: Action) {
+        match action {
+            Action::Answer { waiter, answer } => {
+                if let Some(sender) = self.waiters.remove(&waiter) {
+                    // The caller may have gone.
+                    let _ = sender.send(answer.into());
+                }
+            }
+            Action::Worker {
+                address,
+                call,
+                token,
+            } => {
+                let (client, events) = (self.client.clone(), self.events.clone());
+                let valid_ms = Arc::clone(&self.valid_ms);
+                tokio::spawn(async move {
+                    let sent_ms = boot_ms();
+                    let result = if may_send(&token, sent_ms, &valid_ms) {
+                        match client.worker(address, &call).await {
+                            Ok(reply) => CallResult::Answered(reply),
+                            Err(error) => {
+                                log::debug!(event = "worker_call_failed", worker = call.worker.as_str(), error:% = error; "");
+                                if error.is_unsent() { CallResult::NotSent } else { CallResult::Unknown }
+                            }
+                        }
+                    } else {
+                        log::info!(event = "order_withheld", token:? = token; "");
+                        CallResult::NotSent
+                    };
+                    let _ = events.send(OwnerEvent::Called {
+                        token,
+                        result,
+                        sent_ms,
+                    });
+                });
+            }
+            Action::Advise { call, step } => {
+                let (client, events) = (self.client.clone(), self.events.clone());
+                tokio::spawn(async move {
+                    let reply = match client.advice(&call).await {
+                        Ok(reply) => Some(reply),
+                        Err(error) => {
+                            log::info!(event = "advice_failed", step = call.step.as_str(), error:% = error; "");
+                            None
+                        }
+                    };
+                    let _ = events.send(OwnerEvent::Advised(step, call.workers, reply));
+                });
+            }
+            Action::Fleet(call) => self.call_fleet(call),
+        }
+    }
+
+    fn call_fleet(&self, call: FleetCall) {
+        let (client, events) = (self.client.clone(), self.events.clone());
+        let valid_ms = Arc::clone(&self.valid_ms);
+        tokio::spawn(async move {
+            let order = !matches!(call, FleetCall::List { .. });
+            let sure = boot_ms() < valid_ms.load(Ordering::Relaxed);
+            let reply = if order && !sure {
+                log::info!(event = "vm_order_withheld", call:? = call; "");
+                None
+            } else {
+                match client.fleet(&call).await {
+                    Ok(reply) => Some(reply),
+                    Err(error) => {
+                        log::info!(event = "fleet_failed", error:% = error; "");
+                        None
+                    }
+                }
+            };
+            let _ = events.send(OwnerEvent::FleetCalled(call, reply));
+        });
+    }
+}
+
+/// Tells whether the ownership still covers an order that is about to be sent.
+fn may_send(token: &CallToken, now: u64, valid_ms: &AtomicU64) -> bool {
+    let valid_ms = valid_ms.load(Ordering::Relaxed);
+    match token {
+        CallToken::Start { .. } => now < valid_ms,
+        _ => now < valid_ms + KEEP_ALIVE_MS,
+    }
+}
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -7,14 +7,7 @@
 pub mod entry;
 pub mod evidence;
 pub mod fleet;
+pub mod jobs;
 pub mod peers;
 
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
-
-/// Returns the time of day, in milliseconds since the Unix epoch.
-#[must_use]
-pub fn unix_ms() -> u64 {
-    let time = SystemTime::now().duration_since(UNIX_EPOCH);
-    time.map_or(0, |time| time.as_millis() as u64)
-}
+pub use crate::clock::unix_ms;
--- a/src/service/peers/client.rs
+++ b/src/service/peers/client.rs
@@ -118,6 +118,7 @@
         content_type: MSGPACK,
         body: Bytes::from(body),
         limit,
+        ..CallRequest::default()
     };
     checked(peer, "post", request).await
 }
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -153,6 +153,7 @@
         content_type: "application/json",
         body: Bytes::from(body.to_string()),
         limit: Duration::from_secs(10),
+        ..CallRequest::default()
     };
     let answer = call(peer, request).await.map_err(io::Error::other)?;
     if answer.status.is_success() {
