A renewal counts only while the owner's key stands under that lease

Ruled out: an order delayed on the wire (sent 0.3 s after the cut had healed) and the successor's waiting time (3.5 s, kept).

Change: the term counts renewals of the lease under which the owner's key was last stored; a key that was removed is put back by the chain. Connections that are given up are reset, so that their requests do not arrive later.

--- a/src/http.rs
+++ b/src/http.rs
@@ -128,10 +128,19 @@
 }
 
 async fn exchange(peer: SocketAddr, request: CallRequest<'_>) -> Result<CallAnswer, CallError> {
-    let mut connection = OpenConnection::open(peer).await?;
+    let mut connection = OpenConnection::open(peer, CloseMode::Orderly).await?;
     send(peer, &mut connection.sender, &request).await
 }
 
+/// What closing a connection does with bytes that are still under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseMode {
+    /// They are delivered.
+    Orderly,
+    /// They are dropped: a request that was given up must not arrive later.
+    Reset,
+}
+
 /// An open connection; its task ends with it.
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
@@ -141,9 +150,12 @@
 
 impl OpenConnection {
     /// Connects to a peer.
-    pub(crate) async fn open(peer: SocketAddr) -> Result<Self, CallError> {
+    pub(crate) async fn open(peer: SocketAddr, mode: CloseMode) -> Result<Self, CallError> {
         let stream = TcpStream::connect(peer).await;
         let stream = stream.context(ConnectSnafu { peer })?;
+        if mode == CloseMode::Reset {
+            stream.set_zero_linger().context(ConnectSnafu { peer })?;
+        }
         stream.set_nodelay(true).context(ConnectSnafu { peer })?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.context(ExchangeSnafu { peer })?;
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -18,6 +18,7 @@
 use crate::http::CallAnswer;
 use crate::http::CallError;
 use crate::http::CallRequest;
+use crate::http::CloseMode;
 use crate::http::ConnectSnafu;
 use crate::http::OpenConnection;
 use crate::http::TimeoutSnafu;
@@ -99,7 +100,7 @@
                 result => return self.keep(peer, connection, result),
             }
         }
-        let opening = timeout(self.settings.connect_limit, OpenConnection::open(peer));
+        let opening = timeout(self.settings.connect_limit, OpenConnection::open(peer, CloseMode::Reset));
         let mut connection = match opening.await {
             Ok(connection) => connection?,
             Err(_) => {
--- a/src/service/jobs/bid.rs
+++ b/src/service/jobs/bid.rs
@@ -130,7 +130,46 @@
     }
 }
 
-/// Renews the owner's lease for ever and keeps `valid_ms` up to date.
+/// How sure an ownership is; shared with all that gives orders.
+#[derive(Debug, Default)]
+pub struct OwnerTerm {
+    /// Until when it is sure, on the boot clock.
+    valid_ms: AtomicU64,
+    /// Lease under which the owner's key was last put into the store.
+    lease: AtomicU64,
+}
+
+impl OwnerTerm {
+    /// Begins a term.
+    #[must_use]
+    pub fn new(lease: LeaseId, valid_ms: u64) -> Self {
+        Self {
+            valid_ms: AtomicU64::new(valid_ms),
+            lease: AtomicU64::new(lease),
+        }
+    }
+
+    /// Returns until when the ownership is sure, on the boot clock.
+    #[must_use]
+    pub fn valid_ms(&self) -> u64 {
+        self.valid_ms.load(Ordering::Relaxed)
+    }
+
+    /// Takes in that the owner's key stands in the store under another lease.
+    pub fn reclaim(&self, lease: LeaseId) {
+        self.lease.store(lease, Ordering::Relaxed);
+    }
+
+    /// Takes in a renewal; one of a lease without the owner's key proves nothing,
+    /// since another owner may have taken the shard in the meantime.
+    pub fn renewed(&self, lease: LeaseId, valid_ms: u64) {
+        if self.lease.load(Ordering::Relaxed) == lease {
+            self.valid_ms.fetch_max(valid_ms, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Renews the owner's lease for ever and keeps the term up to date.
 ///
 /// The ownership counts from the sending of each renewal. If the lease is gone, a
 /// new one is granted and the scheduler is told to put its key back.
@@ -138,7 +177,7 @@
     settings: NodeSettings,
     link: StoreLink,
     mut lease: LeaseId,
-    valid_ms: Arc<AtomicU64>,
+    term: Arc<OwnerTerm>,
     events: mpsc::UnboundedSender<OwnerEvent>,
 ) {
     let ttl_ms = settings.owner_ttl.as_millis() as u64;
@@ -147,7 +186,7 @@
         sleep(period).await;
         let sent_ms = boot_ms();
         match link.call(&StoreCall::Renew(lease), RENEW_LIMIT).await {
-            Ok(StoreReply::Done) => valid_ms.store(sent_ms + ttl_ms, Ordering::Relaxed),
+            Ok(StoreReply::Done) => term.renewed(lease, sent_ms + ttl_ms),
             Ok(StoreReply::NoLease) => {
                 log::warn!(event = "owner_lease_gone", lease = lease; "");
                 let grant = StoreCall::Grant { ttl_ms };
--- a/src/service/jobs/owner.rs
+++ b/src/service/jobs/owner.rs
@@ -2,8 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -29,6 +27,7 @@
 use crate::ports::store::StoreEvent;
 use crate::ports::store::StoreItem;
 use crate::ports::store::StoreWrite;
+use crate::service::jobs::bid::OwnerTerm;
 use crate::service::jobs::bid::WonShard;
 use crate::service::jobs::bid::bid;
 use crate::service::jobs::bid::owner_write;
@@ -177,16 +176,16 @@
     inbox: &watch::Sender<Option<mpsc::UnboundedSender<OwnerEvent>>>,
 ) {
     let (events, mut received) = mpsc::unbounded_channel();
-    let valid_ms = Arc::new(AtomicU64::new(won.valid_ms));
+    let term = Arc::new(OwnerTerm::new(won.lease, won.valid_ms));
     let renewing = renew(
         context.settings.clone(),
         context.link.clone(),
         won.lease,
-        Arc::clone(&valid_ms),
+        Arc::clone(&term),
         events.clone(),
     );
     let mut tasks = TaskGuard(vec![tokio::spawn(renewing)]);
-    let Some((content, entries, config)) = load(context, &valid_ms).await else {
+    let Some((content, entries, config)) = load(context, &term).await else {
         log::warn!(event = "shard_not_loaded", epoch = won.epoch; "");
         release(context, won.lease).await;
         return;
@@ -211,10 +210,11 @@
         number: 0,
         in_flight: None,
         reclaim: None,
+        reclaiming: None,
         stored_waves: waves,
         performer: ActionPerformer {
             client: context.client.clone(),
-            valid_ms,
+            term,
             events: events.clone(),
             waiters: HashMap::new(),
             next_waiter: 0,
@@ -239,11 +239,11 @@
 type LoadedShard = (ShardContent, Vec<StoreItem>, Arc<crate::jobs::config::JobConfig>);
 
 /// Reads all that the scheduler starts from, as long as the ownership is sure.
-async fn load(context: &OwnerContext, valid_ms: &AtomicU64) -> Option<LoadedShard> {
+async fn load(context: &OwnerContext, term: &OwnerTerm) -> Option<LoadedShard> {
     let mut backoff = BackoffState::new(STORE_BACKOFF);
     let workers = context.client.dialect.keys.workers;
     let mut operator = context.operator.clone();
-    while boot_ms() < valid_ms.load(Ordering::Relaxed) {
+    while boot_ms() < term.valid_ms() {
         let config = operator.borrow_and_update().config.clone();
         let (content, entries) = tokio::join!(
             read_shard(&context.link, ShardKeys::default()),
@@ -302,6 +302,7 @@
     number: u64,
     in_flight: Option<WriteBatch>,
     reclaim: Option<u64>,
+    reclaiming: Option<u64>,
     stored_waves: HashMap<u64, crate::jobs::record::WaveRecord>,
     performer: ActionPerformer,
     events: mpsc::UnboundedSender<OwnerEvent>,
@@ -317,6 +318,7 @@
     ) -> u64 {
         let mut phase = self.context.phase.clone();
         let mut operator = self.context.operator.clone();
+        let mut members = self.context.members.clone();
         operator.mark_changed();
         let mut tick = Instant::now();
         loop {
@@ -343,6 +345,10 @@
                         self.follow_operator(state);
                     }
                 }
+                changed = members.changed() => if changed.is_ok() {
+                    members.mark_unchanged();
+                    self.follow_members(&members, lease);
+                },
                 _ = phase.changed() => leaving = *phase.borrow() > ShutdownPhase::Running,
             }
             if self.engine.deposed {
@@ -359,6 +365,23 @@
         }
     }
 
+    /// Puts the owner's key back if it was removed, and yields to a later owner.
+    fn follow_members(&mut self, members: &MemberView, lease: u64) {
+        let (owner, former) = {
+            let state = members.borrow();
+            (state.owner.clone(), state.former.clone())
+        };
+        let epoch = self.engine.epoch;
+        if owner.as_ref().is_some_and(|(owner, _)| owner.epoch > epoch) {
+            self.engine.deposed = true;
+        }
+        let removed = owner.is_none() && former.is_some_and(|former| former.epoch == epoch);
+        if removed && self.reclaim.is_none() && self.reclaiming.is_none() {
+            log::warn!(event = "owner_key_removed", epoch = epoch; "");
+            self.reclaim = Some(lease);
+        }
+    }
+
     fn perform_all(&mut self) {
         for action in self.engine.take_actions() {
             self.performer.perform(action);
@@ -418,6 +441,10 @@
             CommitOutcome::Stored(revision) => {
                 self.chain = revision;
                 self.in_flight = None;
+                if let Some(lease) = self.reclaiming.take() {
+                    log::info!(event = "owner_reclaimed", epoch = self.engine.epoch; "");
+                    self.performer.term.reclaim(lease);
+                }
                 self.engine.written(batch, now);
             }
             CommitOutcome::Delayed => self.engine.store_failed(batch, now),
@@ -458,6 +485,7 @@
         if let Some(lease) = self.reclaim.take() {
             extra.extend(owner_write(&self.record, lease));
             absent.push(ShardKeys::default().owner());
+            self.reclaiming = Some(lease);
         }
         self.in_flight = Some(batch.clone());
         let commit = ChainCommit {
--- a/src/service/jobs/perform.rs
+++ b/src/service/jobs/perform.rs
@@ -2,8 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -15,6 +13,7 @@
 use crate::jobs::orders::CallResult;
 use crate::ports::FleetCall;
 use crate::ports::client::PortClient;
+use crate::service::jobs::bid::OwnerTerm;
 use crate::service::jobs::messages::OwnerEvent;
 use crate::service::jobs::messages::RelayReply;
 
@@ -27,8 +26,8 @@
 pub struct ActionPerformer {
     /// Calls workers, list of VMs and advice service.
     pub client: PortClient,
-    /// Until when the ownership is sure, on the boot clock.
-    pub valid_ms: Arc<AtomicU64>,
+    /// How sure the ownership is.
+    pub term: Arc<OwnerTerm>,
     /// Where results go.
     pub events: mpsc::UnboundedSender<OwnerEvent>,
     /// Who waits for an answer.
@@ -60,10 +59,10 @@
                 token,
             } => {
                 let (client, events) = (self.client.clone(), self.events.clone());
-                let valid_ms = Arc::clone(&self.valid_ms);
+                let term = Arc::clone(&self.term);
                 tokio::spawn(async move {
                     let sent_ms = boot_ms();
-                    let result = if may_send(&token, sent_ms, &valid_ms) {
+                    let result = if may_send(&token, sent_ms, term.valid_ms()) {
                         match client.worker(address, &call).await {
                             Ok(reply) => CallResult::Answered(reply),
                             Err(error) => {
@@ -101,10 +100,10 @@
 
     fn call_fleet(&self, call: FleetCall) {
         let (client, events) = (self.client.clone(), self.events.clone());
-        let valid_ms = Arc::clone(&self.valid_ms);
+        let term = Arc::clone(&self.term);
         tokio::spawn(async move {
             let order = !matches!(call, FleetCall::List { .. });
-            let sure = boot_ms() < valid_ms.load(Ordering::Relaxed);
+            let sure = boot_ms() < term.valid_ms();
             let reply = if order && !sure {
                 log::info!(event = "vm_order_withheld", call:? = call; "");
                 None
@@ -123,8 +122,7 @@
 }
 
 /// Tells whether the ownership still covers an order that is about to be sent.
-fn may_send(token: &CallToken, now: u64, valid_ms: &AtomicU64) -> bool {
-    let valid_ms = valid_ms.load(Ordering::Relaxed);
+fn may_send(token: &CallToken, now: u64, valid_ms: u64) -> bool {
     match token {
         CallToken::Start { .. } => now < valid_ms,
         _ => now < valid_ms + KEEP_ALIVE_MS,
