--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -34,7 +34,11 @@
     }
 
     fn step_advice_mut(&mut self, task: &TaskId) -> Option<&mut StepAdvice> {
-        let steps = self.jobs.get_mut(&task.job)?.open.get_mut(&task.occurrence)?;
+        let steps = self
+            .jobs
+            .get_mut(&task.job)?
+            .open
+            .get_mut(&task.occurrence)?;
         Some(&mut steps.get_mut(task.step as usize)?.advice)
     }
 
@@ -101,7 +105,13 @@
     }
 
     /// Takes in an answer of the advice service; none if there was no usable one.
-    pub fn advised(&mut self, task: &TaskId, asked: &[String], reply: Option<AdviceReply>, now: u64) {
+    pub fn advised(
+        &mut self,
+        task: &TaskId,
+        asked: &[String],
+        reply: Option<AdviceReply>,
+        now: u64,
+    ) {
         self.advising = self.advising.saturating_sub(1);
         self.plan_due = true;
         let Some(advice) = self.step_advice_mut(task) else {
--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -90,7 +90,11 @@
     pub fn cancel(&mut self, id: &JobId, waiter: WaiterId, now: u64) {
         let Some(job) = self.jobs.get_mut(id) else {
             let known = self.ended.contains_key(id);
-            let answer = if known { CallerAnswer::Cancelled } else { CallerAnswer::Unknown };
+            let answer = if known {
+                CallerAnswer::Cancelled
+            } else {
+                CallerAnswer::Unknown
+            };
             return self.answer(waiter, answer);
         };
         if !job.state.is_final() {
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -296,7 +296,8 @@
     /// Returns the pool that runs a job's tasks.
     #[must_use]
     pub fn pool_of<'a>(&'a self, job: &'a JobEntry) -> &'a str {
-        self.queue_of(job).map_or(job.body.pool.as_str(), |queue| queue.pool.as_str())
+        self.queue_of(job)
+            .map_or(job.body.pool.as_str(), |queue| queue.pool.as_str())
     }
 
     /// Marks a job as changed; it is stored by `due_ms`.
@@ -374,7 +375,10 @@
         if !job.state.is_final() {
             return;
         }
-        let live: Vec<_> = job.live_runs().map(|(task, run)| (task, run.clone())).collect();
+        let live: Vec<_> = job
+            .live_runs()
+            .map(|(task, run)| (task, run.clone()))
+            .collect();
         for (task, run) in &live {
             if matches!(run.phase, RunPhase::Reserved(_)) {
                 // It was never ordered.
@@ -392,7 +396,13 @@
         let state = job.state;
         self.jobs.remove(id);
         self.unplaced.remove(id);
-        self.ended.insert(id.clone(), EndedJob { state, ended_ms: now });
+        self.ended.insert(
+            id.clone(),
+            EndedJob {
+                state,
+                ended_ms: now,
+            },
+        );
         self.ended_order.push_back((now, id.clone()));
     }
 
@@ -400,9 +410,14 @@
     pub(crate) fn release_run(&mut self, task: &TaskId, worker: &str, run: u32) {
         let key = (task.clone(), run);
         if let Some(job) = self.jobs.get_mut(&task.job) {
-            let need = job.step_spec(task).map(|spec| spec.counted()).unwrap_or_default();
+            let need = job
+                .step_spec(task)
+                .map(|spec| spec.counted())
+                .unwrap_or_default();
             if let Some(state) = job.task_mut(task) {
-                state.placed.retain(|placed| placed.run != run || placed.worker != worker);
+                state
+                    .placed
+                    .retain(|placed| placed.run != run || placed.worker != worker);
             }
             if let Some(view) = self.workers.get_mut(worker)
                 && view.runs.remove(&key)
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -94,7 +94,11 @@
         self.waves.values().any(|wave| wave.dirty).then_some(0)
     }
 
-    pub(crate) fn take_writes(&mut self, keys: ShardKeys, batch: &mut WriteBatch) -> Result<(), EncodeError> {
+    pub(crate) fn take_writes(
+        &mut self,
+        keys: ShardKeys,
+        batch: &mut WriteBatch,
+    ) -> Result<(), EncodeError> {
         for (number, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.dirty) {
             let key = format!("{}{number}", keys.waves());
             batch.writes.push(crate::ports::store::StoreWrite {
@@ -153,15 +157,22 @@
         let dirty = record.is_none();
         let record = record.unwrap_or_default();
         // Those ordered by a former owner may still be down.
-        let down = if record.complete { BTreeSet::new() } else { record.ordered.iter().cloned().collect() };
-        self.fleet.waves.insert(number, WaveProgress {
-            order,
-            record,
-            down,
-            dirty,
-            seen_ms: now,
-            ..WaveProgress::default()
-        });
+        let down = if record.complete {
+            BTreeSet::new()
+        } else {
+            record.ordered.iter().cloned().collect()
+        };
+        self.fleet.waves.insert(
+            number,
+            WaveProgress {
+                order,
+                record,
+                down,
+                dirty,
+                seen_ms: now,
+                ..WaveProgress::default()
+            },
+        );
         self.fleet.listed_ms = None;
     }
 
@@ -183,7 +194,11 @@
     }
 
     fn list_machines(&mut self, now: u64) {
-        let busy = self.fleet.orders.values().any(|order| order.done_ms.is_some())
+        let busy = self
+            .fleet
+            .orders
+            .values()
+            .any(|order| order.done_ms.is_some())
             || self.fleet.waves.values().any(|wave| !wave.down.is_empty());
         let period_ms = if busy { LIST_BUSY_MS } else { LIST_MS };
         let stale = self.fleet.listed_ms.is_none_or(|at| now >= at + period_ms);
@@ -214,12 +229,16 @@
         };
         self.fleet.pages.extend(rows);
         if !next.is_empty() {
-            self.actions.push(Action::Fleet(FleetCall::List { page: next }));
+            self.actions
+                .push(Action::Fleet(FleetCall::List { page: next }));
             return;
         }
         let started_ms = self.fleet.listing_ms.take().unwrap_or(now);
         let rows = std::mem::take(&mut self.fleet.pages);
-        self.fleet.rows = rows.into_iter().map(|row| (row.machine.clone(), row)).collect();
+        self.fleet.rows = rows
+            .into_iter()
+            .map(|row| (row.machine.clone(), row))
+            .collect();
         self.fleet.listed_ms = Some(now);
         let (move_ms, maintenance_ms) = (self.settings.move_ms, self.settings.maintenance_ms);
         let rows = &self.fleet.rows;
@@ -232,7 +251,9 @@
                 MachineOrder::Move(_) => move_ms,
                 MachineOrder::Maintain(_) => maintenance_ms,
             };
-            let up = rows.get(machine).is_none_or(|row| row.state == MachineState::Up);
+            let up = rows
+                .get(machine)
+                .is_none_or(|row| row.state == MachineState::Up);
             let ended = up && started_ms > done_ms + takes_ms / 2;
             if ended {
                 back.push(machine.clone());
@@ -243,10 +264,16 @@
         for wave in self.fleet.waves.values_mut() {
             wave.down.retain(|machine| {
                 let under_way = orders.contains_key(machine);
-                let up = rows.get(machine).is_none_or(|row| row.state == MachineState::Up);
+                let up = rows
+                    .get(machine)
+                    .is_none_or(|row| row.state == MachineState::Up);
                 under_way || !up
             });
-            let missing = wave.order.machines.iter().filter(|machine| !rows.contains_key(*machine));
+            let missing = wave
+                .order
+                .machines
+                .iter()
+                .filter(|machine| !rows.contains_key(*machine));
             let missing: Vec<String> = missing.cloned().collect();
             wave.gone.extend(missing);
         }
@@ -274,20 +301,30 @@
                 continue;
             }
             let emptying = |machine: &&String| {
-                self.fleet.orders.get(*machine).is_some_and(|order| order.done_ms.is_none())
+                self.fleet
+                    .orders
+                    .get(*machine)
+                    .is_some_and(|order| order.done_ms.is_none())
             };
             let emptied = wave.due().filter(emptying).count();
             let most = wave.order.most.max(1);
             let wanted = (wave.room() + most * EMPTY_AHEAD).saturating_sub(emptied);
             let mut due: Vec<(u64, &String)> = Vec::new();
-            for machine in wave.due().filter(|machine| !self.fleet.orders.contains_key(*machine)) {
+            for machine in wave
+                .due()
+                .filter(|machine| !self.fleet.orders.contains_key(*machine))
+            {
                 let row = self.fleet.rows.get(machine);
                 if let Some(row) = row.filter(|row| row.state == MachineState::Up) {
                     due.push((self.empty_cost(row), machine));
                 }
             }
             due.sort_unstable();
-            chosen.extend(due.into_iter().take(wanted).map(|(_, machine)| (machine.clone(), *number)));
+            chosen.extend(
+                due.into_iter()
+                    .take(wanted)
+                    .map(|(_, machine)| (machine.clone(), *number)),
+            );
         }
         for (machine, wave) in chosen {
             self.begin_order(&machine, MachineOrder::Maintain(wave), now);
@@ -310,19 +347,26 @@
         {
             view.evacuating = true;
         }
-        self.fleet.orders.insert(machine.to_owned(), OrderState {
-            order,
-            since_ms: now,
-            calling: false,
-            not_before_ms: now,
-            done_ms: None,
-        });
+        self.fleet.orders.insert(
+            machine.to_owned(),
+            OrderState {
+                order,
+                since_ms: now,
+                calling: false,
+                not_before_ms: now,
+                done_ms: None,
+            },
+        );
     }
 
     /// Stops lasting tasks on VMs that are being emptied or whose worker drains, as
     /// far as their steps allow.
     fn empty_machines(&mut self, now: u64) {
-        let orders = self.fleet.orders.iter().filter(|(_, order)| order.done_ms.is_none());
+        let orders = self
+            .fleet
+            .orders
+            .iter()
+            .filter(|(_, order)| order.done_ms.is_none());
         let emptied = orders.filter_map(|(machine, _)| self.fleet.rows.get(machine));
         let mut workers: Vec<String> = emptied.map(|row| row.worker.clone()).collect();
         for worker in &workers {
@@ -330,7 +374,10 @@
                 view.evacuating = true;
             }
         }
-        let draining = self.workers.iter().filter(|(_, view)| view.entry.state == WorkerState::Draining);
+        let draining = self
+            .workers
+            .iter()
+            .filter(|(_, view)| view.entry.state == WorkerState::Draining);
         workers.extend(draining.map(|(id, _)| id.clone()));
         for worker in workers {
             let Some(view) = self.workers.get(&worker) else {
@@ -362,10 +409,17 @@
         let Some(step) = steps.and_then(|steps| steps.get(task.step as usize)) else {
             return false;
         };
-        let others = step.tasks.iter().enumerate().filter(|(index, _)| *index as u32 != task.index);
+        let others = step
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index as u32 != task.index);
         let away = others.filter(|(_, state)| {
             !state.placed.iter().any(|run| {
-                let heard = self.workers.get(&run.worker).is_some_and(|view| view.misses == 0);
+                let heard = self
+                    .workers
+                    .get(&run.worker)
+                    .is_some_and(|view| view.misses == 0);
                 run.percent >= 100 && heard && !run.phase.is_stopping()
             })
         });
@@ -384,9 +438,10 @@
         }
         let mut room: BTreeMap<u64, usize> = BTreeMap::new();
         for (number, wave) in &self.fleet.waves {
-            let calling = self.fleet.orders.values().filter(|order| {
-                order.calling && order.order == MachineOrder::Maintain(*number)
-            });
+            let calling =
+                self.fleet.orders.values().filter(|order| {
+                    order.calling && order.order == MachineOrder::Maintain(*number)
+                });
             room.insert(*number, wave.room().saturating_sub(calling.count()));
         }
         let mut calls = Vec::new();
@@ -413,8 +468,18 @@
             let (holder, epoch) = (self.settings.holder.clone(), self.epoch);
             log::info!(event = "vm_ordered", vm = machine.as_str(), order:? = order, epoch = epoch; "");
             self.actions.push(Action::Fleet(match order {
-                MachineOrder::Move(pool) => FleetCall::Move { machine, pool, holder, epoch },
-                MachineOrder::Maintain(wave) => FleetCall::Maintain { machine, wave, holder, epoch },
+                MachineOrder::Move(pool) => FleetCall::Move {
+                    machine,
+                    pool,
+                    holder,
+                    epoch,
+                },
+                MachineOrder::Maintain(wave) => FleetCall::Maintain {
+                    machine,
+                    wave,
+                    holder,
+                    epoch,
+                },
             }));
         }
     }
@@ -428,7 +493,8 @@
         if view.runs.is_empty() {
             return true;
         }
-        let patient = matches!(order.order, MachineOrder::Move(_)) || now < order.since_ms + EMPTY_WAIT_MS;
+        let patient =
+            matches!(order.order, MachineOrder::Move(_)) || now < order.since_ms + EMPTY_WAIT_MS;
         !patient && self.crowd_at(view).lasting == 0
     }
 
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -57,6 +57,7 @@
             let (id, born_ms) = (entry.id.clone(), entry.born_ms);
             self.workers.insert(id.clone(), WorkerView::new(entry, now));
             self.book_orphans(&id, born_ms);
+            self.hold_worker(&id, now);
             return;
         };
         let reborn = entry.born_ms > view.entry.born_ms && view.entry.born_ms > 0;
@@ -81,10 +82,15 @@
 
     /// Books inherited runs at a worker whose entry was missing so far.
     fn book_orphans(&mut self, worker: &str, born_ms: u64) {
-        let found: Vec<_> = self.orphans.extract_if(.., |(_, at, _)| at == worker).collect();
+        let found: Vec<_> = self
+            .orphans
+            .extract_if(.., |(_, at, _)| at == worker)
+            .collect();
         for (task, _, run) in found {
             let job = self.jobs.get(&task.job);
-            let need = job.and_then(|job| job.step_spec(&task)).map(StepSpec::counted);
+            let need = job
+                .and_then(|job| job.step_spec(&task))
+                .map(StepSpec::counted);
             if let Some(view) = self.workers.get_mut(worker) {
                 log::info!(event = "run_booked", task:% = task, run = run, worker = worker, born_ms = born_ms; "");
                 view.runs.insert((task, run));
@@ -109,7 +115,10 @@
         }
         let known: Vec<String> = self.workers.keys().cloned().collect();
         for worker in known.iter().filter(|worker| !names.contains(worker)) {
-            let listed = self.workers.get(worker).is_some_and(|view| view.unlisted_ms.is_none());
+            let listed = self
+                .workers
+                .get(worker)
+                .is_some_and(|view| view.unlisted_ms.is_none());
             if listed {
                 self.worker_unlisted(worker, now);
             }
@@ -120,7 +129,8 @@
     fn renew_worker(&mut self, worker: &str, entry: WorkerEntry, now: u64) {
         log::info!(event = "worker_reborn", worker = worker, born_ms = entry.born_ms; "");
         self.lose_runs(worker, "reborn", now);
-        self.workers.insert(worker.to_owned(), WorkerView::new(entry, now));
+        self.workers
+            .insert(worker.to_owned(), WorkerView::new(entry, now));
     }
 
     /// Gives up all runs at a worker: its lease has lapsed or its life has ended.
@@ -209,7 +219,10 @@
             return;
         }
         // A worker whose entry stays away is not kept alive any longer.
-        let kept = view.unlisted_ms.is_none_or(|since| now < since + grace);
+        // Nor is one that did not answer: the call may arrive all the same, and its
+        // runs could then never be given up.
+        let listed = view.unlisted_ms.is_none_or(|since| now < since + grace);
+        let kept = listed && view.misses == 0;
         let lease = (kept && !view.runs.is_empty()).then(|| view.lease_from(now, lease_ms));
         let lease_until_ms = lease.flatten();
         if let Some(until) = lease_until_ms {
@@ -367,7 +380,9 @@
             self.mark(&task.job, now + self.settings.flush_ms);
         }
         self.settle(&task.job, now);
-        self.jobs.contains_key(&task.job).then(|| (task.job.clone(), version))
+        self.jobs
+            .contains_key(&task.job)
+            .then(|| (task.job.clone(), version))
     }
 
     fn attempts_of(&self, task: &TaskId) -> u32 {
@@ -390,7 +405,11 @@
         if !state.done {
             return;
         }
-        let copies: Vec<_> = state.placed.iter().map(|run| (run.worker.clone(), run.run, run.phase)).collect();
+        let copies: Vec<_> = state
+            .placed
+            .iter()
+            .map(|run| (run.worker.clone(), run.run, run.phase))
+            .collect();
         for (worker, run, phase) in copies {
             match phase {
                 RunPhase::Reserved(_) => self.release_run(task, &worker, run),
@@ -440,7 +459,12 @@
         let Some(view) = self.workers.get(worker) else {
             return;
         };
-        let runs: Vec<_> = view.runs.iter().filter(|key| !listed.contains_key(*key)).cloned().collect();
+        let runs: Vec<_> = view
+            .runs
+            .iter()
+            .filter(|key| !listed.contains_key(*key))
+            .cloned()
+            .collect();
         for (task, run) in runs {
             let gone = match self.run_phase(&task, worker, run) {
                 Some(RunPhase::Inherited) => true,
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -176,7 +176,10 @@
         job.finished = progress.finished.into_iter().collect();
         for record in progress.open {
             let steps = record.steps.into_iter().map(|tasks| StepState {
-                tasks: tasks.into_iter().map(|task| restore_task(task, now)).collect(),
+                tasks: tasks
+                    .into_iter()
+                    .map(|task| restore_task(task, now))
+                    .collect(),
                 ..StepState::default()
             });
             job.open.insert(record.number, steps.collect());
@@ -193,13 +196,20 @@
     pub fn progress(&self, unix_ms: u64) -> ProgressRecord {
         let open = self.open.iter().map(|(number, steps)| OccurrenceRecord {
             number: *number,
-            steps: steps.iter().map(|step| step.tasks.iter().map(store_task).collect()).collect(),
+            steps: steps
+                .iter()
+                .map(|step| step.tasks.iter().map(store_task).collect())
+                .collect(),
         });
         let drop = self.state.is_final();
         ProgressRecord {
             state: self.state,
             written_ms: unix_ms,
-            finished: if drop { Vec::new() } else { self.finished.iter().copied().collect() },
+            finished: if drop {
+                Vec::new()
+            } else {
+                self.finished.iter().copied().collect()
+            },
             open: if drop { Vec::new() } else { open.collect() },
         }
     }
@@ -377,12 +387,14 @@
 /// Removes a run from a task; true if it was there or had been given up as lost.
 fn take_run(task: &mut TaskState, worker: &str, run: u32) -> bool {
     let before = task.placed.len();
-    task.placed.retain(|placed| placed.run != run || placed.worker != worker);
+    task.placed
+        .retain(|placed| placed.run != run || placed.worker != worker);
     if task.placed.len() != before {
         return true;
     }
     let lost = task.lost.iter().position(|lost| *lost == run);
-    lost.map(|position| task.lost.swap_remove(position)).is_some()
+    lost.map(|position| task.lost.swap_remove(position))
+        .is_some()
 }
 
 fn store_task(task: &TaskState) -> TaskRecord {
--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -77,14 +77,23 @@
         let Some(arrivals) = self.arrivals.get_mut(pool) else {
             return 0.0;
         };
-        while arrivals.front().is_some_and(|(at, _)| at + ARRIVAL_MS < now) {
+        while arrivals
+            .front()
+            .is_some_and(|(at, _)| at + ARRIVAL_MS < now)
+        {
             arrivals.pop_front();
         }
         arrivals.iter().map(|(_, work)| *work as f64).sum::<f64>() / ARRIVAL_MS as f64
     }
 
     fn pool_needs(&mut self, now: u64) -> BTreeMap<String, PoolNeed> {
-        let pools: Vec<String> = self.config.pools.iter().filter(|pool| !pool.standby).map(|pool| pool.name.clone()).collect();
+        let pools: Vec<String> = self
+            .config
+            .pools
+            .iter()
+            .filter(|pool| !pool.standby)
+            .map(|pool| pool.name.clone())
+            .collect();
         let mut needs = BTreeMap::new();
         for pool in pools {
             let rate = self.arrival_rate(&pool, now);
@@ -99,7 +108,9 @@
                 }
                 if job.body.spec.lasts() {
                     let steps = job.body.spec.steps.iter().filter(|step| !step.fills);
-                    lasting += steps.map(|step| f64::from(step.tasks) * step.need.cpu as f64).sum::<f64>();
+                    lasting += steps
+                        .map(|step| f64::from(step.tasks) * step.need.cpu as f64)
+                        .sum::<f64>();
                 } else {
                     waiting += remaining(job).0 as f64;
                 }
@@ -107,7 +118,11 @@
             let rows = self.fleet.rows.values().filter(|row| row.pool == pool);
             let present = rows.filter(|row| row.state != MachineState::Down).count();
             let demand = (waiting / DRAIN_MS).max(rate) + lasting;
-            let wanted = if room > 0.0 { (demand / room / FILL_SHARE).ceil() as usize } else { 0 };
+            let wanted = if room > 0.0 {
+                (demand / room / FILL_SHARE).ceil() as usize
+            } else {
+                0
+            };
             needs.insert(pool, PoolNeed { wanted, present });
         }
         needs
@@ -124,7 +139,9 @@
         let mut moves: Vec<(String, String)> = Vec::new();
         for (pool, gain) in &changes {
             for _ in 0..*gain {
-                let machine = free.next().or_else(|| self.idle_machine(&needs, pool, &moves, now));
+                let machine = free
+                    .next()
+                    .or_else(|| self.idle_machine(&needs, pool, &moves, now));
                 let Some(machine) = machine else {
                     break;
                 };
@@ -157,7 +174,10 @@
     ) -> Option<String> {
         let given = |from: &str| {
             let from = moves.iter().filter(|(machine, _)| {
-                self.fleet.rows.get(machine).is_some_and(|row| row.pool == from)
+                self.fleet
+                    .rows
+                    .get(machine)
+                    .is_some_and(|row| row.pool == from)
             });
             from.count()
         };
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -9,6 +9,7 @@
 use crate::jobs::job::RunPhase;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
+use crate::jobs::types::RunEnd;
 use crate::jobs::types::TaskId;
 use crate::ports::WorkerReply;
 use crate::ports::worker::RefusalReason;
@@ -60,7 +61,14 @@
     }
 
     /// Sends the start of a run whose placement is stored.
-    pub(crate) fn send_start(&mut self, task: &TaskId, worker: &str, run: u32, tries: u32, now: u64) {
+    pub(crate) fn send_start(
+        &mut self,
+        task: &TaskId,
+        worker: &str,
+        run: u32,
+        tries: u32,
+        now: u64,
+    ) {
         let ticket = self.ticket_for(task, worker, now);
         let lease_ms = self.settings.lease_ms;
         let Some(view) = self.workers.get_mut(worker) else {
@@ -78,7 +86,11 @@
         let Some(state) = job.task_mut(task) else {
             return;
         };
-        let checkpoint = if checkpoints { state.checkpoint.clone() } else { String::new() };
+        let checkpoint = if checkpoints {
+            state.checkpoint.clone()
+        } else {
+            String::new()
+        };
         for placed in state.placed.iter_mut().filter(|placed| placed.run == run) {
             if placed.worker == worker {
                 placed.phase = RunPhase::Ordered;
@@ -116,7 +128,8 @@
         };
         match result {
             CallResult::Answered(WorkerReply::Refused { reason }) => {
-                self.start_refused(worker, task, run, reason, now);
+                self.note_refusal(worker, task, run, reason, now);
+                self.start_failed(worker, task, run, reason, tries, now);
             }
             CallResult::Answered(_) => {
                 if phase == RunPhase::Ordered {
@@ -124,7 +137,7 @@
                 }
                 self.note_started(&task.job);
             }
-            CallResult::NotSent if phase == RunPhase::Ordered => {
+            CallResult::NotSent if phase == RunPhase::Ordered && tries == 0 => {
                 self.give_up_run(task, worker, run, now);
             }
             CallResult::NotSent | CallResult::Unknown => {
@@ -137,14 +150,15 @@
                 if tries + 1 < START_TRIES {
                     self.send_start(task, worker, run, tries + 1, now);
                 } else {
-                    self.judge_worker(worker, crate::jobs::types::RunEnd::Failed, true, now);
+                    self.judge_worker(worker, RunEnd::Failed, true, now);
                     self.stop_run(task, worker, run);
                 }
             }
         }
     }
 
-    fn start_refused(
+    /// Takes in why a worker refused a start, as far as it concerns the worker.
+    fn note_refusal(
         &mut self,
         worker: &str,
         task: &TaskId,
@@ -155,25 +169,45 @@
         log::info!(
             event = "start_refused", task:% = task, run = run, worker = worker, reason:? = reason; ""
         );
-        if let Some(view) = self.workers.get_mut(worker) {
-            match reason {
-                RefusalReason::Epoch => self.deposed = true,
-                RefusalReason::NoRoom => view.blocked_until_ms = view.blocked_until_ms.max(now + NO_ROOM_MS),
-                RefusalReason::Unhealthy => view.blocked_until_ms = view.blocked_until_ms.max(now + UNHEALTHY_MS),
-                RefusalReason::OtherLife => {
-                    view.misses += 1;
-                    view.hold_at_ms = now;
-                }
-                RefusalReason::Ticket => self.forget_ticket(task, worker),
-                RefusalReason::OldRun | RefusalReason::LeaseEnded | RefusalReason::Invalid => {}
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let block_ms = match reason {
+            RefusalReason::NoRoom => NO_ROOM_MS,
+            RefusalReason::Unhealthy => UNHEALTHY_MS,
+            _ => 0,
+        };
+        view.blocked_until_ms = view.blocked_until_ms.max(now + block_ms);
+        match reason {
+            RefusalReason::Epoch => self.deposed = true,
+            RefusalReason::OtherLife => {
+                view.misses += 1;
+                view.hold_at_ms = now;
             }
+            RefusalReason::Ticket => self.forget_ticket(task, worker),
+            _ => {}
         }
+    }
+
+    /// Decides what becomes of a run whose start was refused.
+    fn start_failed(
+        &mut self,
+        worker: &str,
+        task: &TaskId,
+        run: u32,
+        reason: RefusalReason,
+        tries: u32,
+        now: u64,
+    ) {
         if reason == RefusalReason::OldRun {
             // The run has ended there; its end is listed or was forgotten.
             self.set_phase(task, worker, run, RunPhase::Running(now));
-            return;
+        } else if tries > 0 {
+            // An earlier attempt may still be on its way: only a stop rules it out.
+            self.stop_run(task, worker, run);
+        } else {
+            self.give_up_run(task, worker, run, now);
         }
-        self.give_up_run(task, worker, run, now);
     }
 
     fn stopped(&mut self, worker: &str, name: String, run: u32, result: CallResult, now: u64) {
@@ -198,24 +232,33 @@
                 }
             }
             CallResult::Answered(_) => {}
-            CallResult::NotSent | CallResult::Unknown => self.order_stop_later(worker, name, run, now),
+            CallResult::NotSent | CallResult::Unknown => {
+                self.order_stop_later(worker, name, run, now)
+            }
         }
     }
 
     /// Repeats a stop after the next contact, as long as the run may be alive.
     fn order_stop_later(&mut self, worker: &str, name: String, run: u32, now: u64) {
-        let alive = TaskId::parse(&name).is_some_and(|task| {
-            self.run_phase(&task, worker, run) == Some(RunPhase::Stopping)
-        });
+        let alive = TaskId::parse(&name)
+            .is_some_and(|task| self.run_phase(&task, worker, run) == Some(RunPhase::Stopping));
         if !alive {
             return;
         }
-        self.retry_stops.push((now + self.settings.hold_retry_ms, worker.to_owned(), name, run));
+        self.retry_stops.push((
+            now + self.settings.hold_retry_ms,
+            worker.to_owned(),
+            name,
+            run,
+        ));
     }
 
     /// Repeats the stops whose pause is over.
     pub(crate) fn repeat_stops(&mut self, now: u64) {
-        let due: Vec<_> = self.retry_stops.extract_if(.., |(at, ..)| *at <= now).collect();
+        let due: Vec<_> = self
+            .retry_stops
+            .extract_if(.., |(at, ..)| *at <= now)
+            .collect();
         for (_, worker, name, run) in due {
             let alive = TaskId::parse(&name).is_some_and(|task| {
                 self.run_phase(&task, &worker, run) == Some(RunPhase::Stopping)
@@ -227,7 +270,10 @@
     }
 
     pub(crate) fn set_phase(&mut self, task: &TaskId, worker: &str, run: u32, phase: RunPhase) {
-        let state = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task));
+        let state = self
+            .jobs
+            .get_mut(&task.job)
+            .and_then(|job| job.task_mut(task));
         let placed = state.into_iter().flat_map(|state| state.placed.iter_mut());
         for placed in placed.filter(|placed| placed.run == run && placed.worker == worker) {
             placed.phase = phase;
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -67,7 +67,10 @@
             if !self.is_shared(&worker) {
                 continue;
             }
-            let due = self.paced_ms.get(&worker).is_none_or(|at| now >= at + PACE_PERIOD_MS);
+            let due = self
+                .paced_ms
+                .get(&worker)
+                .is_none_or(|at| now >= at + PACE_PERIOD_MS);
             if due {
                 self.pace_worker(&worker, now);
             }
@@ -87,7 +90,10 @@
             let (Some(spec), Some(state)) = (job.step_spec(task), job.task(task)) else {
                 continue;
             };
-            let run = state.placed.iter().find(|run| run.run == *number && run.worker == worker);
+            let run = state
+                .placed
+                .iter()
+                .find(|run| run.run == *number && run.worker == worker);
             let Some(run) = run else {
                 continue;
             };
@@ -134,7 +140,10 @@
     }
 
     fn record_pace(&mut self, task: &TaskId, worker: &str, percent: u32) {
-        let state = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task));
+        let state = self
+            .jobs
+            .get_mut(&task.job)
+            .and_then(|job| job.task_mut(task));
         let placed = state.into_iter().flat_map(|state| state.placed.iter_mut());
         for run in placed.filter(|run| run.worker == worker) {
             run.pace = percent;
@@ -151,9 +160,13 @@
                     continue;
                 };
                 let at_work = spec.lasting && run.percent >= 100;
-                let limit_ms = STUCK_MS.max(spec.estimate_ms / 10) + if spec.gang { 3000 } else { 0 };
+                let limit_ms =
+                    STUCK_MS.max(spec.estimate_ms / 10) + if spec.gang { 3000 } else { 0 };
                 let still = now > run.placed_ms + limit_ms;
-                let seen = self.workers.get(&run.worker).is_some_and(|view| view.misses == 0);
+                let seen = self
+                    .workers
+                    .get(&run.worker)
+                    .is_some_and(|view| view.misses == 0);
                 if running && !at_work && !spec.fills && still && seen && run.pace == 100 {
                     stuck.push((task, run.worker.clone(), run.run));
                 }
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -78,7 +78,11 @@
         let (work, chain_ms) = remaining(job);
         let total = job.body.spec.work().max(1) as f64;
         let due_ms = job.came_ms + self.objective_ms(job);
-        let class = if now + chain_ms <= due_ms { CLASS_TIMELY } else { CLASS_LATE };
+        let class = if now + chain_ms <= due_ms {
+            CLASS_TIMELY
+        } else {
+            CLASS_LATE
+        };
         // A job's worth has a part that does not depend on its work, so small ones
         // are worth more for their work; what is left counts, not what is spent.
         let mean = self.mean_work(&job.body.queue).max(1.0);
@@ -109,7 +113,10 @@
     pub(crate) fn note_work(&mut self, queue: &str, work: u64) {
         /// Weight of a new job in the mean; some 20 jobs of memory.
         const MEAN_WEIGHT: f64 = 0.05;
-        let mean = self.work_means.entry(queue.to_owned()).or_insert(work as f64);
+        let mean = self
+            .work_means
+            .entry(queue.to_owned())
+            .or_insert(work as f64);
         *mean += (work as f64 - *mean) * MEAN_WEIGHT;
     }
 
@@ -119,7 +126,10 @@
         };
         let pool = self.pool_of(job).to_owned();
         let steps = job.open.iter().flat_map(|(occurrence, steps)| {
-            let open = steps.iter().enumerate().filter(|(_, step)| step.open_ms.is_some());
+            let open = steps
+                .iter()
+                .enumerate()
+                .filter(|(_, step)| step.open_ms.is_some());
             open.map(move |(number, _)| (*occurrence, number as u32))
         });
         let steps: Vec<_> = steps.collect();
@@ -140,14 +150,22 @@
         let Some(spec) = job.body.spec.steps.get(step as usize).cloned() else {
             return false;
         };
-        let Some(state) = job.open.get(&occurrence).and_then(|steps| steps.get(step as usize)) else {
+        let Some(state) = job
+            .open
+            .get(&occurrence)
+            .and_then(|steps| steps.get(step as usize))
+        else {
             return false;
         };
         let wanting = |task: &TaskState| {
             !task.done && task.placed.is_empty() && now >= task.ended_ms + RETRY_PAUSE_MS
         };
         let mut open = state.tasks.iter().enumerate();
-        let wanted: Vec<u32> = open.by_ref().filter(|(_, task)| wanting(task)).map(|(index, _)| index as u32).collect();
+        let wanted: Vec<u32> = open
+            .by_ref()
+            .filter(|(_, task)| wanting(task))
+            .map(|(index, _)| index as u32)
+            .collect();
         let unfinished = state.tasks.iter().any(|task| !task.done);
         let open_ms = state.open_ms.unwrap_or(now);
         let first = TaskId {
@@ -164,7 +182,10 @@
         }
         let count = wanted.len();
         for index in wanted {
-            let task = TaskId { index, ..first.clone() };
+            let task = TaskId {
+                index,
+                ..first.clone()
+            };
             let near_until_ms = open_ms + (spec.estimate_ms as f64 * NEAR_WAIT_SHARE) as u64;
             let near_only = now < near_until_ms;
             match self.choose_worker(&task, pool, &spec, near_only, now) {
@@ -184,7 +205,11 @@
         let Some(job) = self.jobs.get(&first.job) else {
             return;
         };
-        let Some(step) = job.open.get(&first.occurrence).and_then(|steps| steps.get(first.step as usize)) else {
+        let Some(step) = job
+            .open
+            .get(&first.occurrence)
+            .and_then(|steps| steps.get(first.step as usize))
+        else {
             return;
         };
         let limit_ms = (spec.estimate_ms as f64 * STRAGGLER_FACTOR) as u64 + STRAGGLER_SLACK_MS;
@@ -195,7 +220,10 @@
         let stragglers = step.tasks.iter().enumerate().filter(|(_, task)| late(task));
         let stragglers: Vec<u32> = stragglers.map(|(index, _)| index as u32).collect();
         for index in stragglers {
-            let task = TaskId { index, ..first.clone() };
+            let task = TaskId {
+                index,
+                ..first.clone()
+            };
             if let Some(worker) = self.choose_worker(&task, pool, spec, false, now) {
                 log::info!(event = "copy_placed", task:% = task, worker = worker.as_str(); "");
                 self.reserve(&task, &worker, spec, now);
@@ -215,9 +243,14 @@
         } else {
             vec![None]
         };
-        let spread = racks.into_iter().find_map(|rack| self.spread_gang(first, pool, spec, rack.as_deref(), now));
+        let spread = racks
+            .into_iter()
+            .find_map(|rack| self.spread_gang(first, pool, spec, rack.as_deref(), now));
         for (index, worker) in spread.into_iter().flatten().enumerate() {
-            let task = TaskId { index: index as u32, ..first.clone() };
+            let task = TaskId {
+                index: index as u32,
+                ..first.clone()
+            };
             self.reserve(&task, &worker, spec, now);
         }
     }
@@ -263,7 +296,9 @@
         let need = spec.counted();
         let near = |view: &WorkerView| spec.data_rack.is_empty() || view.rack() == spec.data_rack;
         let in_pool = self.workers.values().filter(|view| view.entry.pool == pool);
-        let near_exists = in_pool.clone().any(|view| near(view) && view.takes_work(now));
+        let near_exists = in_pool
+            .clone()
+            .any(|view| near(view) && view.takes_work(now));
         let near_only = near_only && near_exists;
         let mut best: Option<(f64, &String)> = None;
         for (id, view) in &self.workers {
@@ -293,7 +328,14 @@
     }
 
     /// Tells whether a task may run at a worker at all.
-    fn may_run(&self, task: &TaskId, pool: &str, spec: &StepSpec, view: &WorkerView, now: u64) -> bool {
+    fn may_run(
+        &self,
+        task: &TaskId,
+        pool: &str,
+        spec: &StepSpec,
+        view: &WorkerView,
+        now: u64,
+    ) -> bool {
         view.entry.pool == pool
             && view.takes_work(now)
             && (spec.label.is_empty() || view.has_label(&spec.label))
@@ -305,7 +347,9 @@
         let job = self.jobs.get(&task.job);
         let steps = job.and_then(|job| job.open.get(&task.occurrence));
         let step = steps.and_then(|steps| steps.get(task.step as usize));
-        let runs = step.into_iter().flat_map(|step| step.tasks.iter().flat_map(|task| &task.placed));
+        let runs = step
+            .into_iter()
+            .flat_map(|step| step.tasks.iter().flat_map(|task| &task.placed));
         runs.filter(|run| run.worker == worker).count() as u32
     }
 
@@ -322,13 +366,21 @@
         let room = view.entry.room.cpu.max(1) as f64;
         let used = view.used.cpu as f64 / room;
         let crowd = self.crowd_at(view);
-        let due = if self.fleet.is_due(&view.entry.id) { 0.5 } else { 0.0 };
+        let due = if self.fleet.is_due(&view.entry.id) {
+            0.5
+        } else {
+            0.0
+        };
         if spec.fills {
             return f64::from(crowd.serving) * 2.0 + f64::from(crowd.filling) * 0.5 + used;
         }
         if spec.lasting {
             let home = if crowd.lasting > 0 { 0.0 } else { 0.3 };
-            return f64::from(crowd.serving) * 0.25 + f64::from(crowd.filling) * 2.0 + home + used + due * 6.0;
+            return f64::from(crowd.serving) * 0.25
+                + f64::from(crowd.filling) * 2.0
+                + home
+                + used
+                + due * 6.0;
         }
         1.0 - used + if crowd.lasting > 0 { -0.5 } else { 0.0 } + due
     }
@@ -345,8 +397,13 @@
         job.touch();
         let version = job.version;
         let gang_run = spec.gang.then(|| {
-            let step = job.open.get(&task.occurrence).and_then(|steps| steps.get(task.step as usize));
-            let runs = step.into_iter().flat_map(|step| step.tasks.iter().map(|task| (task.runs, task.placed.len())));
+            let step = job
+                .open
+                .get(&task.occurrence)
+                .and_then(|steps| steps.get(task.step as usize));
+            let runs = step
+                .into_iter()
+                .flat_map(|step| step.tasks.iter().map(|task| (task.runs, task.placed.len())));
             // Members reserved before this one already carry the new number.
             let (placed, free): (Vec<_>, Vec<_>) = runs.partition(|(_, placed)| *placed > 0);
             let started = placed.first().map(|(runs, _)| *runs);
--- a/src/jobs/types.rs
+++ b/src/jobs/types.rs
@@ -198,7 +198,9 @@
                 return Some(format!("step {number} has no tasks"));
             }
             if step.after.iter().any(|after| *after as usize >= number) {
-                return Some(format!("step {number} waits for a step that is not earlier"));
+                return Some(format!(
+                    "step {number} waits for a step that is not earlier"
+                ));
             }
             if step.gang && step.speculative {
                 return Some(format!("step {number} is a gang and speculative"));
--- a/src/jobs/wave.rs
+++ b/src/jobs/wave.rs
@@ -42,7 +42,9 @@
     /// Returns the VMs that are still to be maintained.
     pub fn due(&self) -> impl Iterator<Item = &String> {
         let machines = self.order.machines.iter();
-        machines.filter(|machine| !self.record.ordered.contains(machine) && !self.gone.contains(*machine))
+        machines.filter(|machine| {
+            !self.record.ordered.contains(machine) && !self.gone.contains(*machine)
+        })
     }
 
     /// Returns how many VMs may go down now.
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -79,10 +79,18 @@
     /// # Errors
     ///
     /// Fails if a record cannot be encoded.
-    pub fn take_writes(&mut self, keys: ShardKeys, time: TimePair) -> Result<WriteBatch, EncodeError> {
+    pub fn take_writes(
+        &mut self,
+        keys: ShardKeys,
+        time: TimePair,
+    ) -> Result<WriteBatch, EncodeError> {
         let mut batch = WriteBatch::default();
         self.fleet.take_writes(keys, &mut batch)?;
-        let mut order: Vec<_> = self.dirty.iter().map(|(id, due)| (*due, id.clone())).collect();
+        let mut order: Vec<_> = self
+            .dirty
+            .iter()
+            .map(|(id, due)| (*due, id.clone()))
+            .collect();
         order.sort_unstable();
         for (_, id) in order {
             if batch.entries() + 2 > BATCH_ENTRIES || batch.bytes() > BATCH_BYTES {
@@ -155,7 +163,9 @@
     /// Forgets a submission that was never part of a commit.
     fn drop_job(&mut self, id: &JobId) {
         let runs: Vec<_> = self.jobs.get(id).map_or_else(Vec::new, |job| {
-            job.live_runs().map(|(task, run)| (task, run.worker.clone(), run.run)).collect()
+            job.live_runs()
+                .map(|(task, run)| (task, run.worker.clone(), run.run))
+                .collect()
         });
         for (task, worker, run) in runs {
             self.release_run(&task, &worker, run);
@@ -167,7 +177,14 @@
             log::info!(event = "job_refused", job = &**id, reason = "store_lost"; "");
             let refused = CallerAnswer::Refused { retry_ms: 1000 };
             let cancelled = answer == CallerAnswer::Cancelled;
-            self.answer(waiter, if cancelled { CallerAnswer::Unknown } else { refused });
+            self.answer(
+                waiter,
+                if cancelled {
+                    CallerAnswer::Unknown
+                } else {
+                    refused
+                },
+            );
         }
     }
 
@@ -175,8 +192,9 @@
         let Some(waiting) = self.waiting.get_mut(id) else {
             return;
         };
-        let due: Vec<(u64, WaiterId, CallerAnswer)> =
-            waiting.extract_if(.., |(wanted, ..)| *wanted <= version).collect();
+        let due: Vec<(u64, WaiterId, CallerAnswer)> = waiting
+            .extract_if(.., |(wanted, ..)| *wanted <= version)
+            .collect();
         if waiting.is_empty() {
             self.waiting.remove(id);
         }
@@ -193,10 +211,12 @@
         if job.state.is_final() {
             return;
         }
-        let reserved = job.live_runs().filter(|(_, run)| {
-            matches!(run.phase, RunPhase::Reserved(wanted) if wanted <= version)
-        });
-        let reserved: Vec<_> = reserved.map(|(task, run)| (task, run.worker.clone(), run.run)).collect();
+        let reserved = job.live_runs().filter(
+            |(_, run)| matches!(run.phase, RunPhase::Reserved(wanted) if wanted <= version),
+        );
+        let reserved: Vec<_> = reserved
+            .map(|(task, run)| (task, run.worker.clone(), run.run))
+            .collect();
         for (task, worker, run) in reserved {
             self.send_start(&task, &worker, run, 0, now);
         }
@@ -208,7 +228,10 @@
         for (id, view) in &mut self.workers {
             let before = view.cursor;
             while let Some(end) = view.pending.front() {
-                let stored = self.jobs.get(&end.job).is_none_or(|job| job.stored >= end.version);
+                let stored = self
+                    .jobs
+                    .get(&end.job)
+                    .is_none_or(|job| job.stored >= end.version);
                 if !stored {
                     break;
                 }
@@ -256,7 +279,10 @@
         let mut runs = Vec::new();
         for job in self.jobs.values() {
             for (task, run) in job.live_runs() {
-                let need = job.step_spec(&task).map(|spec| spec.counted()).unwrap_or_default();
+                let need = job
+                    .step_spec(&task)
+                    .map(|spec| spec.counted())
+                    .unwrap_or_default();
                 runs.push((task, run.worker.clone(), run.born_ms, run.run, need));
             }
         }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -100,7 +100,10 @@
                 result => return self.keep(peer, connection, result),
             }
         }
-        let opening = timeout(self.settings.connect_limit, OpenConnection::open(peer, CloseMode::Reset));
+        let opening = timeout(
+            self.settings.connect_limit,
+            OpenConnection::open(peer, CloseMode::Reset),
+        );
         let mut connection = match opening.await {
             Ok(connection) => connection?,
             Err(_) => {
--- a/src/ports/client.rs
+++ b/src/ports/client.rs
@@ -122,7 +122,10 @@
         let limit = self.limits.order + wait;
         let reply = self.send("worker", peer, wire, limit).await?;
         let reply = (self.dialect.worker_reply)(call, &reply);
-        reply.context(MalformedSnafu { port: "worker", peer })
+        reply.context(MalformedSnafu {
+            port: "worker",
+            peer,
+        })
     }
 
     /// Calls the list of VMs.
--- a/src/service/jobs/bid.rs
+++ b/src/service/jobs/bid.rs
@@ -89,7 +89,11 @@
     let commit = StoreCommit {
         expected: vec![(keys.owner(), held), (keys.chain(), revision)],
         writes: vec![
-            write(keys.chain(), encode(&ChainRecord { epoch, commit: 0 }).ok()?, 0),
+            write(
+                keys.chain(),
+                encode(&ChainRecord { epoch, commit: 0 }).ok()?,
+                0,
+            ),
             write(keys.owner(), encode(&record).ok()?, lease),
         ],
         removals: Vec::new(),
--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -67,10 +67,17 @@
         let own = config.map_or(0, |config| config.version);
         ExchangeNote {
             name: self.name.clone(),
-            owner: self.members.borrow().owner.as_ref().map(|(owner, _)| owner.clone()),
+            owner: self
+                .members
+                .borrow()
+                .owner
+                .as_ref()
+                .map(|(owner, _)| owner.clone()),
             owning,
             version: own,
-            config: config.filter(|_| own > version).map(|config| config.as_ref().clone()),
+            config: config
+                .filter(|_| own > version)
+                .map(|config| config.as_ref().clone()),
             waves: operator.waves.clone(),
         }
     }
@@ -82,10 +89,16 @@
         for wave in note.waves {
             offer_wave(&self.operator, wave);
         }
-        let known = self.members.borrow().owner.as_ref().map_or(0, |(owner, _)| owner.epoch);
+        let known = self
+            .members
+            .borrow()
+            .owner
+            .as_ref()
+            .map_or(0, |(owner, _)| owner.epoch);
         if let Some(owner) = note.owner.filter(|owner| owner.epoch > known) {
             // The revision is not known; a bid would read it first.
-            self.members.send_modify(|state| note_owner(state, owner, 0));
+            self.members
+                .send_modify(|state| note_owner(state, owner, 0));
         }
     }
 
@@ -142,7 +155,10 @@
         };
         let others = nodes.iter().map(|(_, address)| *address);
         let seeds = settings.seeds.iter().copied();
-        let others: Vec<_> = others.chain(seeds).filter(|peer| *peer != settings.control).collect();
+        let others: Vec<_> = others
+            .chain(seeds)
+            .filter(|peer| *peer != settings.control)
+            .collect();
         let owner = owner.filter(|owner| owner.name != settings.name);
         let target = owner.as_ref().and_then(address_of);
         let answered = match target {
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -61,7 +61,8 @@
         response.headers_mut().insert(header::CONNECTION, close);
     }
     let status = response.status().as_u16();
-    metrics::counter!(REQUESTS, "outcome" => status.to_string(), "reason" => method.to_string()).increment(1);
+    metrics::counter!(REQUESTS, "outcome" => status.to_string(), "reason" => method.to_string())
+        .increment(1);
     metrics::histogram!("chicory_request_seconds").record(started.elapsed().as_secs_f64());
     // Answers of the usual kind are counted only; their decisions are logged by the owner.
     if status >= 400 && status != 410 || started.elapsed() > Duration::from_millis(500) {
@@ -97,7 +98,10 @@
     request: Request<Incoming>,
 ) -> Result<RelayRequest, Box<HttpAnswer>> {
     let host = request.headers().get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or("").to_owned();
+    let host = host
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or("")
+        .to_owned();
     let path = request.uri().path().to_owned();
     let Some((queue, rest)) = config.find(&host, &path) else {
         return Err(Box::new(answer(404, "", Bytes::new())));
@@ -115,7 +119,9 @@
         (&Method::GET, _) => RelayAsk::Query,
         (&Method::DELETE, _) => RelayAsk::Cancel,
         (&Method::POST, _) => {
-            let body = Limited::new(request.into_body(), config.body_bytes).collect().await;
+            let body = Limited::new(request.into_body(), config.body_bytes)
+                .collect()
+                .await;
             let Ok(body) = body else {
                 return Err(Box::new(answer(413, "", Bytes::new())));
             };
@@ -161,6 +167,8 @@
 fn refused(status: u16, retry_ms: u64) -> HttpAnswer {
     let mut response = answer(status, "", Bytes::new());
     let seconds = retry_ms.div_ceil(1000).max(1);
-    response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    response
+        .headers_mut()
+        .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     response
 }
--- a/src/service/jobs/load.rs
+++ b/src/service/jobs/load.rs
@@ -45,13 +45,19 @@
         waves: HashMap::new(),
     };
     for item in waves?.0 {
-        let number = item.key.rsplit('/').next().and_then(|number| number.parse().ok());
+        let number = item
+            .key
+            .rsplit('/')
+            .next()
+            .and_then(|number| number.parse().ok());
         match (number, decode(&item.key, &item.value)) {
             (Some(number), Ok(record)) => {
                 content.waves.insert(number, record);
             }
             (_, Err(error)) => log::error!(event = "wave_record_unreadable", error:% = error; ""),
-            (None, Ok(_)) => log::error!(event = "wave_record_unnamed", key = item.key.as_str(); ""),
+            (None, Ok(_)) => {
+                log::error!(event = "wave_record_unnamed", key = item.key.as_str(); "")
+            }
         }
     }
     Ok(content)
--- a/src/service/jobs/member.rs
+++ b/src/service/jobs/member.rs
@@ -75,7 +75,9 @@
                 if !items.iter().any(|item| item.key == owner_key) {
                     remove_owner(state);
                 }
-                items.into_iter().for_each(|item| apply(state, &mut nodes, item));
+                items
+                    .into_iter()
+                    .for_each(|item| apply(state, &mut nodes, item));
             }
             PrefixNews::Changed(StoreEvent::Written(item)) => apply(state, &mut nodes, item),
             PrefixNews::Changed(StoreEvent::Removed { key, .. }) => {
@@ -86,9 +88,15 @@
         });
         sender.send_modify(|state| {
             let others = nodes.iter().filter(|(name, _)| **name != settings.name);
-            state.nodes = others.map(|(name, address)| (name.clone(), *address)).collect();
+            state.nodes = others
+                .map(|(name, address)| (name.clone(), *address))
+                .collect();
             let peers = state.nodes.iter().map(|(_, address)| *address);
-            let seeds = settings.seeds.iter().copied().filter(|seed| *seed != settings.control);
+            let seeds = settings
+                .seeds
+                .iter()
+                .copied()
+                .filter(|seed| *seed != settings.control);
             let mut peers: Vec<SocketAddr> = peers.chain(seeds).collect();
             peers.sort_unstable();
             peers.dedup();
--- a/src/service/jobs/node.rs
+++ b/src/service/jobs/node.rs
@@ -97,7 +97,9 @@
     let front = listen(settings.front).await?;
     let ready = listen(settings.ready).await?;
     let control = listen(settings.control).await?;
-    let front_address = front.local_addr().context(ListenSnafu { address: settings.front })?;
+    let front_address = front.local_addr().context(ListenSnafu {
+        address: settings.front,
+    })?;
     let address = settings.control;
     let control_address = control.local_addr().context(ListenSnafu { address })?;
     let settings = NodeSettings {
@@ -107,7 +109,14 @@
     };
     let kept = KeptClient::new(KeptSettings::default());
     let link = StoreLink::new(dialect, settings.addresses.store, kept.clone());
-    link.set_peers(settings.seeds.iter().copied().filter(|seed| *seed != settings.control).collect());
+    link.set_peers(
+        settings
+            .seeds
+            .iter()
+            .copied()
+            .filter(|seed| *seed != settings.control)
+            .collect(),
+    );
     let (members, member_view) = watch::channel(MemberState::default());
     let (operator, operator_view) = watch::channel(OperatorState::default());
     let (inbox, inbox_view) = watch::channel(None);
@@ -144,19 +153,24 @@
     kernel.spawn(NAME, operator::run(dialect, link.clone(), operator));
     kernel.spawn(NAME, exchange::run(settings.clone(), exchange.clone()));
     kernel.spawn(OWNER, owner::run(context, inbox));
-    start_servers(&kernel, &settings, [front, ready, control], ServerStates {
-        front: FrontState {
-            dialect,
-            operator: operator_view,
-            relay,
-            phase: kernel.phase(),
-        },
-        peer: PeerState {
-            owner: inbox_view,
-            exchange,
-            link,
+    start_servers(
+        &kernel,
+        &settings,
+        [front, ready, control],
+        ServerStates {
+            front: FrontState {
+                dialect,
+                operator: operator_view,
+                relay,
+                phase: kernel.phase(),
+            },
+            peer: PeerState {
+                owner: inbox_view,
+                exchange,
+                link,
+            },
         },
-    });
+    );
     start_metrics(&kernel, settings.metrics).await;
     log::info!(
         event = "node_started", name = settings.name.as_str(), dc = settings.dc.as_str(),
@@ -200,7 +214,10 @@
         until: ShutdownPhase::Stopped,
         ..ServeSettings::default()
     };
-    kernel.spawn(NAME, serve::run(ready, bounds.clone(), kernel.phase(), handler));
+    kernel.spawn(
+        NAME,
+        serve::run(ready, bounds.clone(), kernel.phase(), handler),
+    );
     let peer_state = states.peer;
     let handler = move |request| peer::handle(peer_state.clone(), request);
     let bounds = ServeSettings {
@@ -237,7 +254,9 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, NodeError> {
-    TcpListener::bind(address).await.context(ListenSnafu { address })
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
 }
 
 #[derive(Clone)]
--- a/src/service/jobs/operator.rs
+++ b/src/service/jobs/operator.rs
@@ -21,7 +21,9 @@
 pub async fn run(dialect: DialectPort, link: StoreLink, sender: watch::Sender<OperatorState>) {
     let news = |news: PrefixNews| {
         match news {
-            PrefixNews::All(items) => items.into_iter().for_each(|item| apply(&dialect, &sender, item)),
+            PrefixNews::All(items) => items
+                .into_iter()
+                .for_each(|item| apply(&dialect, &sender, item)),
             PrefixNews::Changed(StoreEvent::Written(item)) => apply(&dialect, &sender, item),
             PrefixNews::Changed(StoreEvent::Removed { key, .. }) => {
                 log::info!(event = "operator_key_removed", key = key.as_str(); "");
--- a/src/service/jobs/owner.rs
+++ b/src/service/jobs/owner.rs
@@ -128,7 +128,11 @@
         }
         let (synced, owner, former) = {
             let members = context.members.borrow_and_update();
-            (members.synced, members.owner.clone(), members.former.clone())
+            (
+                members.synced,
+                members.owner.clone(),
+                members.former.clone(),
+            )
         };
         match owner {
             // A former life of this process has ended: its address is bound again.
@@ -200,10 +204,14 @@
     engine.fleet.enabled = context.client.addresses.fleet.is_some();
     let waves = content.waves.clone();
     restore(&mut engine, content);
-    let listed = entries.iter().filter_map(|item| decode_entry(context, item));
+    let listed = entries
+        .iter()
+        .filter_map(|item| decode_entry(context, item));
     engine.workers_synced(listed.collect(), now);
     engine.book_inherited(now);
-    tasks.0.push(tokio::spawn(watch_workers(context.clone(), events.clone())));
+    tasks
+        .0
+        .push(tokio::spawn(watch_workers(context.clone(), events.clone())));
     let mut owner = ShardOwner {
         context: context.clone(),
         chain: won.chain,
@@ -236,7 +244,11 @@
     }
 }
 
-type LoadedShard = (ShardContent, Vec<StoreItem>, Arc<crate::jobs::config::JobConfig>);
+type LoadedShard = (
+    ShardContent,
+    Vec<StoreItem>,
+    Arc<crate::jobs::config::JobConfig>,
+);
 
 /// Reads all that the scheduler starts from, as long as the ownership is sure.
 async fn load(context: &OwnerContext, term: &OwnerTerm) -> Option<LoadedShard> {
@@ -250,7 +262,9 @@
             read_all(&context.link, workers),
         );
         match (content, entries, config) {
-            (Ok(content), Ok((entries, _)), Some(config)) => return Some((content, entries, config)),
+            (Ok(content), Ok((entries, _)), Some(config)) => {
+                return Some((content, entries, config));
+            }
             (Err(error), ..) | (_, Err(error), _) => {
                 log::info!(event = "load_failed", error:% = error; "");
             }
@@ -424,7 +438,9 @@
                 result,
                 sent_ms,
             } => self.engine.called(token, result, sent_ms, time.boot),
-            OwnerEvent::FleetCalled(call, reply) => self.engine.fleet_called(&call, reply, time.boot),
+            OwnerEvent::FleetCalled(call, reply) => {
+                self.engine.fleet_called(&call, reply, time.boot)
+            }
             OwnerEvent::Advised(step, asked, reply) => {
                 self.engine.advised(&step, &asked, reply, time.boot);
             }
@@ -496,7 +512,11 @@
             extra,
             absent,
         };
-        tokio::spawn(commit::run(self.context.link.clone(), commit, self.events.clone()));
+        tokio::spawn(commit::run(
+            self.context.link.clone(),
+            commit,
+            self.events.clone(),
+        ));
     }
 
     /// Stores what is not stored yet; the successor starts from it.
--- a/src/service/jobs/peer.rs
+++ b/src/service/jobs/peer.rs
@@ -84,7 +84,9 @@
     let sender = state.owner.borrow().clone();
     match sender {
         None => RelayReply::NotOwner,
-        Some(sender) => ask_owner(&sender, request).await.unwrap_or(RelayReply::NotOwner),
+        Some(sender) => ask_owner(&sender, request)
+            .await
+            .unwrap_or(RelayReply::NotOwner),
     }
 }
 
--- a/src/service/jobs/perform.rs
+++ b/src/service/jobs/perform.rs
@@ -67,7 +67,11 @@
                             Ok(reply) => CallResult::Answered(reply),
                             Err(error) => {
                                 log::debug!(event = "worker_call_failed", worker = call.worker.as_str(), error:% = error; "");
-                                if error.is_unsent() { CallResult::NotSent } else { CallResult::Unknown }
+                                if error.is_unsent() {
+                                    CallResult::NotSent
+                                } else {
+                                    CallResult::Unknown
+                                }
                             }
                         }
                     } else {
--- a/src/service/jobs/relay.rs
+++ b/src/service/jobs/relay.rs
@@ -94,7 +94,11 @@
                 Err(_) => {}
             }
             if Instant::now() + ATTEMPT_PAUSE >= deadline {
-                return if passed_on { RelayOutcome::Unknown } else { RelayOutcome::NotReached };
+                return if passed_on {
+                    RelayOutcome::Unknown
+                } else {
+                    RelayOutcome::NotReached
+                };
             }
             sleep(ATTEMPT_PAUSE).await;
         }
@@ -121,7 +125,10 @@
         };
         let epoch = owner.epoch;
         let replaced = members.wait_for(|state| {
-            state.owner.as_ref().is_none_or(|(owner, _)| owner.epoch != epoch)
+            state
+                .owner
+                .as_ref()
+                .is_none_or(|(owner, _)| owner.epoch != epoch)
         });
         tokio::select! {
             result = self.send(address, body) => result,
--- a/src/service/jobs/serve.rs
+++ b/src/service/jobs/serve.rs
@@ -103,7 +103,9 @@
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(settings.head_limit);
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(settings.head_limit);
     let serving = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
     let result = tokio::select! {
@@ -126,7 +128,9 @@
     *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
     if !content_type.is_empty() {
         let value = hyper::header::HeaderValue::from_static(content_type);
-        response.headers_mut().insert(hyper::header::CONTENT_TYPE, value);
+        response
+            .headers_mut()
+            .insert(hyper::header::CONTENT_TYPE, value);
     }
     response
 }
--- /dev/null
+++ b/tests/jobs_runs.rs
@@ -0,0 +1,310 @@
+//! Runs of tasks: orders without answers, silent workers, takeovers, cancellations.
+
+#[path = "support/world.rs"]
+mod world;
+
+use chicorygauge::jobs::engine::CallToken;
+use chicorygauge::jobs::engine::CallerAnswer;
+use chicorygauge::jobs::orders::CallResult;
+use chicorygauge::jobs::types::JobState;
+use chicorygauge::jobs::types::TaskId;
+use chicorygauge::ports::worker::WorkerOrder;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use world::World;
+use world::WorldFaults;
+use world::job;
+use world::step;
+
+const JOB: &str = "00000000000000aa";
+
+#[test]
+fn submit_answered_once_stored() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.submit(JOB, &job(&[step(2, 1000, 300)]), 7);
+    assert_eq!(world.answers.get(&7), None, "nothing is stored yet");
+    assert_eq!(world.starts(), 0, "no placement is stored yet");
+    world.run(30);
+    assert_eq!(world.answers.get(&7), Some(&CallerAnswer::Accepted));
+    assert_eq!(world.starts(), 2);
+    world.run(600);
+    assert!(world.completed.contains_key(JOB));
+}
+
+#[test]
+fn submit_repeated_is_one_job() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    let spec = job(&[step(1, 1000, 300)]);
+    world.submit(JOB, &spec, 1);
+    world.submit(JOB, &spec, 2);
+    world.run(1000);
+    world.submit(JOB, &spec, 3);
+    world.run(20);
+    for waiter in 1..=3 {
+        assert_eq!(world.answers.get(&waiter), Some(&CallerAnswer::Accepted));
+    }
+    assert_eq!(world.starts(), 1);
+}
+
+#[test]
+fn submit_store_down_refused_at_once() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.store_up = false;
+    world.engine.store_failed(&Default::default(), world.now);
+    world.submit(JOB, &job(&[step(1, 1000, 300)]), 1);
+    assert!(matches!(
+        world.answers.get(&1),
+        Some(CallerAnswer::Refused { .. })
+    ));
+    world.run(2000);
+    assert_eq!(world.starts(), 0, "what was refused never runs");
+}
+
+#[test]
+fn accepted_job_survives_takeover() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.submit(JOB, &job(&[step(2, 1000, 300), step(1, 1000, 300)]), 1);
+    world.run(100);
+    world.take_over();
+    world.run(2000);
+    assert!(world.completed.contains_key(JOB));
+    assert_eq!(
+        world.starts(),
+        3,
+        "running tasks were adopted, not started again"
+    );
+}
+
+#[test]
+fn start_repeated_after_unknown_first_stays_unknown() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.submit(JOB, &job(&[step(1, 1000, 5000)]), 1);
+    world.run(30);
+    let task = TaskId::parse(&format!("{JOB}.0.0.0")).expect("a task");
+    let worker = world.workers.iter().find(|(_, worker)| {
+        !worker.entry.id.is_empty() && !world.tasks_at(&worker.entry.id).is_empty()
+    });
+    let worker = worker.map(|(id, _)| id.clone()).expect("a run");
+    // The first attempt was not answered, the second could not be sent.
+    world.engine.jobs.values_mut().for_each(|job| {
+        let state = job.task_mut(&task).expect("a task");
+        state.placed[0].phase = chicorygauge::jobs::job::RunPhase::Ordered;
+    });
+    let token = CallToken::Start {
+        worker: worker.clone(),
+        task: task.clone(),
+        run: 1,
+        tries: 1,
+    };
+    let now = world.now;
+    world.engine.called(token, CallResult::NotSent, now, now);
+    let state = world
+        .engine
+        .jobs
+        .values()
+        .next()
+        .and_then(|job| job.task(&task))
+        .expect("a task");
+    assert_eq!(
+        state.placed.len(),
+        1,
+        "the first attempt may have been carried out"
+    );
+    world.run(3000);
+}
+
+#[test]
+fn silent_worker_runs_again_after_its_lease() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.submit(JOB, &job(&[step(1, 1000, 3000)]), 1);
+    world.run(500);
+    let busy = world
+        .workers
+        .values()
+        .find(|worker| !world.tasks_at(&worker.entry.id).is_empty());
+    let busy = busy.map(|worker| worker.entry.id.clone()).expect("a run");
+    world.workers.get_mut(&busy).expect("a worker").reachable = false;
+    world.run(3500);
+    assert_eq!(world.starts(), 1, "the lease still holds");
+    world.run(6000);
+    assert_eq!(world.starts(), 2);
+    world.workers.get_mut(&busy).expect("a worker").reachable = true;
+    world.run(3000);
+    assert!(world.completed.contains_key(JOB));
+}
+
+#[test]
+fn unreachable_worker_waited_for_after_takeover() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.submit(JOB, &job(&[step(1, 1000, 20_000)]), 1);
+    world.run(500);
+    let busy = world
+        .workers
+        .values()
+        .find(|worker| !world.tasks_at(&worker.entry.id).is_empty());
+    let busy = busy.map(|worker| worker.entry.id.clone()).expect("a run");
+    world.workers.get_mut(&busy).expect("a worker").reachable = false;
+    world.take_over();
+    world.run(4900);
+    assert_eq!(world.starts(), 1, "the former owner's lease may still hold");
+    world.run(4000);
+    assert_eq!(world.starts(), 2);
+}
+
+#[test]
+fn cancel_races_acceptance() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.submit(JOB, &job(&[step(4, 1000, 1000)]), 1);
+    world.cancel(JOB, 2);
+    world.run(50);
+    assert_eq!(world.answers.get(&1), Some(&CallerAnswer::Accepted));
+    assert_eq!(world.answers.get(&2), Some(&CallerAnswer::Cancelled));
+    world.run(500);
+    assert_eq!(world.running(), 0);
+    assert_eq!(
+        world.engine.ended.get(JOB).map(|ended| ended.state),
+        Some(JobState::Cancelled)
+    );
+}
+
+#[test]
+fn reborn_worker_runs_nothing_of_before() {
+    let mut world = World::new(1, 1);
+    world.run(20);
+    world.submit(JOB, &job(&[step(1, 1000, 1000)]), 1);
+    world.run(200);
+    let id = world.workers.keys().next().cloned().expect("a worker");
+    let entry = {
+        let worker = world.workers.get_mut(&id).expect("a worker");
+        worker.entry.born_ms += 100_000;
+        worker.up = false;
+        worker.entry.clone()
+    };
+    let machine = world.workers[&id].machine.clone();
+    world.workers.remove(&id);
+    world.engine.worker_listed(entry.clone(), world.now);
+    let fresh = world.add_worker(world::POOL, &machine);
+    world.run(1500);
+    assert_eq!(world.starts(), 2, "the run was lost with the former life");
+    assert!(world.completed.contains_key(JOB) || !world.tasks_at(&fresh).is_empty());
+}
+
+#[test]
+fn ends_listed_again_count_once() {
+    let mut world = World::new(2, 1);
+    world.faults.failing = 1000;
+    world.run(20);
+    world.submit(JOB, &job(&[step(1, 1000, 200)]), 1);
+    world.run(250);
+    // The end is known and its cursor has not moved at the successor.
+    world.take_over();
+    world.run(5000);
+    assert_eq!(
+        world.engine.ended.get(JOB).map(|ended| ended.state),
+        Some(JobState::Failed)
+    );
+    assert!(world.starts() <= 4);
+}
+
+#[test]
+fn higher_epoch_deposes() {
+    let mut world = World::new(1, 1);
+    world.run(20);
+    let id = world.workers.keys().next().cloned().expect("a worker");
+    let token = CallToken::Hold { worker: id };
+    let refused = chicorygauge::ports::WorkerReply::Refused {
+        reason: chicorygauge::ports::worker::RefusalReason::Epoch,
+    };
+    let now = world.now;
+    world
+        .engine
+        .called(token, CallResult::Answered(refused), now, now);
+    assert!(world.engine.deposed);
+    world.submit(JOB, &job(&[step(1, 1000, 200)]), 1);
+    world.run(500);
+    assert_eq!(world.starts(), 0);
+}
+
+#[test]
+fn gang_starts_together_with_one_number() {
+    let mut world = World::new(3, 1);
+    world.run(20);
+    let gang = chicorygauge::jobs::types::StepSpec {
+        gang: true,
+        ..step(5, 20_000, 400)
+    };
+    world.submit(JOB, &job(&[gang.clone()]), 1);
+    world.run(1000);
+    assert_eq!(world.starts(), 0, "three workers hold three members");
+    world.add_worker(world::POOL, "m-90");
+    world.add_worker(world::POOL, "m-91");
+    world.run(100);
+    let runs = world
+        .calls
+        .iter()
+        .filter_map(|(_, call)| match &call.order {
+            WorkerOrder::Start { run, .. } => Some(*run),
+            _ => None,
+        });
+    assert_eq!(runs.collect::<Vec<_>>(), [1; 5]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 24,
+        rng_seed: RngSeed::Fixed(0x6a6f_6273),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Order of steps, attempts, room, one run at a time: checked by the world at
+    /// each start, over lost, unanswered and late orders, cuts and takeovers.
+    #[test]
+    fn random_faults_keep_promises(seed in 1_u64.., shapes in prop::collection::vec((1_u32..6, 1_u32..4, 1000_u64..12_000, 50_u64..1500), 5..25)) {
+        let mut world = World::new(4, seed);
+        world.faults = WorldFaults { lost: 30, unanswered: 40, late: 40, failing: 50 };
+        world.run(20);
+        let mut waiter = 0;
+        for (number, (tasks, steps, cpu, estimate_ms)) in shapes.iter().enumerate() {
+            waiter += 1;
+            let id = format!("{number:016x}");
+            let steps = vec![step(*tasks, *cpu, *estimate_ms); *steps as usize];
+            world.submit(&id, &job(&steps), waiter);
+            let pause = world.draw() % 400;
+            world.run(pause);
+            match world.draw() % 12 {
+                0 => world.take_over(),
+                1 => {
+                    let id = format!("{:016x}", number / 2);
+                    let now = world.now;
+                    waiter += 1;
+                    world.cancel(&id, waiter);
+                    world.cancelled.insert(id, now);
+                }
+                2 => {
+                    let at = world.draw() as usize % world.workers.len();
+                    if let Some(worker) = world.workers.values_mut().nth(at) {
+                        worker.reachable = !worker.reachable;
+                    }
+                }
+                _ => {}
+            }
+        }
+        world.workers.values_mut().for_each(|worker| worker.reachable = true);
+        world.faults = WorldFaults::default();
+        world.run(30_000);
+        for number in 0..shapes.len() {
+            let id = format!("{number:016x}");
+            let accepted = world.engine.jobs.contains_key(id.as_str());
+            prop_assert!(!accepted, "job {} is still in progress", id);
+        }
+    }
+}
