VMs that do not serve their pool are not counted as present

Ruled out: a run stuck in the scheduler (task_waits, new, showed it waiting for a worker).

Change: only VMs that serve or are on their way are present; a pool keeps as many workers as its lasting tasks need to be apart, and one more; the view of a worker goes with its VM.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -235,6 +235,8 @@
     pub(crate) paced_ms: HashMap<String, u64>,
     /// Work that arrived lately by pool: when and how much.
     pub(crate) arrivals: HashMap<String, VecDeque<(u64, u64)>>,
+    /// When a lasting task without a worker was last logged.
+    pub(crate) waiting_logged_ms: u64,
     /// Inherited runs at workers without an entry: task, worker and run.
     pub(crate) orphans: Vec<(TaskId, String, u32)>,
     /// Stops to be repeated: when, worker, task and run.
@@ -268,6 +270,7 @@
             work_means: HashMap::new(),
             paced_ms: HashMap::new(),
             arrivals: HashMap::new(),
+            waiting_logged_ms: 0,
             orphans: Vec::new(),
             retry_stops: Vec::new(),
         }
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -560,6 +560,7 @@
         }
         if !worker.is_empty() {
             self.lose_runs(&worker, "vm_ordered", now);
+            self.workers.remove(&worker);
         }
     }
 }
--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -10,6 +10,7 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::fleet::MachineOrder;
 use crate::jobs::place::remaining;
+use crate::jobs::types::StepSpec;
 use crate::ports::fleet::MachineRow;
 use crate::ports::fleet::MachineState;
 
@@ -65,6 +66,17 @@
     changes
 }
 
+/// Workers that a step needs for its tasks to be apart, and one to move them to.
+fn workers_apart(step: &StepSpec) -> usize {
+    let most = step.per_worker.max(1);
+    let apart = if step.per_worker == 0 {
+        1
+    } else {
+        step.tasks.div_ceil(most)
+    };
+    apart as usize + 1
+}
+
 impl JobEngine {
     /// Counts work that has arrived for a pool.
     pub(crate) fn note_arrival(&mut self, pool: &str, work: u64, now: u64) {
@@ -101,12 +113,14 @@
             for view in self.workers.values().filter(|view| view.entry.pool == pool) {
                 room = f64::max(room, view.entry.room.cpu as f64);
             }
-            let mut waiting = 0.0;
+            let (mut waiting, mut apart) = (0.0, 0);
             for job in self.jobs.values().filter(|job| !job.state.is_final()) {
                 if self.pool_of(job) != pool {
                     continue;
                 }
                 if job.body.spec.lasts() {
+                    let lasts = job.body.spec.steps.iter().filter(|step| step.lasting);
+                    apart = lasts.map(workers_apart).fold(apart, usize::max);
                     let steps = job.body.spec.steps.iter().filter(|step| !step.fills);
                     lasting += steps
                         .map(|step| f64::from(step.tasks) * step.need.cpu as f64)
@@ -116,7 +130,7 @@
                 }
             }
             let rows = self.fleet.rows.values().filter(|row| row.pool == pool);
-            let present = rows.filter(|row| row.state != MachineState::Down).count();
+            let present = rows.filter(|row| self.is_present(row, now)).count();
             let demand = (waiting / DRAIN_MS).max(rate) + lasting;
             let wanted = if room > 0.0 {
                 (demand / room / FILL_SHARE).ceil() as usize
@@ -128,6 +142,24 @@
         needs
     }
 
+    /// Tells whether a VM serves its pool or is about to.
+    fn is_present(&self, row: &MachineRow, now: u64) -> bool {
+        match row.state {
+            MachineState::Moving => true,
+            MachineState::Maintenance | MachineState::Down => false,
+            MachineState::Up => {
+                let ordered = self
+                    .fleet
+                    .orders
+                    .get(&row.machine)
+                    .is_some_and(|order| order.done_ms.is_none());
+                // A worker without an entry yet has just started.
+                let view = self.workers.get(&row.worker);
+                !ordered && !row.worker.is_empty() && view.is_none_or(|view| view.takes_work(now))
+            }
+        }
+    }
+
     /// Plans moves between pools.
     pub(crate) fn plan_moves(&mut self, now: u64) {
         let standby = self.config.pools.iter().find(|pool| pool.standby);
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -28,6 +28,10 @@
 /// Time after a failed run until its task runs again, in milliseconds.
 const RETRY_PAUSE_MS: u64 = 20;
 
+/// Time after which a lasting task without a worker is logged, and between two such
+/// lines, in milliseconds.
+const WAITING_LOG_MS: u64 = 1000;
+
 /// Rank of a job among those that wait; lower comes first.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub struct PlaceRank {
@@ -191,7 +195,10 @@
             match self.choose_worker(&task, pool, &spec, near_only, now) {
                 Some(worker) => self.reserve(&task, &worker, &spec, now),
                 // Tasks of a step are alike: where one does not fit, none does.
-                None => break,
+                None => {
+                    self.note_waiting(&task, pool, &spec, now);
+                    break;
+                }
             }
         }
         if count == 0 && spec.speculative {
@@ -200,6 +207,24 @@
         unfinished
     }
 
+    /// Logs that a lasting task finds no worker, now and then.
+    fn note_waiting(&mut self, task: &TaskId, pool: &str, spec: &StepSpec, now: u64) {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let since_ms = state.map_or(now, |state| state.ended_ms);
+        if !spec.lasting || now < since_ms.max(self.waiting_logged_ms) + WAITING_LOG_MS {
+            return;
+        }
+        self.waiting_logged_ms = now;
+        let need = spec.counted();
+        let in_pool = || self.workers.values().filter(|view| view.entry.pool == pool);
+        let taking = in_pool().filter(|view| view.takes_work(now)).count();
+        let fitting = in_pool().filter(|view| view.takes_work(now) && view.free().fits(&need));
+        log::info!(
+            event = "task_waits", task:% = task, pool = pool, for_ms = now - since_ms,
+            workers = in_pool().count(), taking = taking, fitting = fitting.count(); ""
+        );
+    }
+
     /// Starts copies of stragglers.
     fn place_copies(&mut self, first: &TaskId, pool: &str, spec: &StepSpec, now: u64) {
         let Some(job) = self.jobs.get(&first.job) else {
