A store that turns an entry VM away is reached through another at once

Ruled out: a cut between entry VMs (their notes went on arriving).

Change: one failure turns calls to another entry VM, the next one if that fails; a probe finds the way back. The first attempt of a commit waits 300 ms, the store counts as lost after the second. An entry VM that hears no other refuses at once and is not ready; an owner that hears less than half hands over.

--- a/src/service/jobs/commit.rs
+++ b/src/service/jobs/commit.rs
@@ -21,9 +21,16 @@
 use crate::service::jobs::store::StoreLink;
 use crate::service::jobs::watch::STORE_BACKOFF;
 
-/// Limit on one attempt; a slow store answers in a quarter of a second.
+/// Limit on the first attempt; a slow store answers in a quarter of a second.
+const FIRST_LIMIT: Duration = Duration::from_millis(300);
+
+/// Limit on further attempts.
 const COMMIT_LIMIT: Duration = Duration::from_millis(600);
 
+/// Attempts without an outcome after which the store counts as lost: the first may
+/// have met a connection that went silent, the second goes another way.
+const LOST_ATTEMPTS: u32 = 2;
+
 /// A commit.
 #[derive(Clone, Debug)]
 pub struct ChainCommit {
@@ -49,9 +56,15 @@
         return;
     };
     let mut backoff = BackoffState::new(STORE_BACKOFF);
-    let mut delayed = false;
+    let mut attempts = 0;
     loop {
-        let outcome = match link.call(&call, COMMIT_LIMIT).await {
+        attempts += 1;
+        let limit = if attempts == 1 {
+            FIRST_LIMIT
+        } else {
+            COMMIT_LIMIT
+        };
+        let outcome = match link.call(&call, limit).await {
             Ok(StoreReply::Committed(revision)) => Some(CommitOutcome::Stored(revision)),
             Ok(StoreReply::Conflict(items)) => Some(resolve(&commit, &items)),
             Ok(StoreReply::NoLease) => Some(CommitOutcome::Deposed),
@@ -69,11 +82,13 @@
             let _ = events.send(OwnerEvent::Committed(Box::new(commit.batch), outcome));
             return;
         }
-        if !std::mem::replace(&mut delayed, true) {
+        if attempts == LOST_ATTEMPTS {
             let batch = Box::new(commit.batch.clone());
             let _ = events.send(OwnerEvent::Committed(batch, CommitOutcome::Delayed));
         }
-        sleep(backoff.pause(rand::random())).await;
+        if attempts > 1 {
+            sleep(backoff.pause(rand::random())).await;
+        }
     }
 }
 
--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -4,10 +4,11 @@
 //! still learns of changes in time, an owner that missed one learns of it from the
 //! others, and each knows whether it reaches the owner.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -36,6 +37,38 @@
 /// Limit on a note: several round trips between data centres.
 const EXCHANGE_LIMIT: Duration = Duration::from_millis(400);
 
+/// An entry VM counts as heard for this long, in milliseconds: three notes.
+const HEARD_MS: u64 = 1600;
+
+/// Time after the start until silence says something, in milliseconds.
+const SETTLE_MS: u64 = 3000;
+
+/// How many other entry VMs this one hears.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerReach {
+    /// Others that are known.
+    pub known: usize,
+    /// Others that were heard lately.
+    pub heard: usize,
+    /// Whether the process runs long enough for silence to mean something.
+    pub settled: bool,
+}
+
+impl PeerReach {
+    /// Tells whether this entry VM hears no other, though there are some.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.settled && self.known > 0 && self.heard == 0
+    }
+
+    /// Tells whether this entry VM hears less than half of the others: most callers'
+    /// requests then cannot reach it.
+    #[must_use]
+    pub fn is_minority(&self) -> bool {
+        self.settled && self.known > 0 && self.heard * 2 < self.known
+    }
+}
+
 /// What is exchanged, and when the owner last answered.
 #[derive(Clone)]
 pub struct ExchangeState {
@@ -45,8 +78,10 @@
     pub operator: watch::Sender<OperatorState>,
     /// The members.
     pub members: watch::Sender<MemberState>,
-    /// Last answer of any other entry VM or of the store, on the boot clock.
-    pub heard_ms: Arc<AtomicU64>,
+    /// When each other entry VM was last heard, on the boot clock.
+    pub heard: Arc<Mutex<HashMap<String, u64>>>,
+    /// Start of this process, on the boot clock.
+    pub started_ms: u64,
     /// Connections.
     pub kept: KeptClient,
 }
@@ -82,7 +117,27 @@
         }
     }
 
+    /// Returns how many other entry VMs are known and how many were heard lately.
+    #[must_use]
+    pub fn reach(&self) -> PeerReach {
+        let now = boot_ms();
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let members = self.members.borrow();
+        let recent = members
+            .nodes
+            .iter()
+            .filter(|(name, _)| heard.get(name).is_some_and(|at| now < at + HEARD_MS));
+        PeerReach {
+            known: members.nodes.len(),
+            heard: recent.count(),
+            settled: now > self.started_ms + SETTLE_MS,
+        }
+    }
+
     fn take(&self, note: ExchangeNote) {
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.insert(note.name.clone(), boot_ms());
+        drop(heard);
         if let Some(config) = note.config {
             offer_config(&self.operator, config, &note.name);
         }
@@ -122,7 +177,6 @@
                 return None;
             }
         };
-        self.heard_ms.store(boot_ms(), Ordering::Relaxed);
         let answer: ExchangeNote = match rmp_serde::from_slice(&answer.body) {
             Ok(answer) => answer,
             Err(error) => {
@@ -130,9 +184,7 @@
                 return None;
             }
         };
-        let mut taken = answer.clone();
-        taken.config = answer.config.clone();
-        self.take(taken);
+        self.take(answer.clone());
         Some(answer)
     }
 }
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -18,6 +18,7 @@
 use crate::metrics::REQUESTS;
 use crate::ports::DialectPort;
 use crate::ports::client::JSON;
+use crate::service::jobs::exchange::ExchangeState;
 use crate::service::jobs::messages::OperatorView;
 use crate::service::jobs::messages::RelayAsk;
 use crate::service::jobs::messages::RelayReply;
@@ -37,6 +38,10 @@
 /// replaced within about two seconds.
 const NO_OWNER_RETRY_MS: u64 = 1000;
 
+/// When to come back to an entry VM that is cut off from the others: at once, since
+/// the balancer then takes another one.
+const ISOLATED_RETRY_MS: u64 = 0;
+
 /// What the front needs.
 #[derive(Clone)]
 pub struct FrontState {
@@ -46,6 +51,8 @@
     pub operator: OperatorView,
     /// Passes requests on.
     pub relay: RelayClient,
+    /// Notes to other entry VMs.
+    pub exchange: ExchangeState,
     /// Phase of the shutdown.
     pub phase: watch::Receiver<ShutdownPhase>,
 }
@@ -56,7 +63,8 @@
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let mut response = serve(&state, request, started).await;
-    if *state.phase.borrow() > ShutdownPhase::Running {
+    let isolated = response.status() == 503 && state.exchange.reach().is_isolated();
+    if isolated || *state.phase.borrow() > ShutdownPhase::Running {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -87,6 +95,10 @@
         Ok(relay) => relay,
         Err(response) => return *response,
     };
+    if state.relay.inbox.borrow().is_none() && state.exchange.reach().is_isolated() {
+        log::info!(event = "request_refused", job = relay.job.as_str(), reason = "isolated"; "");
+        return refused(503, ISOLATED_RETRY_MS);
+    }
     let outcome = state.relay.relay(&relay, deadline).await;
     respond(state, &relay, outcome)
 }
@@ -166,7 +178,7 @@
 /// An answer that says that nothing has run, and when to come back.
 fn refused(status: u16, retry_ms: u64) -> HttpAnswer {
     let mut response = answer(status, "", Bytes::new());
-    let seconds = retry_ms.div_ceil(1000).max(1);
+    let seconds = retry_ms.div_ceil(1000);
     response
         .headers_mut()
         .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
--- a/src/service/jobs/node.rs
+++ b/src/service/jobs/node.rs
@@ -3,8 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -58,10 +56,6 @@
 /// Kept of the grace for the end of the process itself.
 const END_MARGIN: Duration = Duration::from_millis(600);
 
-/// An entry VM that heard nothing of store, owner and others for this long is not
-/// ready, in milliseconds: callers are better off elsewhere.
-const DEAF_MS: u64 = 2500;
-
 /// An entry VM that cannot be started.
 #[derive(Debug)]
 #[derive(Snafu)]
@@ -124,7 +118,8 @@
         name: settings.name.clone(),
         operator: operator.clone(),
         members: members.clone(),
-        heard_ms: Arc::new(AtomicU64::new(boot_ms())),
+        heard: Arc::default(),
+        started_ms: boot_ms(),
         kept: kept.clone(),
     };
     let relay = RelayClient {
@@ -162,6 +157,7 @@
                 dialect,
                 operator: operator_view,
                 relay,
+                exchange: exchange.clone(),
                 phase: kernel.phase(),
             },
             peer: PeerState {
@@ -270,9 +266,8 @@
         let running = *self.front.phase.borrow() == ShutdownPhase::Running;
         let configured = self.front.operator.borrow().config.is_some();
         let owning = self.peer.owner.borrow().is_some();
-        let heard_ms = self.peer.exchange.heard_ms.load(Ordering::Relaxed);
-        let heard = boot_ms() < heard_ms + DEAF_MS || self.peer.link.is_direct();
-        running && configured && (owning || heard)
+        let isolated = self.peer.exchange.reach().is_isolated();
+        running && configured && (owning || !isolated)
     }
 }
 
--- a/src/service/jobs/owner.rs
+++ b/src/service/jobs/owner.rs
@@ -66,6 +66,9 @@
 /// Time given to a living former owner to put its key back.
 const FORMER_GRACE: Duration = Duration::from_millis(700);
 
+/// How much later an entry VM bids that hears less than half of the others.
+const MINORITY_WAIT: Duration = Duration::from_millis(800);
+
 /// Limit on the last commit of a handover.
 const HANDOVER_LIMIT: Duration = Duration::from_millis(1200);
 
@@ -150,6 +153,14 @@
                     log::info!(event = "former_owner_lives", owner = former.name.as_str(); "");
                     let _ = timeout(FORMER_GRACE, context.members.changed()).await;
                 }
+                if context.exchange.reach().is_minority() {
+                    // Others reach more; if none of them bids, this one does.
+                    let _ = timeout(
+                        MINORITY_WAIT,
+                        context.members.wait_for(|state| state.owner.is_some()),
+                    )
+                    .await;
+                }
                 if context.members.borrow().owner.is_none() && !is_leaving(context) {
                     return Some(0);
                 }
@@ -219,6 +230,7 @@
         in_flight: None,
         reclaim: None,
         reclaiming: None,
+        well_heard: false,
         stored_waves: waves,
         performer: ActionPerformer {
             client: context.client.clone(),
@@ -317,6 +329,7 @@
     in_flight: Option<WriteBatch>,
     reclaim: Option<u64>,
     reclaiming: Option<u64>,
+    well_heard: bool,
     stored_waves: HashMap<u64, crate::jobs::record::WaveRecord>,
     performer: ActionPerformer,
     events: mpsc::UnboundedSender<OwnerEvent>,
@@ -352,6 +365,7 @@
                 () = sleep_until(tick) => {
                     self.engine.tick(now());
                     tick = Instant::now() + TICK;
+                    leaving = self.is_cut_off();
                 }
                 changed = operator.changed() => {
                     if changed.is_ok() {
@@ -379,6 +393,21 @@
         }
     }
 
+    /// Tells whether the ownership is of little use here: less than half of the other
+    /// entry VMs are heard, though more were.
+    fn is_cut_off(&mut self) -> bool {
+        let reach = self.context.exchange.reach();
+        if !reach.is_minority() {
+            self.well_heard = true;
+            return false;
+        }
+        if !self.well_heard {
+            return false;
+        }
+        log::warn!(event = "owner_cut_off", epoch = self.engine.epoch, known = reach.known, heard = reach.heard; "");
+        true
+    }
+
     /// Puts the owner's key back if it was removed, and yields to a later owner.
     fn follow_members(&mut self, members: &MemberView, lease: u64) {
         let (owner, former) = {
--- a/src/service/jobs/store.rs
+++ b/src/service/jobs/store.rs
@@ -1,8 +1,9 @@
 //! Calls to the store, directly or through another entry VM.
 //!
-//! The store may turn single entry VMs away. After several failures in a row the
-//! calls go through another entry VM, until a direct call succeeds again. A call is
-//! never repeated here: whether that is safe is known only to its caller.
+//! The store may turn single entry VMs away. After a failure the calls go through
+//! another entry VM, and through the next one if that fails too, until a probe finds
+//! the store answering directly again. A call is never repeated here: whether that is
+//! safe is known only to its caller.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,10 +15,11 @@
 use hyper::Method;
 use snafu::ResultExt;
 use snafu::Snafu;
+use tokio::time::sleep;
 
-use crate::clock::boot_ms;
 use crate::http::CallError;
 use crate::http::CallRequest;
+use crate::jobs::record::ShardKeys;
 use crate::kept::KeptClient;
 use crate::metrics::PLATFORM_CALLS;
 use crate::ports::DecodeError;
@@ -31,11 +33,11 @@
 use crate::service::jobs::peer::MSGPACK;
 use crate::service::jobs::peer::STORE_PATH;
 
-/// Failures in a row after which calls go through another entry VM.
-const DIRECT_FAILURES: u32 = 2;
+/// Time between two probes while calls go through others.
+const PROBE_PERIOD: Duration = Duration::from_millis(400);
 
-/// Time between two direct attempts while calls go through others, in milliseconds.
-const DIRECT_RETRY_MS: u64 = 1000;
+/// Limit on a probe: a slow store answers in a quarter of a second.
+const PROBE_LIMIT: Duration = Duration::from_millis(400);
 
 /// Added to the limit of a call that goes through another entry VM.
 const PROXY_SLACK: Duration = Duration::from_millis(100);
@@ -66,8 +68,8 @@
 
 #[derive(Debug, Default)]
 struct LinkState {
-    failures: u32,
-    direct_ms: u64,
+    /// Whether calls go through others, and a probe is under way.
+    turned_away: bool,
     peers: Vec<SocketAddr>,
     next: usize,
 }
@@ -98,12 +100,6 @@
         self.lock().peers = peers;
     }
 
-    /// Tells whether the store answers this entry VM directly.
-    #[must_use]
-    pub fn is_direct(&self) -> bool {
-        self.lock().failures < DIRECT_FAILURES
-    }
-
     /// Makes a call.
     ///
     /// # Errors
@@ -112,7 +108,13 @@
     pub async fn call(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreError> {
         let reply = match self.choose_peer() {
             None => self.direct(call, limit).await,
-            Some(peer) => self.through(peer, call, limit).await,
+            Some(peer) => {
+                let reply = self.through(peer, call, limit).await;
+                if !matches!(&reply, Ok(reply) if !matches!(reply, StoreReply::Refused { .. })) {
+                    self.lock().next += 1;
+                }
+                reply
+            }
         };
         let result = match &reply {
             Ok(StoreReply::Refused { .. }) => "refused",
@@ -126,44 +128,36 @@
 
     /// Returns the entry VM through which the next call goes; none for a direct call.
     fn choose_peer(&self) -> Option<SocketAddr> {
-        let mut state = self.lock();
-        if state.failures < DIRECT_FAILURES || state.peers.is_empty() {
-            return None;
-        }
-        let now = boot_ms();
-        if now >= state.direct_ms + DIRECT_RETRY_MS {
-            state.direct_ms = now;
+        let state = self.lock();
+        if !state.turned_away || state.peers.is_empty() {
             return None;
         }
-        state.next = (state.next + 1) % state.peers.len();
-        state.peers.get(state.next).copied()
+        state.peers.get(state.next % state.peers.len()).copied()
     }
 
     async fn direct(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreError> {
         let wire = (self.dialect.store_call)(call);
         let result = self.send(wire.method, &wire.path, wire.body, limit).await;
         let refused = matches!(&result, Ok(reply) if matches!(reply.status, 429 | 503));
-        self.note_direct(result.is_ok() && !refused);
+        if result.is_err() || refused {
+            self.turn_to_peers();
+        }
         match result {
             Ok(reply) => (self.dialect.store_reply)(call, &reply).context(MalformedSnafu),
             Err(error) => Err(error),
         }
     }
 
-    fn note_direct(&self, answered: bool) {
+    /// Sends further calls through others, until a probe succeeds.
+    fn turn_to_peers(&self) {
         let mut state = self.lock();
-        if answered {
-            if state.failures >= DIRECT_FAILURES {
-                log::info!(event = "store_direct", failures = state.failures; "");
-            }
-            state.failures = 0;
+        if state.turned_away || state.peers.is_empty() {
             return;
         }
-        state.failures += 1;
-        if state.failures == DIRECT_FAILURES {
-            state.direct_ms = boot_ms();
-            log::info!(event = "store_through_peers", peers = state.peers.len(); "");
-        }
+        state.turned_away = true;
+        log::info!(event = "store_through_peers", peers = state.peers.len(); "");
+        drop(state);
+        tokio::spawn(probe(self.clone()));
     }
 
     /// Sends a call as it is, for this entry VM or another.
@@ -264,6 +258,31 @@
     }
 }
 
+/// Probes until the store answers directly.
+async fn probe(link: StoreLink) {
+    let call = StoreCall::Get {
+        key: ShardKeys::default().chain(),
+    };
+    let wire = (link.dialect.store_call)(&call);
+    loop {
+        sleep(PROBE_PERIOD).await;
+        let sent = link.send(
+            wire.method.clone(),
+            &wire.path,
+            wire.body.clone(),
+            PROBE_LIMIT,
+        );
+        if sent
+            .await
+            .is_ok_and(|reply| !matches!(reply.status, 429 | 503))
+        {
+            log::info!(event = "store_direct"; "");
+            link.lock().turned_away = false;
+            return;
+        }
+    }
+}
+
 fn step_name(call: &StoreCall) -> &'static str {
     match call {
         StoreCall::Get { .. } => "get",
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -362,6 +362,7 @@
         content_type: "application/json",
         body: Bytes::from(body),
         limit: Duration::from_secs(30),
+        ..CallRequest::default()
     };
     let answer = http::call(daemon.control, request).await;
     answer.ok().map(|answer| answer.status.as_u16())
--- a/tests/jobs_runs.rs
+++ b/tests/jobs_runs.rs
@@ -241,7 +241,7 @@
         gang: true,
         ..step(5, 20_000, 400)
     };
-    world.submit(JOB, &job(&[gang.clone()]), 1);
+    world.submit(JOB, &job(std::slice::from_ref(&gang)), 1);
     world.run(1000);
     assert_eq!(world.starts(), 0, "three workers hold three members");
     world.add_worker(world::POOL, "m-90");
--- a/tests/peers_messages.rs
+++ b/tests/peers_messages.rs
@@ -35,6 +35,7 @@
         content_type: wire::MSGPACK,
         body: Bytes::from(body),
         limit: Duration::from_secs(20),
+        ..CallRequest::default()
     };
     let answer = call(peer, request).await.expect("an answer");
     (answer.status.as_u16(), answer.body)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -240,6 +240,7 @@
         content_type: "application/json",
         body: Bytes::from(body.to_string()),
         limit: Duration::from_secs(20),
+        ..CallRequest::default()
     };
     let answer = call(peer, request).await.ok()?;
     Some((
