--- a/benches/capacity/daemons.rs
+++ b/benches/capacity/daemons.rs
@@ -161,6 +161,7 @@
         let request = CallRequest {
             path: "/v1/status",
             ..CallRequest::default()
+            ..CallRequest::default()
         };
         let answer = call(self.control, request).await.ok()?;
         serde_json::from_slice(&answer.body).ok()
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -235,6 +235,8 @@
     pub(crate) paced_ms: HashMap<String, u64>,
     /// Work that arrived lately by pool: when and how much.
     pub(crate) arrivals: HashMap<String, VecDeque<(u64, u64)>>,
+    /// VMs that each pool wanted lately, and when.
+    pub(crate) wanted: HashMap<String, (f64, u64)>,
     /// When a lasting task without a worker was last logged.
     pub(crate) waiting_logged_ms: u64,
     /// Inherited runs at workers without an entry: task, worker and run.
@@ -270,6 +272,7 @@
             work_means: HashMap::new(),
             paced_ms: HashMap::new(),
             arrivals: HashMap::new(),
+            wanted: HashMap::new(),
             waiting_logged_ms: 0,
             orphans: Vec::new(),
             retry_stops: Vec::new(),
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -28,10 +28,16 @@
 /// Pause after an order that was refused or not answered, in milliseconds.
 const ORDER_PAUSE_MS: u64 = 500;
 
-/// VMs of a wave that are emptied ahead of the one whose turn it is, for each that
-/// may be down.
+/// VMs of a wave that are emptied ahead of those whose turn it is.
 const EMPTY_AHEAD: usize = 1;
 
+/// Time that a VM of a wave is away besides its maintenance, in milliseconds: until
+/// it is empty, and until its worker takes work again.
+const WAVE_OVERHEAD_MS: u64 = 2000;
+
+/// Kept of a wave's time for VMs that take longer, in milliseconds.
+const WAVE_MARGIN_MS: u64 = 6000;
+
 /// How long a wave waits for the last tasks on a VM, in milliseconds; most end
 /// within this time by themselves.
 const EMPTY_WAIT_MS: u64 = 4000;
@@ -307,8 +313,8 @@
                     .is_some_and(|order| order.done_ms.is_none())
             };
             let emptied = wave.due().filter(emptying).count();
-            let most = wave.order.most.max(1);
-            let wanted = (wave.room() + most * EMPTY_AHEAD).saturating_sub(emptied);
+            let most = self.wave_pace(wave, now);
+            let wanted = (most + EMPTY_AHEAD).saturating_sub(emptied + wave.down.len());
             let mut due: Vec<(u64, &String)> = Vec::new();
             for machine in wave
                 .due()
@@ -331,6 +337,17 @@
         }
     }
 
+    /// Number of VMs that may be away for a wave: as few as its time allows, since
+    /// each is missing elsewhere.
+    fn wave_pace(&self, wave: &WaveProgress, now: u64) -> usize {
+        let end_ms = wave.seen_ms + (wave.order.limit_s * 1000).saturating_sub(WAVE_MARGIN_MS);
+        let left_ms = end_ms.saturating_sub(now).max(1);
+        let away_ms = self.settings.maintenance_ms + WAVE_OVERHEAD_MS;
+        let left = wave.due().count() + wave.down.len();
+        let pace = (left as u64 * away_ms).div_ceil(left_ms) as usize;
+        pace.clamp(1, wave.order.most.max(1))
+    }
+
     /// Cost of emptying a VM; the least is taken first.
     fn empty_cost(&self, row: &MachineRow) -> u64 {
         let Some(view) = self.workers.get(&row.worker) else {
--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -16,10 +16,16 @@
 
 /// Time in which waiting work should be done, in milliseconds; objectives leave
 /// about this much beside the work itself.
-const DRAIN_MS: f64 = 1000.0;
+const DRAIN_MS: f64 = 700.0;
 
-/// Window over which arriving work is counted, in milliseconds.
+/// Windows over which arriving work is counted, in milliseconds: their difference
+/// is the trend.
 const ARRIVAL_MS: u64 = 1000;
+const ARRIVAL_SHORT_MS: u64 = 400;
+
+/// How many times the trend is added to the arriving work: a move takes one and a
+/// half seconds, the trend spans about a third of a second.
+const TREND_FACTOR: f64 = 2.0;
 
 /// Share of a pool's room that is planned to be used; tasks do not fill workers
 /// evenly.
@@ -29,41 +35,43 @@
 /// room, in milliseconds.
 const IDLE_LEND_MS: u64 = 100;
 
+/// Time in which what a pool wants falls to a third, in milliseconds; about a move.
+const FADE_MS: f64 = 1500.0;
+
+/// Surplus from which a pool also gives VMs that are still at work; below it the
+/// next change of demand would bring them back.
+const BUSY_SURPLUS: usize = 4;
+
 /// Least VMs that stay in a pool.
 const LEAST_VMS: usize = 2;
 
 /// Demand and supply of a pool, in VMs.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PoolNeed {
     /// VMs that the work asks for.
     pub wanted: usize,
+    /// VMs without which lasting tasks have no place.
+    pub least: usize,
     /// VMs in the pool or on their way to it.
     pub present: usize,
 }
 
-/// Decides how many VMs each pool gains or gives, in VMs: pools and their changes.
+/// Decides how many of `total` VMs each pool should have.
 ///
-/// What pools lack is met from `standby` and from the others' surplus; the pools
-/// that lack most are served first.
+/// Where there are enough, each gets what it wants. Where there are not, each gets
+/// its least, and the rest is shared in proportion to what is wanted beyond that: a
+/// queue whose turn comes is not kept waiting by the backlog of the one before.
 #[must_use]
-pub fn share_out(needs: &BTreeMap<String, PoolNeed>, standby: usize) -> BTreeMap<String, i64> {
-    let mut changes: BTreeMap<String, i64> = BTreeMap::new();
-    let spare = |need: &PoolNeed| need.present.saturating_sub(need.wanted.max(LEAST_VMS));
-    let mut available = standby + needs.values().map(spare).sum::<usize>();
-    let mut lacking: Vec<(usize, &String)> = Vec::new();
-    for (pool, need) in needs {
-        let lack = need.wanted.saturating_sub(need.present);
-        if lack > 0 {
-            lacking.push((lack, pool));
-        }
-    }
-    lacking.sort_by(|one, other| other.cmp(one));
-    for (lack, pool) in lacking {
-        let gain = lack.min(available);
-        available -= gain;
-        changes.insert(pool.clone(), gain as i64);
-    }
-    changes
+pub fn share_out(needs: &BTreeMap<String, PoolNeed>, total: usize) -> BTreeMap<String, usize> {
+    let least: usize = needs.values().map(|need| need.least).sum();
+    let beyond = |need: &PoolNeed| need.wanted.saturating_sub(need.least);
+    let asked: usize = needs.values().map(beyond).sum();
+    let free = total.saturating_sub(least);
+    let shares = needs.iter().map(|(pool, need)| {
+        let share = if asked <= free { beyond(need) } else { beyond(need) * free / asked };
+        (pool.clone(), need.least + share)
+    });
+    shares.collect()
 }
 
 /// Workers that a step needs for its tasks to be apart, and one to move them to.
@@ -84,7 +92,8 @@
         arrivals.push_back((now, work));
     }
 
-    /// Returns the work that arrives for a pool, in thousandths of a core.
+    /// Returns the work that will arrive for a pool when a VM that is moved now takes
+    /// work, in thousandths of a core.
     fn arrival_rate(&mut self, pool: &str, now: u64) -> f64 {
         let Some(arrivals) = self.arrivals.get_mut(pool) else {
             return 0.0;
@@ -95,7 +104,12 @@
         {
             arrivals.pop_front();
         }
-        arrivals.iter().map(|(_, work)| *work as f64).sum::<f64>() / ARRIVAL_MS as f64
+        let since = |window_ms: u64| {
+            let recent = arrivals.iter().filter(|(at, _)| at + window_ms >= now);
+            recent.map(|(_, work)| *work as f64).sum::<f64>() / window_ms as f64
+        };
+        let (long, short) = (since(ARRIVAL_MS), since(ARRIVAL_SHORT_MS));
+        long.max(short) + (short - long).max(0.0) * TREND_FACTOR
     }
 
     fn pool_needs(&mut self, now: u64) -> BTreeMap<String, PoolNeed> {
@@ -132,16 +146,33 @@
             let rows = self.fleet.rows.values().filter(|row| row.pool == pool);
             let present = rows.filter(|row| self.is_present(row, now)).count();
             let demand = (waiting / DRAIN_MS).max(rate) + lasting;
-            let wanted = if room > 0.0 {
-                (demand / room / FILL_SHARE).ceil() as usize
-            } else {
-                0
+            let wanted = if room > 0.0 { (demand / room / FILL_SHARE).ceil() as usize } else { 0 };
+            let wanted = self.fade_wanted(&pool, wanted, now);
+            let least = apart.max(LEAST_VMS);
+            let need = PoolNeed {
+                wanted: wanted.max(least),
+                least,
+                present,
             };
-            needs.insert(pool, PoolNeed { wanted, present });
+            log::debug!(
+                event = "pool_need", pool = pool.as_str(), rate = rate as u64, waiting = waiting as u64,
+                lasting = lasting as u64, wanted = need.wanted, present = present; ""
+            );
+            needs.insert(pool, need);
         }
         needs
     }
 
+    /// Lets what a pool wants rise at once and fall slowly: work comes in bursts, and
+    /// a VM that goes and comes back is missing for two moves.
+    fn fade_wanted(&mut self, pool: &str, wanted: usize, now: u64) -> usize {
+        let (before, at) = self.wanted.get(pool).copied().unwrap_or((0.0, now));
+        let faded = before * (-(now.saturating_sub(at) as f64) / FADE_MS).exp();
+        let wanted = faded.max(wanted as f64);
+        self.wanted.insert(pool.to_owned(), (wanted, now));
+        wanted.ceil() as usize
+    }
+
     /// Tells whether a VM serves its pool or is about to.
     fn is_present(&self, row: &MachineRow, now: u64) -> bool {
         match row.state {
@@ -165,15 +196,23 @@
         let standby = self.config.pools.iter().find(|pool| pool.standby);
         let standby = standby.map_or(String::new(), |pool| pool.name.clone());
         let needs = self.pool_needs(now);
-        let free: Vec<String> = self.free_machines(&standby);
-        let changes = share_out(&needs, free.len());
-        let mut free = free.into_iter();
+        let mut free = self.free_machines(&standby);
+        let present: usize = needs.values().map(|need| need.present).sum();
+        let targets = share_out(&needs, present + free.len());
+        let lack = |pool: &String| targets[pool].saturating_sub(needs[pool].present);
+        let mut lacking: Vec<(usize, String)> = needs.keys().map(|pool| (lack(pool), pool.clone())).collect();
+        lacking.sort_by(|one, other| other.cmp(one));
         let mut moves: Vec<(String, String)> = Vec::new();
-        for (pool, gain) in &changes {
-            for _ in 0..*gain {
-                let machine = free
-                    .next()
-                    .or_else(|| self.idle_machine(&needs, pool, &moves, now));
+        for (lack, pool) in lacking {
+            for _ in 0..lack {
+                let surplus = |from: &str, moves: &[(String, String)]| {
+                    let given = moves.iter().filter(|(machine, _)| {
+                        self.fleet.rows.get(machine).is_some_and(|row| row.pool == from)
+                    });
+                    let left = needs.get(from).map_or(0, |need| need.present.saturating_sub(given.count()));
+                    left.saturating_sub(targets.get(from).copied().unwrap_or(0))
+                };
+                let machine = free.pop().or_else(|| self.machine_to_give(&pool, &moves, surplus, now));
                 let Some(machine) = machine else {
                     break;
                 };
@@ -196,36 +235,32 @@
         row.state == MachineState::Up && !self.fleet.orders.contains_key(&row.machine)
     }
 
-    /// Finds an idle VM of a pool with a surplus.
-    fn idle_machine(
+    /// Finds a VM of another pool that has more than its share: an idle one, or the
+    /// one that is idle soonest if the surplus is large.
+    fn machine_to_give(
         &self,
-        needs: &BTreeMap<String, PoolNeed>,
         pool: &str,
         moves: &[(String, String)],
+        surplus: impl Fn(&str, &[(String, String)]) -> usize,
         now: u64,
     ) -> Option<String> {
-        let given = |from: &str| {
-            let from = moves.iter().filter(|(machine, _)| {
-                self.fleet
-                    .rows
-                    .get(machine)
-                    .is_some_and(|row| row.pool == from)
-            });
-            from.count()
-        };
         let mut best: Option<(usize, &MachineRow)> = None;
         for row in self.fleet.rows.values() {
-            let Some(need) = needs.get(&row.pool).filter(|_| row.pool != pool) else {
+            let taken = moves.iter().any(|(machine, _)| *machine == row.machine);
+            if row.pool == pool || taken || !self.is_movable(row) {
+                continue;
+            }
+            let surplus = surplus(&row.pool, moves);
+            let Some(view) = self.workers.get(&row.worker).filter(|_| surplus > 0) else {
                 continue;
             };
-            let left = need.present.saturating_sub(given(&row.pool));
-            let surplus = left.saturating_sub(need.wanted.max(LEAST_VMS));
-            let taken = moves.iter().any(|(machine, _)| *machine == row.machine);
-            if surplus == 0 || taken || !self.is_movable(row) || !self.is_idle(row, now) {
+            let idle = self.is_idle(row, now);
+            if !idle && (surplus < BUSY_SURPLUS || self.crowd_at(view).lasting > 0) {
                 continue;
             }
-            if best.is_none_or(|(most, _)| surplus > most) {
-                best = Some((surplus, row));
+            let cost = if idle { 0 } else { 1 + view.runs.len() };
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, row));
             }
         }
         best.map(|(_, row)| row.machine.clone())
--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,7 +21,10 @@
 use crate::clock::boot_ms;
 use crate::http::CallRequest;
 use crate::jobs::record::MemberRecord;
+use crate::jobs::record::ShardKeys;
 use crate::kept::KeptClient;
+use crate::ports::StoreCall;
+use crate::ports::StoreReply;
 use crate::service::jobs::member::note_owner;
 use crate::service::jobs::messages::ExchangeNote;
 use crate::service::jobs::messages::MemberState;
@@ -29,6 +34,7 @@
 use crate::service::jobs::peer::EXCHANGE_PATH;
 use crate::service::jobs::peer::MSGPACK;
 use crate::service::jobs::settings::NodeSettings;
+use crate::service::jobs::store::StoreLink;
 
 /// Time between two notes; a change of the configuration is to be in force
 /// everywhere within two seconds.
@@ -55,12 +61,6 @@
 }
 
 impl PeerReach {
-    /// Tells whether this entry VM hears no other, though there are some.
-    #[must_use]
-    pub fn is_isolated(&self) -> bool {
-        self.settled && self.known > 0 && self.heard == 0
-    }
-
     /// Tells whether this entry VM hears less than half of the others: most callers'
     /// requests then cannot reach it.
     #[must_use]
@@ -69,6 +69,10 @@
     }
 }
 
+/// Limit on asking the store whether it is there; a slow one takes a quarter of a
+/// second.
+const STORE_LIMIT: Duration = Duration::from_millis(400);
+
 /// What is exchanged, and when the owner last answered.
 #[derive(Clone)]
 pub struct ExchangeState {
@@ -82,6 +86,8 @@
     pub heard: Arc<Mutex<HashMap<String, u64>>>,
     /// Start of this process, on the boot clock.
     pub started_ms: u64,
+    /// Whether neither the owner nor the store can be reached.
+    pub cut_off: Arc<AtomicBool>,
     /// Connections.
     pub kept: KeptClient,
 }
@@ -117,6 +123,19 @@
         }
     }
 
+    /// Tells whether this entry VM can serve nobody for now: it reaches neither the
+    /// owner nor the store, which would name the next one.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_off.load(Ordering::Relaxed)
+    }
+
+    fn set_cut_off(&self, cut_off: bool) {
+        if self.cut_off.swap(cut_off, Ordering::Relaxed) != cut_off {
+            log::warn!(event = "cut_off", state = cut_off; "");
+        }
+    }
+
     /// Returns how many other entry VMs are known and how many were heard lately.
     #[must_use]
     pub fn reach(&self) -> PeerReach {
@@ -196,7 +215,7 @@
 }
 
 /// Sends notes for ever.
-pub async fn run(settings: NodeSettings, state: ExchangeState) {
+pub async fn run(settings: NodeSettings, link: StoreLink, state: ExchangeState) {
     let mut version_there = u64::MAX;
     let mut turn = 0;
     loop {
@@ -207,16 +226,15 @@
         };
         let others = nodes.iter().map(|(_, address)| *address);
         let seeds = settings.seeds.iter().copied();
-        let others: Vec<_> = others
-            .chain(seeds)
-            .filter(|peer| *peer != settings.control)
-            .collect();
-        let owner = owner.filter(|owner| owner.name != settings.name);
-        let target = owner.as_ref().and_then(address_of);
+        let others: Vec<_> = others.chain(seeds).filter(|peer| *peer != settings.control).collect();
+        let owning = owner.as_ref().is_some_and(|owner| owner.name == settings.name);
+        let target = owner.as_ref().filter(|_| !owning).and_then(address_of);
         let answered = match target {
             Some(peer) => state.send(peer, version_there).await,
             None => None,
         };
+        let linked = answered.is_some() || owning && !state.reach().is_minority();
+        state.set_cut_off(!linked && !reaches_store(&link).await);
         match answered {
             Some(note) => version_there = note.version,
             None if !others.is_empty() => {
@@ -229,3 +247,9 @@
         sleep(EXCHANGE_PERIOD).await;
     }
 }
+
+async fn reaches_store(link: &StoreLink) -> bool {
+    let key = ShardKeys::default().chain();
+    let reply = link.call(&StoreCall::Get { key }, STORE_LIMIT).await;
+    matches!(reply, Ok(StoreReply::Item(_)))
+}
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -40,7 +40,7 @@
 
 /// When to come back to an entry VM that is cut off from the others: at once, since
 /// the balancer then takes another one.
-const ISOLATED_RETRY_MS: u64 = 0;
+const CUT_OFF_RETRY_MS: u64 = 0;
 
 /// What the front needs.
 #[derive(Clone)]
@@ -63,8 +63,8 @@
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let mut response = serve(&state, request, started).await;
-    let isolated = response.status() == 503 && state.exchange.reach().is_isolated();
-    if isolated || *state.phase.borrow() > ShutdownPhase::Running {
+    let cut_off = response.status() == 503 && state.exchange.is_cut_off();
+    if cut_off || *state.phase.borrow() > ShutdownPhase::Running {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -95,9 +95,9 @@
         Ok(relay) => relay,
         Err(response) => return *response,
     };
-    if state.relay.inbox.borrow().is_none() && state.exchange.reach().is_isolated() {
-        log::info!(event = "request_refused", job = relay.job.as_str(), reason = "isolated"; "");
-        return refused(503, ISOLATED_RETRY_MS);
+    if state.exchange.is_cut_off() {
+        log::info!(event = "request_refused", job = relay.job.as_str(), reason = "cut_off"; "");
+        return refused(503, CUT_OFF_RETRY_MS);
     }
     let outcome = state.relay.relay(&relay, deadline).await;
     respond(state, &relay, outcome)
--- a/src/service/jobs/node.rs
+++ b/src/service/jobs/node.rs
@@ -120,6 +120,7 @@
         members: members.clone(),
         heard: Arc::default(),
         started_ms: boot_ms(),
+        cut_off: Arc::default(),
         kept: kept.clone(),
     };
     let relay = RelayClient {
@@ -146,7 +147,7 @@
     kernel.spawn(NAME, member::register(settings.clone(), link.clone()));
     kernel.spawn(NAME, member::run(settings.clone(), link.clone(), members));
     kernel.spawn(NAME, operator::run(dialect, link.clone(), operator));
-    kernel.spawn(NAME, exchange::run(settings.clone(), exchange.clone()));
+    kernel.spawn(NAME, exchange::run(settings.clone(), link.clone(), exchange.clone()));
     kernel.spawn(OWNER, owner::run(context, inbox));
     start_servers(
         &kernel,
@@ -265,9 +266,7 @@
     fn is_ready(&self) -> bool {
         let running = *self.front.phase.borrow() == ShutdownPhase::Running;
         let configured = self.front.operator.borrow().config.is_some();
-        let owning = self.peer.owner.borrow().is_some();
-        let isolated = self.peer.exchange.reach().is_isolated();
-        running && configured && (owning || !isolated)
+        running && configured && !self.peer.exchange.is_cut_off()
     }
 }
 
