--- a/benches/capacity/daemons.rs
+++ b/benches/capacity/daemons.rs
@@ -160,8 +160,7 @@
     async fn status(&self) -> Option<Value> {
         let request = CallRequest {
             path: "/v1/status",
-            ..CallRequest::default()
-            ..CallRequest::default()
+            ..CallRequest::default()..CallRequest::default()
         };
         let answer = call(self.control, request).await.ok()?;
         serde_json::from_slice(&answer.body).ok()
--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -38,10 +38,6 @@
 /// Time in which what a pool wants falls to a third, in milliseconds; about a move.
 const FADE_MS: f64 = 1500.0;
 
-/// Surplus from which a pool also gives VMs that are still at work; below it the
-/// next change of demand would bring them back.
-const BUSY_SURPLUS: usize = 4;
-
 /// Least VMs that stay in a pool.
 const LEAST_VMS: usize = 2;
 
@@ -68,7 +64,11 @@
     let asked: usize = needs.values().map(beyond).sum();
     let free = total.saturating_sub(least);
     let shares = needs.iter().map(|(pool, need)| {
-        let share = if asked <= free { beyond(need) } else { beyond(need) * free / asked };
+        let share = if asked <= free {
+            beyond(need)
+        } else {
+            beyond(need) * free / asked
+        };
         (pool.clone(), need.least + share)
     });
     shares.collect()
@@ -146,7 +146,11 @@
             let rows = self.fleet.rows.values().filter(|row| row.pool == pool);
             let present = rows.filter(|row| self.is_present(row, now)).count();
             let demand = (waiting / DRAIN_MS).max(rate) + lasting;
-            let wanted = if room > 0.0 { (demand / room / FILL_SHARE).ceil() as usize } else { 0 };
+            let wanted = if room > 0.0 {
+                (demand / room / FILL_SHARE).ceil() as usize
+            } else {
+                0
+            };
             let wanted = self.fade_wanted(&pool, wanted, now);
             let least = apart.max(LEAST_VMS);
             let need = PoolNeed {
@@ -200,19 +204,29 @@
         let present: usize = needs.values().map(|need| need.present).sum();
         let targets = share_out(&needs, present + free.len());
         let lack = |pool: &String| targets[pool].saturating_sub(needs[pool].present);
-        let mut lacking: Vec<(usize, String)> = needs.keys().map(|pool| (lack(pool), pool.clone())).collect();
+        let mut lacking: Vec<(usize, String)> = needs
+            .keys()
+            .map(|pool| (lack(pool), pool.clone()))
+            .collect();
         lacking.sort_by(|one, other| other.cmp(one));
         let mut moves: Vec<(String, String)> = Vec::new();
         for (lack, pool) in lacking {
             for _ in 0..lack {
                 let surplus = |from: &str, moves: &[(String, String)]| {
                     let given = moves.iter().filter(|(machine, _)| {
-                        self.fleet.rows.get(machine).is_some_and(|row| row.pool == from)
+                        self.fleet
+                            .rows
+                            .get(machine)
+                            .is_some_and(|row| row.pool == from)
                     });
-                    let left = needs.get(from).map_or(0, |need| need.present.saturating_sub(given.count()));
+                    let left = needs
+                        .get(from)
+                        .map_or(0, |need| need.present.saturating_sub(given.count()));
                     left.saturating_sub(targets.get(from).copied().unwrap_or(0))
                 };
-                let machine = free.pop().or_else(|| self.machine_to_give(&pool, &moves, surplus, now));
+                let machine = free
+                    .pop()
+                    .or_else(|| self.machine_to_give(&pool, &moves, surplus, now));
                 let Some(machine) = machine else {
                     break;
                 };
@@ -235,8 +249,7 @@
         row.state == MachineState::Up && !self.fleet.orders.contains_key(&row.machine)
     }
 
-    /// Finds a VM of another pool that has more than its share: an idle one, or the
-    /// one that is idle soonest if the surplus is large.
+    /// Finds an idle VM in the pool that has most beyond its share.
     fn machine_to_give(
         &self,
         pool: &str,
@@ -251,16 +264,9 @@
                 continue;
             }
             let surplus = surplus(&row.pool, moves);
-            let Some(view) = self.workers.get(&row.worker).filter(|_| surplus > 0) else {
-                continue;
-            };
-            let idle = self.is_idle(row, now);
-            if !idle && (surplus < BUSY_SURPLUS || self.crowd_at(view).lasting > 0) {
-                continue;
-            }
-            let cost = if idle { 0 } else { 1 + view.runs.len() };
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, row));
+            if surplus > 0 && self.is_idle(row, now) && best.is_none_or(|(most, _)| surplus > most)
+            {
+                best = Some((surplus, row));
             }
         }
         best.map(|(_, row)| row.machine.clone())
--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -226,8 +226,13 @@
         };
         let others = nodes.iter().map(|(_, address)| *address);
         let seeds = settings.seeds.iter().copied();
-        let others: Vec<_> = others.chain(seeds).filter(|peer| *peer != settings.control).collect();
-        let owning = owner.as_ref().is_some_and(|owner| owner.name == settings.name);
+        let others: Vec<_> = others
+            .chain(seeds)
+            .filter(|peer| *peer != settings.control)
+            .collect();
+        let owning = owner
+            .as_ref()
+            .is_some_and(|owner| owner.name == settings.name);
         let target = owner.as_ref().filter(|_| !owning).and_then(address_of);
         let answered = match target {
             Some(peer) => state.send(peer, version_there).await,
--- a/src/service/jobs/node.rs
+++ b/src/service/jobs/node.rs
@@ -147,7 +147,10 @@
     kernel.spawn(NAME, member::register(settings.clone(), link.clone()));
     kernel.spawn(NAME, member::run(settings.clone(), link.clone(), members));
     kernel.spawn(NAME, operator::run(dialect, link.clone(), operator));
-    kernel.spawn(NAME, exchange::run(settings.clone(), link.clone(), exchange.clone()));
+    kernel.spawn(
+        NAME,
+        exchange::run(settings.clone(), link.clone(), exchange.clone()),
+    );
     kernel.spawn(OWNER, owner::run(context, inbox));
     start_servers(
         &kernel,
