--- a/src/jobs/admit.rs
+++ b/src/jobs/admit.rs
@@ -5,7 +5,7 @@
 
 use crate::jobs::callers::Submission;
 use crate::jobs::engine::JobEngine;
-use crate::jobs::place::remaining;
+use crate::jobs::load::PoolLoad;
 use crate::jobs::types::JobSpec;
 
 /// A submission is refused if its projected time is this many times its objective;
@@ -16,17 +16,6 @@
 /// after seconds, so longer advice is none.
 const RETRY_MS: (u64, u64) = (300, 3000);
 
-/// State of a pool as far as admission needs it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct PoolLoad {
-    /// Processor of the workers that take work, in thousandths of a core.
-    pub room: f64,
-    /// Of this, free.
-    pub free: f64,
-    /// Remaining work of accepted jobs, in milliseconds of a thousandth of a core.
-    pub backlog: f64,
-}
-
 impl JobEngine {
     /// Decides on a submission.
     ///
@@ -41,7 +30,7 @@
         if spec.lasts() || spec.schedule.is_some() {
             return Ok(());
         }
-        let load = self.pool_load(&pool, now);
+        let load = self.pool_load(&pool);
         let objective_ms = spec.chain_ms() as f64 * slack.max(1.0) + target_ms as f64;
         let verdict = judge(&load, spec, objective_ms);
         if let Err(retry_ms) = verdict {
@@ -55,25 +44,10 @@
         let work = submission.spec.work();
         self.note_work(&submission.queue, work);
         self.note_arrival(&pool, work, now);
-        verdict
-    }
-
-    /// Sums up a pool.
-    #[must_use]
-    pub fn pool_load(&self, pool: &str, now: u64) -> PoolLoad {
-        let mut load = PoolLoad::default();
-        for view in self.workers.values() {
-            if view.entry.pool == pool && view.takes_work(now) {
-                load.room += view.entry.room.cpu as f64;
-                load.free += view.free().cpu as f64;
-            }
-        }
-        for job in self.jobs.values() {
-            if !job.state.is_final() && self.pool_of(job) == pool && !job.body.spec.lasts() {
-                load.backlog += remaining(job).0 as f64;
-            }
+        if let Some(load) = self.loads.get_mut(&pool) {
+            load.backlog += work as f64;
         }
-        load
+        verdict
     }
 }
 
--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -42,7 +42,7 @@
         Some(&mut steps.get_mut(task.step as usize)?.advice)
     }
 
-    fn needs_advice(&self, task: &TaskId) -> bool {
+    pub(crate) fn needs_advice(&self, task: &TaskId) -> bool {
         let job = self.jobs.get(&task.job);
         let queue = job.and_then(|job| self.queue_of(job));
         queue.is_some_and(|queue| queue.advice.is_some())
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -19,6 +19,7 @@
 use crate::jobs::fleet::FleetBoard;
 use crate::jobs::job::JobEntry;
 use crate::jobs::job::RunPhase;
+use crate::jobs::load::PoolLoad;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
@@ -80,6 +81,10 @@
     }
 }
 
+/// Time between two looks over all runs for those that stand still or need another
+/// pace, in milliseconds.
+const LOOK_MS: u64 = 300;
+
 /// Which call an answer belongs to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallToken {
@@ -237,6 +242,15 @@
     pub(crate) arrivals: HashMap<String, VecDeque<(u64, u64)>>,
     /// VMs that each pool wanted lately, and when.
     pub(crate) wanted: HashMap<String, (f64, u64)>,
+    /// Load of each pool, and when it was summed up.
+    pub(crate) loads: BTreeMap<String, PoolLoad>,
+    pub(crate) loads_ms: u64,
+    /// Position of each queue in the configuration.
+    pub(crate) queue_index: HashMap<String, usize>,
+    /// When runs were last looked over.
+    pub(crate) looked_ms: u64,
+    /// Least processor and memory that found no room in this pass, by pool.
+    pub(crate) misfits: HashMap<String, (u64, u64)>,
     /// When a lasting task without a worker was last logged.
     pub(crate) waiting_logged_ms: u64,
     /// Inherited runs at workers without an entry: task, worker and run.
@@ -249,7 +263,7 @@
     /// Makes a scheduler without jobs.
     #[must_use]
     pub fn new(settings: SchedulerSettings, epoch: u64, config: Arc<JobConfig>, now: u64) -> Self {
-        Self {
+        let mut engine = Self {
             settings,
             epoch,
             started_ms: now,
@@ -273,10 +287,22 @@
             paced_ms: HashMap::new(),
             arrivals: HashMap::new(),
             wanted: HashMap::new(),
+            loads: BTreeMap::new(),
+            loads_ms: 0,
+            queue_index: HashMap::new(),
+            looked_ms: 0,
+            misfits: HashMap::new(),
             waiting_logged_ms: 0,
             orphans: Vec::new(),
             retry_stops: Vec::new(),
-        }
+        };
+        engine.index_queues();
+        engine
+    }
+
+    fn index_queues(&mut self) {
+        let queues = self.config.queues.iter().enumerate();
+        self.queue_index = queues.map(|(at, queue)| (queue.name.clone(), at)).collect();
     }
 
     /// Takes the actions that are due.
@@ -289,6 +315,7 @@
         if config.version > self.config.version {
             log::info!(event = "scheduler_config", version = config.version, before = self.config.version; "");
             self.config = config;
+            self.index_queues();
             self.plan_due = true;
         }
     }
@@ -296,7 +323,8 @@
     /// Returns the queue of a job, if the configuration still has it.
     #[must_use]
     pub fn queue_of(&self, job: &JobEntry) -> Option<&QueueConfig> {
-        self.config.queue(&job.body.queue)
+        let at = self.queue_index.get(&job.body.queue)?;
+        self.config.queues.get(*at)
     }
 
     /// Returns the pool that runs a job's tasks.
@@ -339,8 +367,11 @@
         self.lapse_orphans(time.boot);
         self.hold_workers(time.boot);
         self.repeat_stops(time.boot);
-        self.check_stuck(time.boot);
-        self.pace_fillers(time.boot);
+        if time.boot >= self.looked_ms + LOOK_MS {
+            self.looked_ms = time.boot;
+            self.check_stuck(time.boot);
+            self.pace_fillers(time.boot);
+        }
         self.expire_jobs(time.boot);
         self.plan_fleet(time.boot);
         self.plan_due = true;
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -184,6 +184,7 @@
 
     /// Plans moves and maintenance and gives the orders that are due.
     pub(crate) fn plan_fleet(&mut self, now: u64) {
+        let summed = self.sum_loads(now);
         if !self.fleet.enabled || self.deposed {
             return;
         }
@@ -194,7 +195,9 @@
         self.fleet.note_due();
         self.follow_waves();
         self.plan_waves(now);
-        self.plan_moves(now);
+        if summed {
+            self.plan_moves(now);
+        }
         self.empty_machines(now);
         self.give_orders(now);
     }
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -198,8 +198,12 @@
 
     /// Calls for the lists of all workers whose turn has come.
     pub(crate) fn hold_workers(&mut self, now: u64) {
-        let workers: Vec<String> = self.workers.keys().cloned().collect();
-        for worker in workers {
+        let due = self
+            .workers
+            .iter()
+            .filter(|(_, view)| !view.holding && now >= view.hold_at_ms);
+        let due: Vec<String> = due.map(|(id, _)| id.clone()).collect();
+        for worker in due {
             self.hold_worker(&worker, now);
         }
     }
@@ -210,12 +214,16 @@
         }
         let (lease_ms, wait_ms) = (self.settings.lease_ms, self.settings.hold_wait_ms);
         let grace = self.settings.entry_grace_ms;
-        let shared = self.is_shared(worker);
-        let Some(view) = self.workers.get_mut(worker) else {
+        let due = self
+            .workers
+            .get(worker)
+            .is_some_and(|view| !view.holding && now >= view.hold_at_ms);
+        let shared = due && self.is_shared(worker);
+        let Some(view) = self.workers.get_mut(worker).filter(|_| due) else {
             return;
         };
         let unstored = !view.pending.is_empty() && now < view.hold_at_ms + STORE_WAIT_MS;
-        if view.holding || now < view.hold_at_ms || unstored {
+        if unstored {
             return;
         }
         // A worker whose entry stays away is not kept alive any longer.
--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -9,8 +9,6 @@
 
 use crate::jobs::engine::JobEngine;
 use crate::jobs::fleet::MachineOrder;
-use crate::jobs::place::remaining;
-use crate::jobs::types::StepSpec;
 use crate::ports::fleet::MachineRow;
 use crate::ports::fleet::MachineState;
 
@@ -74,17 +72,6 @@
     shares.collect()
 }
 
-/// Workers that a step needs for its tasks to be apart, and one to move them to.
-fn workers_apart(step: &StepSpec) -> usize {
-    let most = step.per_worker.max(1);
-    let apart = if step.per_worker == 0 {
-        1
-    } else {
-        step.tasks.div_ceil(most)
-    };
-    apart as usize + 1
-}
-
 impl JobEngine {
     /// Counts work that has arrived for a pool.
     pub(crate) fn note_arrival(&mut self, pool: &str, work: u64, now: u64) {
@@ -113,54 +100,30 @@
     }
 
     fn pool_needs(&mut self, now: u64) -> BTreeMap<String, PoolNeed> {
-        let pools: Vec<String> = self
-            .config
-            .pools
+        let loads: Vec<_> = self
+            .loads
             .iter()
-            .filter(|pool| !pool.standby)
-            .map(|pool| pool.name.clone())
+            .map(|(pool, load)| (pool.clone(), *load))
             .collect();
         let mut needs = BTreeMap::new();
-        for pool in pools {
+        for (pool, load) in loads {
             let rate = self.arrival_rate(&pool, now);
-            let (mut room, mut lasting) = (0.0, 0.0);
-            for view in self.workers.values().filter(|view| view.entry.pool == pool) {
-                room = f64::max(room, view.entry.room.cpu as f64);
-            }
-            let (mut waiting, mut apart) = (0.0, 0);
-            for job in self.jobs.values().filter(|job| !job.state.is_final()) {
-                if self.pool_of(job) != pool {
-                    continue;
-                }
-                if job.body.spec.lasts() {
-                    let lasts = job.body.spec.steps.iter().filter(|step| step.lasting);
-                    apart = lasts.map(workers_apart).fold(apart, usize::max);
-                    let steps = job.body.spec.steps.iter().filter(|step| !step.fills);
-                    lasting += steps
-                        .map(|step| f64::from(step.tasks) * step.need.cpu as f64)
-                        .sum::<f64>();
-                } else {
-                    waiting += remaining(job).0 as f64;
-                }
-            }
-            let rows = self.fleet.rows.values().filter(|row| row.pool == pool);
-            let present = rows.filter(|row| self.is_present(row, now)).count();
-            let demand = (waiting / DRAIN_MS).max(rate) + lasting;
-            let wanted = if room > 0.0 {
-                (demand / room / FILL_SHARE).ceil() as usize
+            let demand = (load.backlog / DRAIN_MS).max(rate) + load.lasting;
+            let wanted = if load.largest > 0.0 {
+                (demand / load.largest / FILL_SHARE).ceil()
             } else {
-                0
+                0.0
             };
-            let wanted = self.fade_wanted(&pool, wanted, now);
-            let least = apart.max(LEAST_VMS);
+            let wanted = self.fade_wanted(&pool, wanted as usize, now);
+            let least = load.apart.max(LEAST_VMS);
             let need = PoolNeed {
                 wanted: wanted.max(least),
                 least,
-                present,
+                present: load.present,
             };
             log::debug!(
-                event = "pool_need", pool = pool.as_str(), rate = rate as u64, waiting = waiting as u64,
-                lasting = lasting as u64, wanted = need.wanted, present = present; ""
+                event = "pool_need", pool = pool.as_str(), rate = rate as u64, backlog = load.backlog as u64,
+                lasting = load.lasting as u64, wanted = need.wanted, present = need.present; ""
             );
             needs.insert(pool, need);
         }
@@ -177,24 +140,6 @@
         wanted.ceil() as usize
     }
 
-    /// Tells whether a VM serves its pool or is about to.
-    fn is_present(&self, row: &MachineRow, now: u64) -> bool {
-        match row.state {
-            MachineState::Moving => true,
-            MachineState::Maintenance | MachineState::Down => false,
-            MachineState::Up => {
-                let ordered = self
-                    .fleet
-                    .orders
-                    .get(&row.machine)
-                    .is_some_and(|order| order.done_ms.is_none());
-                // A worker without an entry yet has just started.
-                let view = self.workers.get(&row.worker);
-                !ordered && !row.worker.is_empty() && view.is_none_or(|view| view.takes_work(now))
-            }
-        }
-    }
-
     /// Plans moves between pools.
     pub(crate) fn plan_moves(&mut self, now: u64) {
         let standby = self.config.pools.iter().find(|pool| pool.standby);
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 pub mod holds;
 pub mod job;
 pub mod lend;
+pub mod load;
 pub mod orders;
 pub mod pace;
 pub mod place;
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -4,6 +4,7 @@
 use crate::jobs::engine::CallToken;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::RunPhase;
+use crate::jobs::place::straggler_limit;
 use crate::jobs::types::RunEnd;
 use crate::jobs::types::TaskId;
 use crate::jobs::worker::WorkerView;
@@ -150,15 +151,20 @@
         }
     }
 
-    /// Stops runs that stand still, so that their tasks run elsewhere.
+    /// Stops runs that stand still, so that their tasks run elsewhere, and finds
+    /// stragglers that may get a copy.
     pub(crate) fn check_stuck(&mut self, now: u64) {
         let mut stuck = Vec::new();
+        let mut late = Vec::new();
         for job in self.jobs.values() {
             for (task, run) in job.live_runs() {
                 let running = matches!(run.phase, RunPhase::Running(_));
                 let Some(spec) = job.step_spec(&task) else {
                     continue;
                 };
+                if spec.speculative && now > run.started_ms + straggler_limit(spec) {
+                    late.push(job.id.clone());
+                }
                 let at_work = spec.lasting && run.percent >= 100;
                 let limit_ms =
                     STUCK_MS.max(spec.estimate_ms / 10) + if spec.gang { 3000 } else { 0 };
@@ -172,6 +178,7 @@
                 }
             }
         }
+        self.unplaced.extend(late);
         for (task, worker, run) in stuck {
             log::info!(event = "run_stuck", task:% = task, run = run, worker = worker.as_str(); "");
             self.judge_worker(&worker, RunEnd::Failed, true, now);
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -19,6 +19,9 @@
 /// this the slower run elsewhere ends sooner.
 const NEAR_WAIT_SHARE: f64 = 1.0;
 
+/// A copy is not worth its start beyond this share of the run's work, in percent.
+const STRAGGLER_PERCENT: u32 = 80;
+
 /// A run counts as a straggler after this many times its estimate.
 const STRAGGLER_FACTOR: f64 = 2.0;
 
@@ -53,6 +56,7 @@
 impl JobEngine {
     /// Places runs for all tasks whose turn has come, as far as there is room.
     pub(crate) fn place_runs(&mut self, now: u64) {
+        self.misfits.clear();
         let waiting: Vec<JobId> = self.unplaced.iter().cloned().collect();
         let mut ranked: Vec<(PlaceRank, JobId)> = Vec::with_capacity(waiting.len());
         for id in waiting {
@@ -146,7 +150,7 @@
         }
     }
 
-    /// Places the tasks of a step; true if some still wait or may need copies.
+    /// Places the tasks of a step; true if some still wait.
     fn place_step(&mut self, id: &JobId, pool: &str, occurrence: u32, step: u32, now: u64) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
@@ -170,7 +174,8 @@
             .filter(|(_, task)| wanting(task))
             .map(|(index, _)| index as u32)
             .collect();
-        let unfinished = state.tasks.iter().any(|task| !task.done);
+        let idle = |task: &&TaskState| !task.done && task.placed.is_empty();
+        let waiting = state.tasks.iter().filter(idle).count();
         let open_ms = state.open_ms.unwrap_or(now);
         let first = TaskId {
             job: id.clone(),
@@ -180,11 +185,14 @@
         };
         if spec.gang {
             if wanted.len() == state.tasks.len() {
-                self.place_gang(&first, pool, &spec, now);
+                return !self.place_gang(&first, pool, &spec, now);
             }
-            return unfinished;
+            return waiting > 0;
+        }
+        let (count, mut placed) = (wanted.len(), 0);
+        if self.is_misfit(pool, &spec) {
+            return waiting > 0;
         }
-        let count = wanted.len();
         for index in wanted {
             let task = TaskId {
                 index,
@@ -193,10 +201,14 @@
             let near_until_ms = open_ms + (spec.estimate_ms as f64 * NEAR_WAIT_SHARE) as u64;
             let near_only = now < near_until_ms;
             match self.choose_worker(&task, pool, &spec, near_only, now) {
-                Some(worker) => self.reserve(&task, &worker, &spec, now),
+                Some(worker) => {
+                    placed += 1;
+                    self.reserve(&task, &worker, &spec, now);
+                }
                 // Tasks of a step are alike: where one does not fit, none does.
                 None => {
                     self.note_waiting(&task, pool, &spec, now);
+                    self.note_misfit(&task, pool, &spec);
                     break;
                 }
             }
@@ -204,7 +216,25 @@
         if count == 0 && spec.speculative {
             self.place_copies(&first, pool, &spec, now);
         }
-        unfinished
+        // Those that pause after a run are waiting and not wanted yet.
+        placed < waiting
+    }
+
+    /// Tells whether a step that needs no more has found no room in this pass.
+    fn is_misfit(&self, pool: &str, spec: &StepSpec) -> bool {
+        let need = spec.counted();
+        let misfit = self.misfits.get(pool);
+        misfit.is_some_and(|(cpu, memory_mb)| need.cpu >= *cpu && need.memory_mb >= *memory_mb)
+    }
+
+    /// Remembers that a step found no room anywhere in its pool.
+    fn note_misfit(&mut self, task: &TaskId, pool: &str, spec: &StepSpec) {
+        let free = spec.label.is_empty() && spec.per_worker == 0 && spec.data_rack.is_empty();
+        if free && !self.needs_advice(task) {
+            let need = spec.counted();
+            self.misfits
+                .insert(pool.to_owned(), (need.cpu, need.memory_mb));
+        }
     }
 
     /// Logs that a lasting task finds no worker, now and then.
@@ -237,9 +267,11 @@
         else {
             return;
         };
-        let limit_ms = (spec.estimate_ms as f64 * STRAGGLER_FACTOR) as u64 + STRAGGLER_SLACK_MS;
+        let limit_ms = straggler_limit(spec);
         let late = |task: &TaskState| match task.placed.as_slice() {
-            [run] => !task.done && now > run.started_ms + limit_ms && run.percent < 80,
+            [run] => {
+                !task.done && now > run.started_ms + limit_ms && run.percent < STRAGGLER_PERCENT
+            }
             _ => false,
         };
         let stragglers = step.tasks.iter().enumerate().filter(|(_, task)| late(task));
@@ -256,8 +288,8 @@
         }
     }
 
-    /// Places all tasks of a gang at once, or none.
-    fn place_gang(&mut self, first: &TaskId, pool: &str, spec: &StepSpec, now: u64) {
+    /// Places all tasks of a gang at once, or none; true if they were placed.
+    fn place_gang(&mut self, first: &TaskId, pool: &str, spec: &StepSpec, now: u64) -> bool {
         let racks: Vec<Option<String>> = if spec.one_rack {
             let names = self.workers.values().filter(|view| view.entry.pool == pool);
             let mut racks: Vec<String> = names.map(|view| view.rack().to_owned()).collect();
@@ -271,6 +303,7 @@
         let spread = racks
             .into_iter()
             .find_map(|rack| self.spread_gang(first, pool, spec, rack.as_deref(), now));
+        let placed = spread.is_some();
         for (index, worker) in spread.into_iter().flatten().enumerate() {
             let task = TaskId {
                 index: index as u32,
@@ -278,6 +311,7 @@
             };
             self.reserve(&task, &worker, spec, now);
         }
+        placed
     }
 
     fn spread_gang(
@@ -457,6 +491,12 @@
     }
 }
 
+/// Returns the time after which a run of a step counts as a straggler, in milliseconds.
+#[must_use]
+pub fn straggler_limit(spec: &StepSpec) -> u64 {
+    (spec.estimate_ms as f64 * STRAGGLER_FACTOR) as u64 + STRAGGLER_SLACK_MS
+}
+
 /// Returns the remaining work in milliseconds of a thousandth of a core, and the
 /// longest remaining chain in milliseconds.
 #[must_use]
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -89,6 +89,8 @@
     pub epoch: u64,
     /// Start of the process, in milliseconds since the Unix epoch.
     pub started_ms: u64,
+    /// Share of a core that the entry VM may use, in thousandths.
+    pub share: u64,
 }
 
 /// Value of the chain key: who wrote last, and which commit.
--- a/src/service/jobs/bid.rs
+++ b/src/service/jobs/bid.rs
@@ -85,6 +85,7 @@
         address: settings.control.to_string(),
         epoch,
         started_ms,
+        share: settings.share(),
     };
     let commit = StoreCommit {
         expected: vec![(keys.owner(), held), (keys.chain(), revision)],
--- a/src/service/jobs/member.rs
+++ b/src/service/jobs/member.rs
@@ -38,6 +38,7 @@
         address: settings.control.to_string(),
         epoch: 0,
         started_ms: unix_ms(),
+        share: settings.share(),
     };
     let value = match encode(&record) {
         Ok(value) => value,
@@ -122,6 +123,7 @@
     if item.key == ShardKeys::default().owner() {
         note_owner(state, record, item.revision);
     } else if let Ok(address) = record.address.parse() {
+        state.most_share = state.most_share.max(record.share);
         nodes.insert(record.name, address);
     }
 }
--- a/src/service/jobs/messages.rs
+++ b/src/service/jobs/messages.rs
@@ -213,6 +213,8 @@
     pub former: Option<MemberRecord>,
     /// Addresses of other entry VMs by name.
     pub nodes: Vec<(String, SocketAddr)>,
+    /// Share of a core of the largest entry VM, in thousandths.
+    pub most_share: u64,
 }
 
 /// A view of the members.
--- a/src/service/jobs/owner.rs
+++ b/src/service/jobs/owner.rs
@@ -60,9 +60,17 @@
 /// Events taken in before the next plan.
 const EVENT_BURST: usize = 256;
 
-/// Longest draw before a bid; smaller entry VMs wait longer, so that larger ones win.
+/// Longest draw before a bid, so that not all bid at once.
 const BID_SPREAD: Duration = Duration::from_millis(40);
 
+/// Time after the start of a process before its first bid: the others, and which of
+/// them are large, are known by then.
+const REGISTER_WAIT: Duration = Duration::from_millis(350);
+
+/// How much longer the smallest entry VMs wait, so that larger ones win: the owner
+/// needs most of what it may use.
+const SMALL_WAIT: Duration = Duration::from_millis(400);
+
 /// Time given to a living former owner to put its key back.
 const FORMER_GRACE: Duration = Duration::from_millis(700);
 
@@ -143,8 +151,8 @@
                 return Some(revision);
             }
             None if synced => {
-                let waits = 1.0 - context.settings.cpu_share.clamp(0.0, 1.0);
-                sleep(BID_SPREAD.mul_f64(waits * rand::random::<f64>())).await;
+                sleep(settle_pause(context)).await;
+                sleep(bid_pause(context)).await;
                 if let Some(former) = former.filter(|former| former.name != context.settings.name)
                     && let Some(address) = address_of(&former)
                     && let Some(note) = context.exchange.send(address, u64::MAX).await
@@ -176,6 +184,22 @@
     }
 }
 
+/// Returns the pause before a bid: short for the largest entry VMs, longer for small ones.
+fn bid_pause(context: &OwnerContext) -> Duration {
+    let (own, most) = (
+        context.settings.share(),
+        context.members.borrow().most_share.max(1),
+    );
+    let lack = 1.0 - (own as f64 / most as f64).min(1.0);
+    BID_SPREAD.mul_f64(rand::random()) + SMALL_WAIT.mul_f64(lack)
+}
+
+/// Returns the rest of the time in which entry VMs that start together register.
+fn settle_pause(context: &OwnerContext) -> Duration {
+    let age_ms = unix_ms().saturating_sub(context.started_ms);
+    REGISTER_WAIT.saturating_sub(Duration::from_millis(age_ms))
+}
+
 /// Tasks that end with the ownership.
 struct TaskGuard(Vec<JoinHandle<()>>);
 
--- a/src/service/jobs/settings.rs
+++ b/src/service/jobs/settings.rs
@@ -61,3 +61,11 @@
         }
     }
 }
+
+impl NodeSettings {
+    /// Returns the share of a core in thousandths.
+    #[must_use]
+    pub fn share(&self) -> u64 {
+        (self.cpu_share.clamp(0.0, 1.0) * 1000.0) as u64
+    }
+}
--- a/tests/jobs_runs.rs
+++ b/tests/jobs_runs.rs
@@ -308,3 +308,34 @@
         }
     }
 }
+
+#[test]
+fn tasks_that_pause_are_placed_with_the_next() {
+    let mut world = World::new(4, 1);
+    world.run(20);
+    let lasting = chicorygauge::jobs::types::StepSpec {
+        lasting: true,
+        per_worker: 1,
+        ..step(3, 2000, 100)
+    };
+    world.submit(JOB, &job(&[lasting]), 1);
+    world.run(300);
+    assert_eq!(world.running(), 3);
+    // Two tasks end 10 ms apart; the second is in its pause when the first is placed.
+    let runs: Vec<(String, String)> = world
+        .workers
+        .keys()
+        .flat_map(|id| {
+            world
+                .tasks_at(id)
+                .into_iter()
+                .map(|task| (id.clone(), task))
+        })
+        .collect();
+    for (worker, task) in &runs[..2] {
+        world.fail_run(worker, task);
+        world.run(11);
+    }
+    world.run(500);
+    assert_eq!(world.running(), 3);
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -766,6 +766,12 @@
         FleetReply::Done
     }
 
+    /// Lets a run fail.
+    pub fn fail_run(&mut self, worker: &str, task: &str) {
+        let worker = self.workers.get_mut(worker).expect("a worker");
+        end_run(worker, task, RunEnd::Failed);
+    }
+
     /// Number of runs at work.
     #[must_use]
     pub fn running(&self) -> usize {
