--- a/benches/capacity/daemons.rs
+++ b/benches/capacity/daemons.rs
@@ -160,7 +160,7 @@
     async fn status(&self) -> Option<Value> {
         let request = CallRequest {
             path: "/v1/status",
-            ..CallRequest::default()..CallRequest::default()
+            ..CallRequest::default()
         };
         let answer = call(self.control, request).await.ok()?;
         serde_json::from_slice(&answer.body).ok()
@@ -236,6 +236,7 @@
             content_type: "application/json",
             body: Bytes::from(body.to_string()),
             limit: Duration::from_secs(10),
+            ..CallRequest::default()
         };
         let answer = call(self.daemons[0].control, request).await;
         answer.is_ok_and(|answer| answer.status.is_success())
--- a/benches/peers.rs
+++ b/benches/peers.rs
@@ -159,6 +159,7 @@
         content_type: "application/json",
         body: Bytes::from(body.to_string()),
         limit: Duration::from_secs(20),
+        ..CallRequest::default()
     };
     let answer = call(peer, request).await.expect("answer");
     assert!(answer.status.is_success(), "{:?}", answer.body);
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -223,6 +223,8 @@
     pub waiting: BTreeMap<JobId, Vec<(u64, WaiterId, CallerAnswer)>>,
     /// Jobs to be stored, with the time by which they should be.
     pub dirty: BTreeMap<JobId, u64>,
+    /// Jobs whose last version is being stored.
+    pub storing: BTreeSet<JobId>,
     /// Records of finished jobs to be removed.
     pub expired: VecDeque<JobId>,
     /// Whether the store took the last commits; submissions are refused if not.
@@ -276,6 +278,7 @@
             fleet: FleetBoard::default(),
             waiting: BTreeMap::new(),
             dirty: BTreeMap::new(),
+            storing: BTreeSet::new(),
             expired: VecDeque::new(),
             store_down_ms: None,
             deposed: false,
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -28,6 +28,10 @@
 /// Pause after an order that was refused or not answered, in milliseconds.
 const ORDER_PAUSE_MS: u64 = 500;
 
+/// How long the entry of a worker whose VM was ordered away is ignored, in
+/// milliseconds: longer than three of its heartbeats.
+const LEFT_MS: u64 = 15_000;
+
 /// VMs of a wave that are emptied ahead of those whose turn it is.
 const EMPTY_AHEAD: usize = 1;
 
@@ -83,6 +87,8 @@
     pub orders: BTreeMap<String, OrderState>,
     /// Whether there is a list of VMs to call.
     pub enabled: bool,
+    /// Workers whose VM was ordered away, and when; their entries may stay a while.
+    pub left: BTreeMap<String, u64>,
     /// Workers of VMs that are due for maintenance.
     pub due_workers: BTreeSet<String>,
 }
@@ -188,6 +194,7 @@
         if !self.fleet.enabled || self.deposed {
             return;
         }
+        self.fleet.left.retain(|_, at| now < *at + LEFT_MS);
         self.list_machines(now);
         if self.fleet.listed_ms.is_none() {
             return;
@@ -581,6 +588,7 @@
         if !worker.is_empty() {
             self.lose_runs(&worker, "vm_ordered", now);
             self.workers.remove(&worker);
+            self.fleet.left.insert(worker, now);
         }
     }
 }
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -49,6 +49,9 @@
     /// Takes in a worker's entry.
     pub fn worker_listed(&mut self, entry: WorkerEntry, now: u64) {
         self.plan_due = true;
+        if self.fleet.left.contains_key(&entry.id) {
+            return;
+        }
         let Some(view) = self.workers.get_mut(&entry.id) else {
             log::info!(
                 event = "worker_found", worker = entry.id.as_str(), pool = entry.pool.as_str(),
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -32,6 +32,10 @@
     source: rmp_serde::encode::Error,
 }
 
+/// Chains of commits of a shard. Several are used only while the store is slow: at a
+/// quarter of a second a commit, one would carry a hundred records a second.
+pub const LANES: usize = 8;
+
 /// Keys of a shard.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ShardKeys {
@@ -46,10 +50,10 @@
         format!("{MEMBER_PREFIX}owner/{}", self.shard)
     }
 
-    /// Key of the epoch and of the chain of commits.
+    /// Key of a chain of commits; that of lane 0 also carries the epoch.
     #[must_use]
-    pub fn chain(self) -> String {
-        format!("chicory/chain/{}", self.shard)
+    pub fn chain(self, lane: usize) -> String {
+        format!("chicory/chain/{}/{lane}", self.shard)
     }
 
     /// Prefix of the bodies.
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -49,7 +49,8 @@
     }
 
     fn entries(&self) -> usize {
-        self.writes.len() + self.removals.len()
+        // Each wave is reported besides.
+        self.writes.len() + self.removals.len() + self.waves.len()
     }
 
     fn bytes(&self) -> usize {
@@ -69,12 +70,22 @@
     /// Returns when the next commit is due, on the boot clock.
     #[must_use]
     pub fn write_due(&self) -> Option<u64> {
-        let jobs = self.dirty.values().min().copied();
+        let jobs = self
+            .dirty
+            .iter()
+            .filter(|(id, _)| !self.storing.contains(*id));
+        let jobs = jobs.map(|(_, due)| *due).min();
         let fleet = self.fleet.write_due();
         jobs.into_iter().chain(fleet).min()
     }
 
-    /// Takes the next batch to store.
+    /// Makes all that is not stored due at once, before a handover.
+    pub fn flush_all(&mut self) {
+        self.dirty.values_mut().for_each(|due| *due = 0);
+    }
+
+    /// Takes the next batch to store; a job whose last version is still being stored
+    /// waits for it, and waves go with one chain only.
     ///
     /// # Errors
     ///
@@ -82,15 +93,18 @@
     pub fn take_writes(
         &mut self,
         keys: ShardKeys,
+        with_fleet: bool,
         time: TimePair,
     ) -> Result<WriteBatch, EncodeError> {
         let mut batch = WriteBatch::default();
-        self.fleet.take_writes(keys, &mut batch)?;
-        let mut order: Vec<_> = self
+        if with_fleet {
+            self.fleet.take_writes(keys, &mut batch)?;
+        }
+        let free = self
             .dirty
             .iter()
-            .map(|(id, due)| (*due, id.clone()))
-            .collect();
+            .filter(|(id, _)| !self.storing.contains(*id));
+        let mut order: Vec<_> = free.map(|(id, due)| (*due, id.clone())).collect();
         order.sort_unstable();
         for (_, id) in order {
             if batch.entries() + 2 > BATCH_ENTRIES || batch.bytes() > BATCH_BYTES {
@@ -99,6 +113,7 @@
             self.dirty.remove(&id);
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.sent = true;
+                self.storing.insert(id.clone());
                 add_job(&mut batch, keys, job, time.unix)?;
             }
         }
@@ -117,6 +132,7 @@
         }
         self.fleet.written(batch);
         for (id, version) in &batch.versions {
+            self.storing.remove(id);
             if let Some(job) = self.jobs.get_mut(id) {
                 job.stored = job.stored.max(*version);
                 job.body_stored = true;
@@ -133,6 +149,7 @@
     pub fn not_written(&mut self, batch: &WriteBatch, now: u64) {
         self.fleet.not_written(batch);
         for (id, _) in &batch.versions {
+            self.storing.remove(id);
             self.mark(id, now);
         }
         for key in &batch.removals {
--- a/src/service/jobs/bid.rs
+++ b/src/service/jobs/bid.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::boot_ms;
 use crate::jobs::record::ChainRecord;
+use crate::jobs::record::LANES;
 use crate::jobs::record::MemberRecord;
 use crate::jobs::record::ShardKeys;
 use crate::jobs::record::decode;
@@ -41,7 +42,7 @@
 pub struct WonShard {
     /// Epoch.
     pub epoch: u64,
-    /// Revision of the chain key.
+    /// Revision of the chain keys.
     pub chain: u64,
     /// Lease of the owner's key.
     pub lease: LeaseId,
@@ -65,7 +66,7 @@
     let StoreReply::Lease { id: lease, ttl_ms } = call(link, &grant).await? else {
         return None;
     };
-    let StoreReply::Item(chain) = call(link, &StoreCall::Get { key: keys.chain() }).await? else {
+    let StoreReply::Item(chain) = call(link, &StoreCall::Get { key: keys.chain(0) }).await? else {
         return None;
     };
     let revision = chain.as_ref().map_or(0, |item| item.revision);
@@ -87,16 +88,13 @@
         started_ms,
         share: settings.share(),
     };
+    let chain = encode(&ChainRecord { epoch, commit: 0 }).ok()?;
+    let mut writes = vec![write(keys.owner(), encode(&record).ok()?, lease)];
+    // All chains move, so that no commit of the former owner takes effect any more.
+    writes.extend((0..LANES).map(|lane| write(keys.chain(lane), chain.clone(), 0)));
     let commit = StoreCommit {
-        expected: vec![(keys.owner(), held), (keys.chain(), revision)],
-        writes: vec![
-            write(
-                keys.chain(),
-                encode(&ChainRecord { epoch, commit: 0 }).ok()?,
-                0,
-            ),
-            write(keys.owner(), encode(&record).ok()?, lease),
-        ],
+        expected: vec![(keys.owner(), held), (keys.chain(0), revision)],
+        writes,
         removals: Vec::new(),
     };
     let reply = call(link, &StoreCall::Commit(commit)).await;
--- a/src/service/jobs/commit.rs
+++ b/src/service/jobs/commit.rs
@@ -22,7 +22,7 @@
 use crate::service::jobs::watch::STORE_BACKOFF;
 
 /// Limit on the first attempt; a slow store answers in a quarter of a second.
-const FIRST_LIMIT: Duration = Duration::from_millis(300);
+const FIRST_LIMIT: Duration = Duration::from_millis(400);
 
 /// Limit on further attempts.
 const COMMIT_LIMIT: Duration = Duration::from_millis(600);
@@ -36,7 +36,9 @@
 pub struct ChainCommit {
     /// Epoch of the ownership.
     pub epoch: u64,
-    /// Number of the commit in this epoch.
+    /// Chain that it belongs to.
+    pub lane: usize,
+    /// Number of the commit in this chain and epoch.
     pub number: u64,
     /// Revision of the chain key that it needs.
     pub chain: u64,
@@ -52,7 +54,11 @@
 pub async fn run(link: StoreLink, commit: ChainCommit, events: mpsc::UnboundedSender<OwnerEvent>) {
     let Some(call) = build(&commit) else {
         let outcome = CommitOutcome::Deposed;
-        let _ = events.send(OwnerEvent::Committed(Box::new(commit.batch), outcome));
+        let _ = events.send(OwnerEvent::Committed(
+            commit.lane,
+            Box::new(commit.batch),
+            outcome,
+        ));
         return;
     };
     let mut backoff = BackoffState::new(STORE_BACKOFF);
@@ -79,12 +85,20 @@
         };
         if let Some(outcome) = outcome {
             // The receiver ends only with the ownership.
-            let _ = events.send(OwnerEvent::Committed(Box::new(commit.batch), outcome));
+            let _ = events.send(OwnerEvent::Committed(
+                commit.lane,
+                Box::new(commit.batch),
+                outcome,
+            ));
             return;
         }
         if attempts == LOST_ATTEMPTS {
             let batch = Box::new(commit.batch.clone());
-            let _ = events.send(OwnerEvent::Committed(batch, CommitOutcome::Delayed));
+            let _ = events.send(OwnerEvent::Committed(
+                commit.lane,
+                batch,
+                CommitOutcome::Delayed,
+            ));
         }
         if attempts > 1 {
             sleep(backoff.pause(rand::random())).await;
@@ -94,7 +108,7 @@
 
 /// Tells from the chain key whether an earlier attempt took effect.
 fn resolve(commit: &ChainCommit, items: &[StoreItem]) -> CommitOutcome {
-    let key = ShardKeys::default().chain();
+    let key = ShardKeys::default().chain(commit.lane);
     let Some(item) = items.iter().find(|item| item.key == key) else {
         log::error!(event = "chain_missing", epoch = commit.epoch; "");
         return CommitOutcome::Deposed;
@@ -130,13 +144,13 @@
         }
     };
     let mut writes = vec![StoreWrite {
-        key: keys.chain(),
+        key: keys.chain(commit.lane),
         value,
         lease: 0,
     }];
     writes.extend(commit.batch.writes.iter().cloned());
     writes.extend(commit.extra.iter().cloned());
-    let mut expected = vec![(keys.chain(), commit.chain)];
+    let mut expected = vec![(keys.chain(commit.lane), commit.chain)];
     expected.extend(commit.absent.iter().map(|key| (key.clone(), 0)));
     Some(StoreCall::Commit(StoreCommit {
         expected,
--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -25,7 +25,7 @@
 use crate::kept::KeptClient;
 use crate::ports::StoreCall;
 use crate::ports::StoreReply;
-use crate::service::jobs::member::note_owner;
+use crate::service::jobs::member::hear_owner;
 use crate::service::jobs::messages::ExchangeNote;
 use crate::service::jobs::messages::MemberState;
 use crate::service::jobs::messages::OperatorState;
@@ -61,11 +61,10 @@
 }
 
 impl PeerReach {
-    /// Tells whether this entry VM hears less than half of the others: most callers'
-    /// requests then cannot reach it.
+    /// Tells whether this entry VM hears no other, though there are some.
     #[must_use]
-    pub fn is_minority(&self) -> bool {
-        self.settled && self.known > 0 && self.heard * 2 < self.known
+    pub fn is_isolated(&self) -> bool {
+        self.settled && self.known > 0 && self.heard == 0
     }
 }
 
@@ -163,21 +162,19 @@
         for wave in note.waves {
             offer_wave(&self.operator, wave);
         }
-        let known = self
-            .members
-            .borrow()
-            .owner
-            .as_ref()
-            .map_or(0, |(owner, _)| owner.epoch);
-        if let Some(owner) = note.owner.filter(|owner| owner.epoch > known) {
-            // The revision is not known; a bid would read it first.
+        if let Some(owner) = note.owner {
             self.members
-                .send_modify(|state| note_owner(state, owner, 0));
+                .send_if_modified(|state| hear_owner(state, owner));
         }
     }
 
     /// Sends a note and takes in the answer.
-    pub async fn send(&self, peer: SocketAddr, version: u64) -> Option<ExchangeNote> {
+    pub async fn send(
+        &self,
+        peer: SocketAddr,
+        version: u64,
+        limit: Duration,
+    ) -> Option<ExchangeNote> {
         let note = self.note(false, version);
         let body = rmp_serde::to_vec(&note).ok()?;
         let request = CallRequest {
@@ -185,7 +182,7 @@
             path: EXCHANGE_PATH,
             content_type: MSGPACK,
             body: Bytes::from(body),
-            limit: EXCHANGE_LIMIT,
+            limit,
             ..CallRequest::default()
         };
         let answer = match self.kept.call(peer, request).await {
@@ -235,17 +232,19 @@
             .is_some_and(|owner| owner.name == settings.name);
         let target = owner.as_ref().filter(|_| !owning).and_then(address_of);
         let answered = match target {
-            Some(peer) => state.send(peer, version_there).await,
+            Some(peer) => state.send(peer, version_there, EXCHANGE_LIMIT).await,
             None => None,
         };
-        let linked = answered.is_some() || owning && !state.reach().is_minority();
+        let linked = answered.is_some() || owning && !state.reach().is_isolated();
         state.set_cut_off(!linked && !reaches_store(&link).await);
         match answered {
             Some(note) => version_there = note.version,
             None if !others.is_empty() => {
                 turn = (turn + 1) % others.len();
                 version_there = u64::MAX;
-                state.send(others[turn], version_there).await;
+                state
+                    .send(others[turn], version_there, EXCHANGE_LIMIT)
+                    .await;
             }
             None => {}
         }
@@ -254,7 +253,7 @@
 }
 
 async fn reaches_store(link: &StoreLink) -> bool {
-    let key = ShardKeys::default().chain();
+    let key = ShardKeys::default().chain(0);
     let reply = link.call(&StoreCall::Get { key }, STORE_LIMIT).await;
     matches!(reply, Ok(StoreReply::Item(_)))
 }
--- a/src/service/jobs/member.rs
+++ b/src/service/jobs/member.rs
@@ -124,6 +124,7 @@
         note_owner(state, record, item.revision);
     } else if let Ok(address) = record.address.parse() {
         state.most_share = state.most_share.max(record.share);
+        state.newest_ms = state.newest_ms.max(record.started_ms);
         nodes.insert(record.name, address);
     }
 }
@@ -141,3 +142,18 @@
     state.owner = Some((record, revision));
     state.former = None;
 }
+
+/// Takes in an owner of whom another entry VM told; true if it was news.
+///
+/// Only a later one than any known counts: the other may not have seen yet that the
+/// owner's key is gone, and a bid needs it to be free.
+pub fn hear_owner(state: &mut MemberState, record: MemberRecord) -> bool {
+    let known = state.owner.as_ref().map_or(0, |(owner, _)| owner.epoch);
+    let former = state.former.as_ref().map_or(0, |owner| owner.epoch);
+    let news = record.epoch > known.max(former);
+    if news {
+        // The revision is not known; whoever bids waits for the watch to tell it.
+        note_owner(state, record, 0);
+    }
+    news
+}
--- a/src/service/jobs/messages.rs
+++ b/src/service/jobs/messages.rs
@@ -170,8 +170,8 @@
     WorkerListed(WorkerEntry),
     /// A worker's entry is gone.
     WorkerUnlisted(String),
-    /// What became of a commit.
-    Committed(Box<WriteBatch>, CommitOutcome),
+    /// What became of a commit in a chain.
+    Committed(usize, Box<WriteBatch>, CommitOutcome),
     /// The owner's lease is gone; a new one was granted.
     LeaseLost(LeaseId),
 }
@@ -215,6 +215,8 @@
     pub nodes: Vec<(String, SocketAddr)>,
     /// Share of a core of the largest entry VM, in thousandths.
     pub most_share: u64,
+    /// Latest start of an entry VM, in milliseconds since the Unix epoch.
+    pub newest_ms: u64,
 }
 
 /// A view of the members.
--- a/src/service/jobs/owner.rs
+++ b/src/service/jobs/owner.rs
@@ -18,6 +18,7 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::SchedulerSettings;
 use crate::jobs::engine::TimePair;
+use crate::jobs::record::LANES;
 use crate::jobs::record::ShardKeys;
 use crate::jobs::writes::WriteBatch;
 use crate::kernel::ShutdownPhase;
@@ -60,9 +61,19 @@
 /// Events taken in before the next plan.
 const EVENT_BURST: usize = 256;
 
+/// Time after which a commit counts as slow, in milliseconds; it usually takes a few.
+const LANE_BUSY_MS: u64 = 40;
+
 /// Longest draw before a bid, so that not all bid at once.
 const BID_SPREAD: Duration = Duration::from_millis(40);
 
+/// How much longer an entry VM waits that was started clearly before another one.
+const OLD_WAIT: Duration = Duration::from_millis(60);
+
+/// Difference of two starts from which they belong to different rounds, in
+/// milliseconds.
+const ROLL_GAP_MS: u64 = 4000;
+
 /// Time after the start of a process before its first bid: the others, and which of
 /// them are large, are known by then.
 const REGISTER_WAIT: Duration = Duration::from_millis(350);
@@ -71,11 +82,14 @@
 /// needs most of what it may use.
 const SMALL_WAIT: Duration = Duration::from_millis(400);
 
+/// Limit on asking a former owner whether it lives: a few round trips.
+const FORMER_LIMIT: Duration = Duration::from_millis(120);
+
 /// Time given to a living former owner to put its key back.
 const FORMER_GRACE: Duration = Duration::from_millis(700);
 
-/// How much later an entry VM bids that hears less than half of the others.
-const MINORITY_WAIT: Duration = Duration::from_millis(800);
+/// Pause of an entry VM that reaches neither others nor the store.
+const CUT_OFF_WAIT: Duration = Duration::from_millis(200);
 
 /// Limit on the last commit of a handover.
 const HANDOVER_LIMIT: Duration = Duration::from_millis(1200);
@@ -155,19 +169,15 @@
                 sleep(bid_pause(context)).await;
                 if let Some(former) = former.filter(|former| former.name != context.settings.name)
                     && let Some(address) = address_of(&former)
-                    && let Some(note) = context.exchange.send(address, u64::MAX).await
+                    && let Some(note) = context.exchange.send(address, u64::MAX, FORMER_LIMIT).await
                     && note.owning
                 {
                     log::info!(event = "former_owner_lives", owner = former.name.as_str(); "");
                     let _ = timeout(FORMER_GRACE, context.members.changed()).await;
                 }
-                if context.exchange.reach().is_minority() {
-                    // Others reach more; if none of them bids, this one does.
-                    let _ = timeout(
-                        MINORITY_WAIT,
-                        context.members.wait_for(|state| state.owner.is_some()),
-                    )
-                    .await;
+                if context.exchange.is_cut_off() {
+                    sleep(CUT_OFF_WAIT).await;
+                    continue;
                 }
                 if context.members.borrow().owner.is_none() && !is_leaving(context) {
                     return Some(0);
@@ -191,7 +201,11 @@
         context.members.borrow().most_share.max(1),
     );
     let lack = 1.0 - (own as f64 / most as f64).min(1.0);
-    BID_SPREAD.mul_f64(rand::random()) + SMALL_WAIT.mul_f64(lack)
+    let newest_ms = context.members.borrow().newest_ms;
+    // While entry VMs are restarted in turn, one that has had its turn stays.
+    let old = context.started_ms + ROLL_GAP_MS < newest_ms;
+    let wait = if old { OLD_WAIT } else { Duration::ZERO };
+    BID_SPREAD.mul_f64(rand::random()) + SMALL_WAIT.mul_f64(lack) + wait
 }
 
 /// Returns the rest of the time in which entry VMs that start together register.
@@ -249,9 +263,10 @@
         .push(tokio::spawn(watch_workers(context.clone(), events.clone())));
     let mut owner = ShardOwner {
         context: context.clone(),
-        chain: won.chain,
-        number: 0,
-        in_flight: None,
+        lanes: [CommitLane {
+            chain: won.chain,
+            ..CommitLane::default()
+        }; LANES],
         reclaim: None,
         reclaiming: None,
         well_heard: false,
@@ -344,13 +359,22 @@
     follow(&context.link, prefix, news).await;
 }
 
+/// A chain of commits.
+#[derive(Clone, Copy, Debug, Default)]
+struct CommitLane {
+    /// Revision of its key.
+    chain: u64,
+    /// Number of the last commit.
+    number: u64,
+    /// Whether a commit is under way, and since when on the boot clock.
+    since_ms: Option<u64>,
+}
+
 /// The scheduler of the shard with what it needs.
 struct ShardOwner {
     context: OwnerContext,
     engine: JobEngine,
-    chain: u64,
-    number: u64,
-    in_flight: Option<WriteBatch>,
+    lanes: [CommitLane; LANES],
     reclaim: Option<u64>,
     reclaiming: Option<u64>,
     well_heard: bool,
@@ -417,11 +441,11 @@
         }
     }
 
-    /// Tells whether the ownership is of little use here: less than half of the other
-    /// entry VMs are heard, though more were.
+    /// Tells whether the ownership is of no use here: no other entry VM is heard,
+    /// though some were.
     fn is_cut_off(&mut self) -> bool {
         let reach = self.context.exchange.reach();
-        if !reach.is_minority() {
+        if !reach.is_isolated() {
             self.well_heard = true;
             return false;
         }
@@ -501,16 +525,18 @@
             OwnerEvent::WorkerListed(entry) => self.engine.worker_listed(entry, time.boot),
             OwnerEvent::WorkerUnlisted(worker) => self.engine.worker_unlisted(&worker, time.boot),
             OwnerEvent::LeaseLost(lease) => self.reclaim = Some(lease),
-            OwnerEvent::Committed(batch, outcome) => self.committed(&batch, outcome, time.boot),
+            OwnerEvent::Committed(lane, batch, outcome) => {
+                self.committed(lane, &batch, outcome, time.boot);
+            }
         }
     }
 
-    fn committed(&mut self, batch: &WriteBatch, outcome: CommitOutcome, now: u64) {
+    fn committed(&mut self, lane: usize, batch: &WriteBatch, outcome: CommitOutcome, now: u64) {
         match outcome {
             CommitOutcome::Stored(revision) => {
-                self.chain = revision;
-                self.in_flight = None;
-                if let Some(lease) = self.reclaiming.take() {
+                self.lanes[lane].chain = revision;
+                self.lanes[lane].since_ms = None;
+                if let Some(lease) = self.reclaiming.take_if(|_| lane == 0) {
                     log::info!(event = "owner_reclaimed", epoch = self.engine.epoch; "");
                     self.performer.term.reclaim(lease);
                 }
@@ -521,26 +547,51 @@
         }
     }
 
-    /// Starts the next commit, if one is due and none is under way.
+    /// Returns the chain for the next commit. A further one is used only if those
+    /// before it have been under way for long: together, small commits cost less.
+    fn free_lane(&self, now: u64) -> Option<usize> {
+        for (number, lane) in self.lanes.iter().enumerate() {
+            match lane.since_ms {
+                None => return Some(number),
+                Some(since_ms) if now < since_ms + LANE_BUSY_MS => return None,
+                Some(_) => {}
+            }
+        }
+        None
+    }
+
+    /// Starts the commits that are due, as far as there are free chains.
     fn commit_due(&mut self) {
         let time = now();
-        let due = self.engine.write_due().is_some_and(|due| due <= time.boot);
-        if self.in_flight.is_some() || !(due || self.reclaim.is_some()) {
-            return;
+        while self.engine.write_due().is_some_and(|due| due <= time.boot) || self.reclaim.is_some()
+        {
+            let Some(lane) = self.free_lane(time.boot) else {
+                return;
+            };
+            if !self.commit(lane, time) {
+                return;
+            }
         }
-        let batch = match self.engine.take_writes(ShardKeys::default(), time) {
+    }
+
+    /// Starts a commit; false if there is nothing for this chain.
+    fn commit(&mut self, lane: usize, time: TimePair) -> bool {
+        let batch = match self
+            .engine
+            .take_writes(ShardKeys::default(), lane == 0, time)
+        {
             Ok(batch) => batch,
             Err(error) => {
                 log::error!(event = "records_unencodable", error:% = error; "");
-                return;
+                return false;
             }
         };
-        if batch.is_empty() && self.reclaim.is_none() {
-            // Jobs that are gone were marked; their waiters were answered.
-            self.engine.written(&batch, time.boot);
-            return;
+        let reclaim = self.reclaim.take_if(|_| lane == 0);
+        if batch.is_empty() && reclaim.is_none() {
+            return false;
         }
-        self.number += 1;
+        self.lanes[lane].number += 1;
+        self.lanes[lane].since_ms = Some(time.boot);
         let keys = self.context.client.dialect.keys;
         let mut extra: Vec<StoreWrite> = Vec::new();
         for (wave, record) in &batch.waves {
@@ -551,16 +602,16 @@
             });
         }
         let mut absent = Vec::new();
-        if let Some(lease) = self.reclaim.take() {
+        if let Some(lease) = reclaim {
             extra.extend(owner_write(&self.record, lease));
             absent.push(ShardKeys::default().owner());
             self.reclaiming = Some(lease);
         }
-        self.in_flight = Some(batch.clone());
         let commit = ChainCommit {
             epoch: self.engine.epoch,
-            number: self.number,
-            chain: self.chain,
+            lane,
+            number: self.lanes[lane].number,
+            chain: self.lanes[lane].chain,
             batch,
             extra,
             absent,
@@ -570,25 +621,31 @@
             commit,
             self.events.clone(),
         ));
+        true
     }
 
     /// Stores what is not stored yet; the successor starts from it.
     async fn hand_over(&mut self, received: &mut mpsc::UnboundedReceiver<OwnerEvent>) {
         log::info!(event = "handing_over", epoch = self.engine.epoch, jobs = self.engine.jobs.len(); "");
         let deadline = Instant::now() + HANDOVER_LIMIT;
+        self.engine.flush_all();
         loop {
             self.commit_due();
             self.perform_all();
-            let settled = self.in_flight.is_none() && self.engine.write_due().is_none();
-            if settled || self.engine.deposed {
+            let idle = self.lanes.iter().all(|lane| lane.since_ms.is_none());
+            if idle && self.engine.dirty.is_empty() || self.engine.deposed {
                 return;
             }
-            let event = tokio::time::timeout_at(deadline, received.recv()).await;
-            match event {
+            // What workers say from now on, the successor hears too.
+            match tokio::time::timeout_at(deadline, received.recv()).await {
                 Ok(Some(OwnerEvent::Relay(_, answer))) => {
+                    // The sender may have gone.
                     let _ = answer.send(RelayReply::NotOwner);
                 }
-                Ok(Some(event)) => self.take(event),
+                Ok(Some(OwnerEvent::Committed(lane, batch, outcome))) => {
+                    self.committed(lane, &batch, outcome, boot_ms());
+                }
+                Ok(Some(_)) => {}
                 Ok(None) | Err(_) => return,
             }
         }
--- a/src/service/jobs/store.rs
+++ b/src/service/jobs/store.rs
@@ -261,7 +261,7 @@
 /// Probes until the store answers directly.
 async fn probe(link: StoreLink) {
     let call = StoreCall::Get {
-        key: ShardKeys::default().chain(),
+        key: ShardKeys::default().chain(0),
     };
     let wire = (link.dialect.store_call)(&call);
     loop {
--- /dev/null
+++ b/tests/jobs_members.rs
@@ -0,0 +1,57 @@
+//! Who owns a shard, as entry VMs learn it from the store and from each other.
+
+use chicorygauge::jobs::record::MemberRecord;
+use chicorygauge::service::jobs::bid::OwnerTerm;
+use chicorygauge::service::jobs::member::hear_owner;
+use chicorygauge::service::jobs::member::note_owner;
+use chicorygauge::service::jobs::messages::MemberState;
+
+fn owner(epoch: u64) -> MemberRecord {
+    MemberRecord {
+        name: format!("entry-{epoch}"),
+        epoch,
+        ..MemberRecord::default()
+    }
+}
+
+#[test]
+fn hear_owner_gone_stays_gone() {
+    let mut state = MemberState::default();
+    note_owner(&mut state, owner(1), 10);
+    state.former = state.owner.take().map(|(owner, _)| owner);
+    assert!(
+        !hear_owner(&mut state, owner(1)),
+        "the other has not seen the removal yet"
+    );
+    assert_eq!(state.owner, None);
+}
+
+#[test]
+fn hear_owner_later_counts() {
+    let mut state = MemberState::default();
+    note_owner(&mut state, owner(1), 10);
+    assert!(hear_owner(&mut state, owner(2)));
+    assert_eq!(state.owner, Some((owner(2), 0)));
+    assert!(!hear_owner(&mut state, owner(1)));
+}
+
+#[test]
+fn note_owner_earlier_ignored() {
+    let mut state = MemberState::default();
+    note_owner(&mut state, owner(3), 10);
+    note_owner(&mut state, owner(2), 11);
+    assert_eq!(state.owner, Some((owner(3), 10)));
+}
+
+#[test]
+fn term_renewed_by_its_own_lease_only() {
+    let term = OwnerTerm::new(7, 1000);
+    term.renewed(7, 2000);
+    assert_eq!(term.valid_ms(), 2000);
+    // A new lease proves nothing before the owner's key stands under it.
+    term.renewed(8, 9000);
+    assert_eq!(term.valid_ms(), 2000);
+    term.reclaim(8);
+    term.renewed(8, 9000);
+    assert_eq!(term.valid_ms(), 9000);
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -403,7 +403,7 @@
         if due && !self.committing && self.store_up {
             let batch = self
                 .engine
-                .take_writes(ShardKeys::default(), time)
+                .take_writes(ShardKeys::default(), true, time)
                 .expect("records");
             self.committing = true;
             self.later(COMMIT_MS, Pending::Stored(Box::new(batch)));
