--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -28,6 +28,10 @@
 /// times what a percent of the longest usual task takes.
 const STUCK_MS: u64 = 2500;
 
+/// Time after which a start that is neither known to run nor refused is forbidden, in
+/// milliseconds; all its attempts have ended long before.
+const UNRESOLVED_MS: u64 = 4000;
+
 /// Tasks of both kinds at a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorkerCrowd {
@@ -155,10 +159,22 @@
     /// stragglers that may get a copy.
     pub(crate) fn check_stuck(&mut self, now: u64) {
         let mut stuck = Vec::new();
-        let mut late = Vec::new();
+        let (mut late, mut unresolved, mut unbooked) = (Vec::new(), Vec::new(), Vec::new());
         for job in self.jobs.values() {
             for (task, run) in job.live_runs() {
                 let running = matches!(run.phase, RunPhase::Running(_));
+                let key = (task.clone(), run.run);
+                let view = self.workers.get(&run.worker);
+                let booked = view.is_some_and(|view| view.runs.contains(&key));
+                if !booked && now > self.inherit_ms && run.phase != RunPhase::Inherited {
+                    unbooked.push((task, run.worker.clone(), run.run));
+                    continue;
+                }
+                let ordered = matches!(run.phase, RunPhase::Reserved(_) | RunPhase::Ordered);
+                if ordered && job.stored >= job.version && now > run.placed_ms + UNRESOLVED_MS {
+                    unresolved.push((task, run.worker.clone(), run.run));
+                    continue;
+                }
                 let Some(spec) = job.step_spec(&task) else {
                     continue;
                 };
@@ -179,6 +195,20 @@
             }
         }
         self.unplaced.extend(late);
+        for (task, worker, run) in unresolved {
+            log::warn!(
+                event = "run_unresolved", task:% = task, run = run, worker = worker.as_str(),
+                phase:? = self.run_phase(&task, &worker, run); ""
+            );
+            self.stop_run(&task, &worker, run);
+        }
+        for (task, worker, run) in unbooked {
+            log::warn!(
+                event = "run_unbooked", task:% = task, run = run, worker = worker.as_str(),
+                phase:? = self.run_phase(&task, &worker, run); ""
+            );
+            self.give_up_run(&task, &worker, run, now);
+        }
         for (task, worker, run) in stuck {
             log::info!(event = "run_stuck", task:% = task, run = run, worker = worker.as_str(); "");
             self.judge_worker(&worker, RunEnd::Failed, true, now);
--- a/src/service/jobs/bid.rs
+++ b/src/service/jobs/bid.rs
@@ -9,8 +9,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::clock::boot_ms;
 use crate::jobs::record::ChainRecord;
@@ -158,9 +159,11 @@
         self.valid_ms.load(Ordering::Relaxed)
     }
 
-    /// Takes in that the owner's key stands in the store under another lease.
-    pub fn reclaim(&self, lease: LeaseId) {
+    /// Takes in that the owner's key stands in the store under another lease, which
+    /// holds until `valid_ms`.
+    pub fn reclaim(&self, lease: LeaseId, valid_ms: u64) {
         self.lease.store(lease, Ordering::Relaxed);
+        self.valid_ms.fetch_max(valid_ms, Ordering::Relaxed);
     }
 
     /// Takes in a renewal; one of a lease without the owner's key proves nothing,
@@ -175,27 +178,43 @@
 /// Renews the owner's lease for ever and keeps the term up to date.
 ///
 /// The ownership counts from the sending of each renewal. If the lease is gone, a
-/// new one is granted and the scheduler is told to put its key back.
+/// new one is granted and the scheduler is told to put its key back; likewise if the
+/// key alone is gone, which `check` says.
 pub async fn renew(
     settings: NodeSettings,
     link: StoreLink,
     mut lease: LeaseId,
     term: Arc<OwnerTerm>,
+    check: Arc<Notify>,
     events: mpsc::UnboundedSender<OwnerEvent>,
 ) {
     let ttl_ms = settings.owner_ttl.as_millis() as u64;
     let period = settings.owner_ttl / RENEWALS;
     loop {
-        sleep(period).await;
+        let asked = timeout(period, check.notified()).await.is_ok();
         let sent_ms = boot_ms();
         match link.call(&StoreCall::Renew(lease), RENEW_LIMIT).await {
+            // The lease holds and the key is gone: the key was removed by itself.
+            Ok(StoreReply::Done) if asked => {
+                term.renewed(lease, sent_ms + ttl_ms);
+                if events
+                    .send(OwnerEvent::LeaseLost(lease, sent_ms + ttl_ms))
+                    .is_err()
+                {
+                    return;
+                }
+            }
             Ok(StoreReply::Done) => term.renewed(lease, sent_ms + ttl_ms),
             Ok(StoreReply::NoLease) => {
                 log::warn!(event = "owner_lease_gone", lease = lease; "");
                 let grant = StoreCall::Grant { ttl_ms };
+                let sent_ms = boot_ms();
                 if let Ok(StoreReply::Lease { id, .. }) = link.call(&grant, RENEW_LIMIT).await {
                     lease = id;
-                    if events.send(OwnerEvent::LeaseLost(id)).is_err() {
+                    if events
+                        .send(OwnerEvent::LeaseLost(id, sent_ms + ttl_ms))
+                        .is_err()
+                    {
                         return;
                     }
                 }
--- a/src/service/jobs/commit.rs
+++ b/src/service/jobs/commit.rs
@@ -73,7 +73,7 @@
         let outcome = match link.call(&call, limit).await {
             Ok(StoreReply::Committed(revision)) => Some(CommitOutcome::Stored(revision)),
             Ok(StoreReply::Conflict(items)) => Some(resolve(&commit, &items)),
-            Ok(StoreReply::NoLease) => Some(CommitOutcome::Deposed),
+            Ok(StoreReply::NoLease) => Some(CommitOutcome::LeaseGone),
             Ok(reply) => {
                 log::info!(event = "commit_refused", number = commit.number, reply:? = reply; "");
                 None
@@ -123,6 +123,10 @@
     if record.epoch == commit.epoch && record.commit == commit.number {
         return CommitOutcome::Stored(item.revision);
     }
+    if item.revision == commit.chain {
+        // The chain has not moved: a key that was to be absent is there.
+        return CommitOutcome::LeaseGone;
+    }
     log::warn!(
         event = "commit_conflict", epoch = commit.epoch, number = commit.number,
         stored_epoch = record.epoch, stored_number = record.commit; ""
--- a/src/service/jobs/messages.rs
+++ b/src/service/jobs/messages.rs
@@ -80,6 +80,8 @@
     },
     /// This entry VM does not own the shard; nothing was done.
     NotOwner,
+    /// The ownership ended before the answer; it may have been done.
+    Lost,
 }
 
 impl From<CallerAnswer> for RelayReply {
@@ -172,8 +174,9 @@
     WorkerUnlisted(String),
     /// What became of a commit in a chain.
     Committed(usize, Box<WriteBatch>, CommitOutcome),
-    /// The owner's lease is gone; a new one was granted.
-    LeaseLost(LeaseId),
+    /// The owner's key is to be put back under this lease, which holds until this
+    /// time on the boot clock.
+    LeaseLost(LeaseId, u64),
 }
 
 /// What became of a commit.
@@ -181,6 +184,8 @@
 pub enum CommitOutcome {
     /// It took effect with this revision of the chain key.
     Stored(u64),
+    /// Nothing was stored: the lease for the owner's key is gone, or the key is there.
+    LeaseGone,
     /// Another owner has written the chain key.
     Deposed,
     /// It is not known yet, or the store takes no commits; it is being repeated.
--- a/src/service/jobs/owner.rs
+++ b/src/service/jobs/owner.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -25,6 +26,7 @@
 use crate::platform::backoff::BackoffState;
 use crate::ports::StoreCall;
 use crate::ports::client::PortClient;
+use crate::ports::store::LeaseId;
 use crate::ports::store::StoreEvent;
 use crate::ports::store::StoreItem;
 use crate::ports::store::StoreWrite;
@@ -40,6 +42,7 @@
 use crate::service::jobs::load::ShardContent;
 use crate::service::jobs::load::read_shard;
 use crate::service::jobs::load::restore;
+use crate::service::jobs::member::note_owner;
 use crate::service::jobs::messages::CommitOutcome;
 use crate::service::jobs::messages::MemberView;
 use crate::service::jobs::messages::OperatorView;
@@ -173,7 +176,8 @@
                     && note.owning
                 {
                     log::info!(event = "former_owner_lives", owner = former.name.as_str(); "");
-                    let _ = timeout(FORMER_GRACE, context.members.changed()).await;
+                    let reclaimed = context.members.wait_for(|state| state.owner.is_some());
+                    let _ = timeout(FORMER_GRACE, reclaimed).await;
                 }
                 if context.exchange.is_cut_off() {
                     sleep(CUT_OFF_WAIT).await;
@@ -230,11 +234,13 @@
 ) {
     let (events, mut received) = mpsc::unbounded_channel();
     let term = Arc::new(OwnerTerm::new(won.lease, won.valid_ms));
+    let check_lease = Arc::new(Notify::new());
     let renewing = renew(
         context.settings.clone(),
         context.link.clone(),
         won.lease,
         Arc::clone(&term),
+        Arc::clone(&check_lease),
         events.clone(),
     );
     let mut tasks = TaskGuard(vec![tokio::spawn(renewing)]);
@@ -270,6 +276,7 @@
         reclaim: None,
         reclaiming: None,
         well_heard: false,
+        check_lease,
         stored_waves: waves,
         performer: ActionPerformer {
             client: context.client.clone(),
@@ -375,9 +382,12 @@
     context: OwnerContext,
     engine: JobEngine,
     lanes: [CommitLane; LANES],
-    reclaim: Option<u64>,
-    reclaiming: Option<u64>,
+    /// Lease under which the owner's key is to be put back, and until when it holds.
+    reclaim: Option<(LeaseId, u64)>,
+    /// Likewise, while the commit is under way.
+    reclaiming: Option<(LeaseId, u64)>,
     well_heard: bool,
+    check_lease: Arc<Notify>,
     stored_waves: HashMap<u64, crate::jobs::record::WaveRecord>,
     performer: ActionPerformer,
     events: mpsc::UnboundedSender<OwnerEvent>,
@@ -403,7 +413,7 @@
                     let mut next = event;
                     for _ in 0..EVENT_BURST {
                         let Some(event) = next else { break };
-                        if let OwnerEvent::LeaseLost(id) = event {
+                        if let OwnerEvent::LeaseLost(id, _) = event {
                             lease = id;
                         }
                         self.take(event);
@@ -468,8 +478,8 @@
         }
         let removed = owner.is_none() && former.is_some_and(|former| former.epoch == epoch);
         if removed && self.reclaim.is_none() && self.reclaiming.is_none() {
-            log::warn!(event = "owner_key_removed", epoch = epoch; "");
-            self.reclaim = Some(lease);
+            log::warn!(event = "owner_key_removed", epoch = epoch, lease = lease; "");
+            self.check_lease.notify_one();
         }
     }
 
@@ -524,7 +534,7 @@
             OwnerEvent::WorkersSynced(entries) => self.engine.workers_synced(entries, time.boot),
             OwnerEvent::WorkerListed(entry) => self.engine.worker_listed(entry, time.boot),
             OwnerEvent::WorkerUnlisted(worker) => self.engine.worker_unlisted(&worker, time.boot),
-            OwnerEvent::LeaseLost(lease) => self.reclaim = Some(lease),
+            OwnerEvent::LeaseLost(lease, until) => self.reclaim = Some((lease, until)),
             OwnerEvent::Committed(lane, batch, outcome) => {
                 self.committed(lane, &batch, outcome, time.boot);
             }
@@ -536,12 +546,21 @@
             CommitOutcome::Stored(revision) => {
                 self.lanes[lane].chain = revision;
                 self.lanes[lane].since_ms = None;
-                if let Some(lease) = self.reclaiming.take_if(|_| lane == 0) {
+                if let Some((lease, until)) = self.reclaiming.take_if(|_| lane == 0) {
                     log::info!(event = "owner_reclaimed", epoch = self.engine.epoch; "");
-                    self.performer.term.reclaim(lease);
+                    self.performer.term.reclaim(lease, until);
+                    let record = self.record.clone();
+                    let members = &self.context.exchange.members;
+                    members.send_modify(|state| note_owner(state, record, revision));
                 }
                 self.engine.written(batch, now);
             }
+            CommitOutcome::LeaseGone => {
+                self.lanes[lane].since_ms = None;
+                self.reclaiming = None;
+                self.engine.not_written(batch, now);
+                self.check_lease.notify_one();
+            }
             CommitOutcome::Delayed => self.engine.store_failed(batch, now),
             CommitOutcome::Deposed => self.engine.deposed = true,
         }
@@ -602,10 +621,10 @@
             });
         }
         let mut absent = Vec::new();
-        if let Some(lease) = reclaim {
+        if let Some((lease, until)) = reclaim {
             extra.extend(owner_write(&self.record, lease));
             absent.push(ShardKeys::default().owner());
-            self.reclaiming = Some(lease);
+            self.reclaiming = Some((lease, until));
         }
         let commit = ChainCommit {
             epoch: self.engine.epoch,
--- a/src/service/jobs/peer.rs
+++ b/src/service/jobs/peer.rs
@@ -86,7 +86,7 @@
         None => RelayReply::NotOwner,
         Some(sender) => ask_owner(&sender, request)
             .await
-            .unwrap_or(RelayReply::NotOwner),
+            .unwrap_or(RelayReply::Lost),
     }
 }
 
--- a/src/service/jobs/relay.rs
+++ b/src/service/jobs/relay.rs
@@ -87,6 +87,7 @@
             let attempt = timeout_at(deadline, self.attempt(request, body.clone())).await;
             match attempt {
                 Ok(AttemptResult::Answered(RelayReply::NotOwner)) | Ok(AttemptResult::NotSent) => {}
+                Ok(AttemptResult::Answered(RelayReply::Lost)) => passed_on = true,
                 Ok(AttemptResult::Answered(reply)) => return RelayOutcome::Answered(reply),
                 Ok(AttemptResult::Unknown) => passed_on = true,
                 // The attempt that was cut off may have been passed on.
--- a/tests/jobs_members.rs
+++ b/tests/jobs_members.rs
@@ -51,7 +51,8 @@
     // A new lease proves nothing before the owner's key stands under it.
     term.renewed(8, 9000);
     assert_eq!(term.valid_ms(), 2000);
-    term.reclaim(8);
+    term.reclaim(8, 3000);
+    assert_eq!(term.valid_ms(), 3000);
     term.renewed(8, 9000);
     assert_eq!(term.valid_ms(), 9000);
 }
