--- a/src/bin/chicoryd/main.rs
+++ b/src/bin/chicoryd/main.rs
@@ -5,5 +5,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    cmd::daemon_command().run().run()
+    let code = cmd::daemon_command().run().run();
+    chicorygauge::logs::finish();
+    code
 }
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,6 +5,6 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    chicorygauge::logs::start();
+    chicorygauge::logs::start_tool();
     cmd::standin_command().run().run()
 }
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -124,6 +124,8 @@
     pub submitted: BTreeMap<String, u64>,
     pub moves: usize,
     pub most_down: usize,
+    /// Least lasting runs at work since a wave began.
+    pub least_at_work: usize,
     done: BTreeSet<String>,
     acknowledged_done: BTreeSet<String>,
     failures: BTreeMap<String, u32>,
@@ -213,6 +215,7 @@
             submitted: BTreeMap::new(),
             moves: 0,
             most_down: 0,
+            least_at_work: usize::MAX,
             done: BTreeSet::new(),
             acknowledged_done: BTreeSet::new(),
             failures: BTreeMap::new(),
@@ -373,6 +376,12 @@
         while self.now < end {
             self.now += 1;
             self.finish_runs();
+            if !self.engine.fleet.waves.is_empty() {
+                let up = self.workers.values().filter(|worker| worker.up);
+                let runs = up.flat_map(|worker| worker.runs.values());
+                let lasting = runs.filter(|run| run.lasting).count();
+                self.least_at_work = self.least_at_work.min(lasting);
+            }
             while let Some((key, _)) = self.pending.first_key_value().map(|(key, _)| (*key, ())) {
                 if key.0 > self.now {
                     break;
