--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -3,9 +3,9 @@
 //! An answer takes longer the more workers it names, and the service takes one
 //! question at a time, so few workers are named, those that would be chosen.
 
-use crate::jobs::engine::Action;
+use crate::jobs::actions::Action;
 use crate::jobs::engine::JobEngine;
-use crate::jobs::job::StepAdvice;
+use crate::jobs::task::StepAdvice;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
 use crate::ports::AdviceCall;
--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -1,9 +1,9 @@
 //! What callers ask: submissions, states, cancellations, counts.
 
-use crate::jobs::engine::CallerAnswer;
+use crate::jobs::actions::CallerAnswer;
+use crate::jobs::actions::WaiterId;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
-use crate::jobs::engine::WaiterId;
 use crate::jobs::job::JobEntry;
 use crate::jobs::record::BodyRecord;
 use crate::jobs::types::JobId;
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -11,21 +11,22 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::jobs::actions::Action;
+use crate::jobs::actions::CallToken;
+use crate::jobs::actions::CallerAnswer;
+use crate::jobs::actions::WaiterId;
 use crate::jobs::config::JobConfig;
 use crate::jobs::config::QueueConfig;
 use crate::jobs::fleet::FleetBoard;
 use crate::jobs::job::JobEntry;
-use crate::jobs::job::RunPhase;
 use crate::jobs::load::PoolLoad;
+use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
 use crate::jobs::worker::WorkerView;
-use crate::ports::AdviceCall;
-use crate::ports::FleetCall;
 use crate::ports::WorkerCall;
 use crate::ports::worker::WorkerOrder;
 
@@ -85,100 +86,6 @@
 /// pace, in milliseconds.
 const LOOK_MS: u64 = 300;
 
-/// Which call an answer belongs to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CallToken {
-    /// Lists of a worker.
-    Hold {
-        /// Worker.
-        worker: String,
-    },
-    /// Start of a run.
-    Start {
-        /// Worker.
-        worker: String,
-        /// Task.
-        task: TaskId,
-        /// Number of the run.
-        run: u32,
-        /// Attempts before this one.
-        tries: u32,
-    },
-    /// Stop of a run.
-    Stop {
-        /// Worker.
-        worker: String,
-        /// Task, by name: it may be one that the owner does not know.
-        task: String,
-        /// Number of the run.
-        run: u32,
-    },
-    /// Pace of a run.
-    Pace {
-        /// Worker.
-        worker: String,
-        /// Task.
-        task: TaskId,
-    },
-}
-
-/// Identifies whoever waits for an answer.
-pub type WaiterId = u64;
-
-/// Answer to a caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallerAnswer {
-    /// The job is stored.
-    Accepted,
-    /// The job was cancelled, or had ended.
-    Cancelled,
-    /// State of the job.
-    State(JobState),
-    /// Number of jobs that wait.
-    Pending(u64),
-    /// No such job.
-    Unknown,
-    /// No such queue.
-    NoQueue,
-    /// The submission makes no sense.
-    Invalid,
-    /// The job has not run and never will by this submission.
-    Refused {
-        /// When to come back, in milliseconds.
-        retry_ms: u64,
-    },
-}
-
-/// What the scheduler wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// A call to a worker.
-    Worker {
-        /// Address.
-        address: SocketAddr,
-        /// Call.
-        call: WorkerCall,
-        /// Identifies the answer.
-        token: CallToken,
-    },
-    /// A question to the advice service.
-    Advise {
-        /// Call.
-        call: AdviceCall,
-        /// Step that it is for: any task of it.
-        step: TaskId,
-    },
-    /// A call to the list of VMs.
-    Fleet(FleetCall),
-    /// An answer to a caller.
-    Answer {
-        /// Who waits.
-        waiter: WaiterId,
-        /// Answer.
-        answer: CallerAnswer,
-    },
-}
-
 /// A finished job of which only the state is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndedJob {
--- /dev/null
+++ b/src/jobs/machines.rs
@@ -0,0 +1,248 @@
+//! Orders for VMs: emptying them, ordering a move or maintenance, taking in the answer.
+
+use std::collections::BTreeMap;
+
+use crate::jobs::actions::Action;
+use crate::jobs::engine::JobEngine;
+use crate::jobs::fleet::MachineOrder;
+use crate::jobs::fleet::OrderState;
+use crate::jobs::types::TaskId;
+use crate::jobs::types::WorkerState;
+use crate::ports::FleetCall;
+use crate::ports::FleetReply;
+use crate::ports::fleet::MachineRow;
+use crate::ports::fleet::MachineState;
+
+/// Pause after an order that was refused or not answered, in milliseconds.
+const ORDER_PAUSE_MS: u64 = 500;
+
+/// How long a wave waits for the last tasks on a VM, in milliseconds; most end
+/// within this time by themselves.
+const EMPTY_WAIT_MS: u64 = 4000;
+
+impl JobEngine {
+    pub(crate) fn begin_order(&mut self, machine: &str, order: MachineOrder, now: u64) {
+        log::info!(event = "vm_emptying", vm = machine, order:? = order; "");
+        if let Some(row) = self.fleet.rows.get(machine)
+            && let Some(view) = self.workers.get_mut(&row.worker)
+        {
+            view.evacuating = true;
+        }
+        self.fleet.orders.insert(
+            machine.to_owned(),
+            OrderState {
+                order,
+                since_ms: now,
+                calling: false,
+                not_before_ms: now,
+                done_ms: None,
+            },
+        );
+    }
+
+    /// Stops lasting tasks on VMs that are being emptied or whose worker drains, as
+    /// far as their steps allow.
+    pub(crate) fn empty_machines(&mut self, now: u64) {
+        let orders = self
+            .fleet
+            .orders
+            .iter()
+            .filter(|(_, order)| order.done_ms.is_none());
+        let emptied = orders.filter_map(|(machine, _)| self.fleet.rows.get(machine));
+        let mut workers: Vec<String> = emptied.map(|row| row.worker.clone()).collect();
+        for worker in &workers {
+            if let Some(view) = self.workers.get_mut(worker) {
+                view.evacuating = true;
+            }
+        }
+        let draining = self
+            .workers
+            .iter()
+            .filter(|(_, view)| view.entry.state == WorkerState::Draining);
+        workers.extend(draining.map(|(id, _)| id.clone()));
+        for worker in workers {
+            let Some(view) = self.workers.get(&worker) else {
+                continue;
+            };
+            let runs: Vec<_> = view.runs.iter().cloned().collect();
+            for (task, run) in runs {
+                if self.may_evict(&task, &worker, run, now) {
+                    log::info!(event = "run_evicted", task:% = task, run = run, worker = worker.as_str(); "");
+                    self.stop_run(&task, &worker, run);
+                }
+            }
+        }
+    }
+
+    /// Tells whether a lasting run may be stopped now to run elsewhere.
+    pub(crate) fn may_evict(&mut self, task: &TaskId, worker: &str, run: u32, now: u64) -> bool {
+        let phase = self.run_phase(task, worker, run);
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let Some(spec) = job.step_spec(task).filter(|spec| spec.lasting).cloned() else {
+            return false;
+        };
+        if phase.is_none_or(crate::jobs::task::RunPhase::is_stopping) {
+            return false;
+        }
+        let steps = job.open.get(&task.occurrence);
+        let Some(step) = steps.and_then(|steps| steps.get(task.step as usize)) else {
+            return false;
+        };
+        let others = step
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index as u32 != task.index);
+        let away = others.filter(|(_, state)| {
+            !state.placed.iter().any(|run| {
+                let heard = self
+                    .workers
+                    .get(&run.worker)
+                    .is_some_and(|view| view.misses == 0);
+                run.percent >= 100 && heard && !run.phase.is_stopping()
+            })
+        });
+        let away = away.count() as u32;
+        if spec.may_miss.is_some_and(|most| away >= most) {
+            return false;
+        }
+        let pool = self.pool_of(job).to_owned();
+        self.choose_worker(task, &pool, &spec, false, now).is_some()
+    }
+
+    /// Calls for the orders whose VM is empty.
+    pub(crate) fn give_orders(&mut self, now: u64) {
+        if now < self.started_ms + self.settings.fleet_wait_ms {
+            return;
+        }
+        let mut room: BTreeMap<u64, usize> = BTreeMap::new();
+        for (number, wave) in &self.fleet.waves {
+            let calling =
+                self.fleet.orders.values().filter(|order| {
+                    order.calling && order.order == MachineOrder::Maintain(*number)
+                });
+            room.insert(*number, wave.room().saturating_sub(calling.count()));
+        }
+        let mut calls = Vec::new();
+        for (machine, order) in &self.fleet.orders {
+            let idle = order.done_ms.is_none() && !order.calling && now >= order.not_before_ms;
+            let Some(row) = self.fleet.rows.get(machine).filter(|_| idle) else {
+                continue;
+            };
+            if row.state != MachineState::Up || !self.is_empty(row, order, now) {
+                continue;
+            }
+            if let MachineOrder::Maintain(wave) = &order.order {
+                let Some(left) = room.get_mut(wave).filter(|left| **left > 0) else {
+                    continue;
+                };
+                *left -= 1;
+            }
+            calls.push((machine.clone(), order.order.clone()));
+        }
+        for (machine, order) in calls {
+            if let Some(state) = self.fleet.orders.get_mut(&machine) {
+                state.calling = true;
+            }
+            let (holder, epoch) = (self.settings.holder.clone(), self.epoch);
+            log::info!(event = "vm_ordered", vm = machine.as_str(), order:? = order, epoch = epoch; "");
+            self.actions.push(Action::Fleet(match order {
+                MachineOrder::Move(pool) => FleetCall::Move {
+                    machine,
+                    pool,
+                    holder,
+                    epoch,
+                },
+                MachineOrder::Maintain(wave) => FleetCall::Maintain {
+                    machine,
+                    wave,
+                    holder,
+                    epoch,
+                },
+            }));
+        }
+    }
+
+    /// Tells whether an order may be given: nothing runs on the VM, or only tasks
+    /// that a wave does not wait for.
+    pub(crate) fn is_empty(&self, row: &MachineRow, order: &OrderState, now: u64) -> bool {
+        let Some(view) = self.workers.get(&row.worker) else {
+            return true;
+        };
+        if view.runs.is_empty() {
+            return true;
+        }
+        let patient =
+            matches!(order.order, MachineOrder::Move(_)) || now < order.since_ms + EMPTY_WAIT_MS;
+        !patient && self.crowd_at(view).lasting == 0
+    }
+
+    pub(crate) fn machine_ordered(&mut self, machine: &str, reply: Option<FleetReply>, now: u64) {
+        let Some(order) = self.fleet.orders.get_mut(machine) else {
+            return;
+        };
+        order.calling = false;
+        let kind = order.order.clone();
+        log::info!(event = "vm_order_answered", vm = machine, order:? = kind, reply:? = reply; "");
+        match reply {
+            Some(FleetReply::Done) => {
+                order.done_ms = Some(now);
+                self.machine_left(machine, &kind, now);
+            }
+            Some(FleetReply::Refused { status: 400, .. }) => {
+                self.fleet.orders.remove(machine);
+                for wave in self.fleet.waves.values_mut() {
+                    if kind == MachineOrder::Maintain(wave.order.wave) {
+                        wave.gone.insert(machine.to_owned());
+                    }
+                }
+            }
+            _ => {
+                // It may have been carried out; repeating it does no harm.
+                order.not_before_ms = now + ORDER_PAUSE_MS;
+                if let MachineOrder::Move(_) = kind {
+                    self.cancel_order(machine);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn cancel_order(&mut self, machine: &str) {
+        self.fleet.orders.remove(machine);
+        self.fleet.listed_ms = self.fleet.listed_ms.map(|_| 0);
+        if let Some(row) = self.fleet.rows.get(machine)
+            && let Some(view) = self.workers.get_mut(&row.worker)
+        {
+            view.evacuating = false;
+        }
+    }
+
+    /// Takes in that a VM has left its pool: its worker runs nothing any more.
+    pub(crate) fn machine_left(&mut self, machine: &str, order: &MachineOrder, now: u64) {
+        let Some(row) = self.fleet.rows.get_mut(machine) else {
+            return;
+        };
+        let worker = row.worker.clone();
+        match order {
+            MachineOrder::Move(pool) => {
+                row.state = MachineState::Moving;
+                row.pool.clone_from(pool);
+            }
+            MachineOrder::Maintain(number) => {
+                row.state = MachineState::Maintenance;
+                if let Some(wave) = self.fleet.waves.get_mut(number) {
+                    wave.record.ordered.push(machine.to_owned());
+                    wave.down.insert(machine.to_owned());
+                    wave.dirty = true;
+                }
+            }
+        }
+        if !worker.is_empty() {
+            self.lose_runs(&worker, "vm_ordered", now);
+            self.workers.remove(&worker);
+            self.fleet.left.insert(worker, now);
+        }
+    }
+}
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -1,19 +1,24 @@
 //! Durable jobs over pools of workers: types, stored records and the scheduler.
 
+pub mod actions;
 pub mod admit;
 pub mod advice;
 pub mod callers;
+pub mod choose;
 pub mod config;
 pub mod engine;
+pub mod entries;
 pub mod fleet;
 pub mod holds;
 pub mod job;
 pub mod lend;
 pub mod load;
+pub mod machines;
 pub mod orders;
 pub mod pace;
 pub mod place;
 pub mod record;
+pub mod task;
 pub mod types;
 pub mod wave;
 pub mod worker;
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -4,9 +4,9 @@
 //! the same number, which a worker carries out once; a stop forbids its run for
 //! good, so once it is answered the run is surely not alive.
 
-use crate::jobs::engine::CallToken;
+use crate::jobs::actions::CallToken;
 use crate::jobs::engine::JobEngine;
-use crate::jobs::job::RunPhase;
+use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
 use crate::jobs::types::RunEnd;
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -1,10 +1,10 @@
 //! Runs that share a worker: fillers are slowed before a target is passed, and runs
 //! that stand still are stopped.
 
-use crate::jobs::engine::CallToken;
+use crate::jobs::actions::CallToken;
 use crate::jobs::engine::JobEngine;
-use crate::jobs::job::RunPhase;
 use crate::jobs::place::straggler_limit;
+use crate::jobs::task::RunPhase;
 use crate::jobs::types::RunEnd;
 use crate::jobs::types::TaskId;
 use crate::jobs::worker::WorkerView;
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -6,14 +6,11 @@
 
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
-use crate::jobs::job::RunPhase;
-use crate::jobs::job::TaskRun;
-use crate::jobs::job::TaskState;
+use crate::jobs::task::TaskState;
 use crate::jobs::types::JobId;
 use crate::jobs::types::RoomSize;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
-use crate::jobs::worker::WorkerView;
 
 /// How long work waits for room near its data, as a share of its estimate; beyond
 /// this the slower run elsewhere ends sooner.
@@ -314,7 +311,7 @@
         placed
     }
 
-    fn spread_gang(
+    pub(crate) fn spread_gang(
         &self,
         first: &TaskId,
         pool: &str,
@@ -342,153 +339,6 @@
         }
         (chosen.len() == spec.tasks as usize).then_some(chosen)
     }
-
-    /// Chooses a worker for a task.
-    pub(crate) fn choose_worker(
-        &mut self,
-        task: &TaskId,
-        pool: &str,
-        spec: &StepSpec,
-        near_only: bool,
-        now: u64,
-    ) -> Option<String> {
-        let need = spec.counted();
-        let near = |view: &WorkerView| spec.data_rack.is_empty() || view.rack() == spec.data_rack;
-        let in_pool = self.workers.values().filter(|view| view.entry.pool == pool);
-        let near_exists = in_pool
-            .clone()
-            .any(|view| near(view) && view.takes_work(now));
-        let near_only = near_only && near_exists;
-        let mut best: Option<(f64, &String)> = None;
-        for (id, view) in &self.workers {
-            if !view.free().fits(&need) || !self.may_run(task, pool, spec, view, now) {
-                continue;
-            }
-            let is_near = near(view);
-            if near_only && !is_near {
-                continue;
-            }
-            if spec.per_worker > 0 && self.tasks_at(task, id) >= spec.per_worker {
-                continue;
-            }
-            if self.holds_task(task, id) {
-                continue;
-            }
-            let cost = self.place_cost(spec, view) + if is_near { 0.0 } else { 10.0 };
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, id));
-            }
-        }
-        let best = best.map(|(_, id)| id.clone());
-        if best.is_none() {
-            self.want_advice(task, pool, spec, now);
-        }
-        best
-    }
-
-    /// Tells whether a task may run at a worker at all.
-    fn may_run(
-        &self,
-        task: &TaskId,
-        pool: &str,
-        spec: &StepSpec,
-        view: &WorkerView,
-        now: u64,
-    ) -> bool {
-        view.entry.pool == pool
-            && view.takes_work(now)
-            && (spec.label.is_empty() || view.has_label(&spec.label))
-            && self.is_advised(task, &view.entry.id, now)
-    }
-
-    /// Number of live runs of a task's step at a worker.
-    fn tasks_at(&self, task: &TaskId, worker: &str) -> u32 {
-        let job = self.jobs.get(&task.job);
-        let steps = job.and_then(|job| job.open.get(&task.occurrence));
-        let step = steps.and_then(|steps| steps.get(task.step as usize));
-        let runs = step
-            .into_iter()
-            .flat_map(|step| step.tasks.iter().flat_map(|task| &task.placed));
-        runs.filter(|run| run.worker == worker).count() as u32
-    }
-
-    fn holds_task(&self, task: &TaskId, worker: &str) -> bool {
-        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
-        state.is_some_and(|state| state.placed.iter().any(|run| run.worker == worker))
-    }
-
-    /// Cost of a worker for a step; the least is chosen.
-    ///
-    /// Work is packed onto workers that are in use, so that others can be emptied
-    /// for moves and maintenance; tasks that fill keep away from tasks that serve.
-    fn place_cost(&self, spec: &StepSpec, view: &WorkerView) -> f64 {
-        let room = view.entry.room.cpu.max(1) as f64;
-        let used = view.used.cpu as f64 / room;
-        let crowd = self.crowd_at(view);
-        let due = if self.fleet.is_due(&view.entry.id) {
-            0.5
-        } else {
-            0.0
-        };
-        if spec.fills {
-            return f64::from(crowd.serving) * 2.0 + f64::from(crowd.filling) * 0.5 + used;
-        }
-        if spec.lasting {
-            let home = if crowd.lasting > 0 { 0.0 } else { 0.3 };
-            return f64::from(crowd.serving) * 0.25
-                + f64::from(crowd.filling) * 2.0
-                + home
-                + used
-                + due * 6.0;
-        }
-        1.0 - used + if crowd.lasting > 0 { -0.5 } else { 0.0 } + due
-    }
-
-    /// Reserves room for a run; it is ordered once that is stored.
-    fn reserve(&mut self, task: &TaskId, worker: &str, spec: &StepSpec, now: u64) {
-        let Some(view) = self.workers.get_mut(worker) else {
-            return;
-        };
-        let born_ms = view.entry.born_ms;
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        job.touch();
-        let version = job.version;
-        let gang_run = spec.gang.then(|| {
-            let step = job
-                .open
-                .get(&task.occurrence)
-                .and_then(|steps| steps.get(task.step as usize));
-            let runs = step
-                .into_iter()
-                .flat_map(|step| step.tasks.iter().map(|task| (task.runs, task.placed.len())));
-            // Members reserved before this one already carry the new number.
-            let (placed, free): (Vec<_>, Vec<_>) = runs.partition(|(_, placed)| *placed > 0);
-            let started = placed.first().map(|(runs, _)| *runs);
-            started.unwrap_or_else(|| free.iter().map(|(runs, _)| *runs).max().unwrap_or(0) + 1)
-        });
-        let Some(state) = job.task_mut(task) else {
-            return;
-        };
-        state.runs = gang_run.unwrap_or(state.runs + 1);
-        let run = state.runs;
-        state.placed.push(TaskRun {
-            worker: worker.to_owned(),
-            born_ms,
-            run,
-            phase: RunPhase::Reserved(version),
-            placed_ms: now,
-            started_ms: now,
-            percent: 0,
-            pace: 100,
-            load: 0,
-        });
-        view.runs.insert((task.clone(), run));
-        view.used.add(&spec.counted());
-        view.busy_ms = now;
-        self.mark(&task.job, now);
-    }
 }
 
 /// Returns the time after which a run of a step counts as a straggler, in milliseconds.
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -5,19 +5,19 @@
 //! broken, and a deposed owner, whose successor wrote the chain key, changes
 //! nothing.
 
-use crate::jobs::engine::CallerAnswer;
+use crate::jobs::actions::CallerAnswer;
+use crate::jobs::actions::WaiterId;
 use crate::jobs::engine::EndedJob;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
-use crate::jobs::engine::WaiterId;
 use crate::jobs::job::JobEntry;
-use crate::jobs::job::RunPhase;
 use crate::jobs::record::BodyRecord;
 use crate::jobs::record::EncodeError;
 use crate::jobs::record::ProgressRecord;
 use crate::jobs::record::ShardKeys;
 use crate::jobs::record::WaveRecord;
 use crate::jobs::record::encode;
+use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
 use crate::ports::store::StoreWrite;
 
--- a/src/service/jobs/messages.rs
+++ b/src/service/jobs/messages.rs
@@ -9,9 +9,9 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::jobs::actions::CallToken;
+use crate::jobs::actions::CallerAnswer;
 use crate::jobs::config::JobConfig;
-use crate::jobs::engine::CallToken;
-use crate::jobs::engine::CallerAnswer;
 use crate::jobs::orders::CallResult;
 use crate::jobs::record::MemberRecord;
 use crate::jobs::types::JobSpec;
@@ -226,3 +226,14 @@
 
 /// A view of the members.
 pub type MemberView = watch::Receiver<MemberState>;
+
+/// Collects an event and those that wait behind it, `most` in all; the rest stays.
+pub fn take_burst<T>(first: T, received: &mut mpsc::UnboundedReceiver<T>, most: usize) -> Vec<T> {
+    let mut burst = vec![first];
+    while burst.len() < most
+        && let Ok(event) = received.try_recv()
+    {
+        burst.push(event);
+    }
+    burst
+}
--- a/src/service/jobs/mod.rs
+++ b/src/service/jobs/mod.rs
@@ -19,5 +19,7 @@
 pub mod relay;
 pub mod serve;
 pub mod settings;
+mod shard;
 pub mod store;
+mod turn;
 pub mod watch;
--- a/src/service/jobs/perform.rs
+++ b/src/service/jobs/perform.rs
@@ -7,9 +7,9 @@
 use tokio::sync::oneshot;
 
 use crate::clock::boot_ms;
-use crate::jobs::engine::Action;
-use crate::jobs::engine::CallToken;
-use crate::jobs::engine::WaiterId;
+use crate::jobs::actions::Action;
+use crate::jobs::actions::CallToken;
+use crate::jobs::actions::WaiterId;
 use crate::jobs::orders::CallResult;
 use crate::ports::FleetCall;
 use crate::ports::client::PortClient;
--- /dev/null
+++ b/src/service/jobs/shard.rs
@@ -0,0 +1,354 @@
+//! The scheduler of an owned shard with its commits: events in, actions and commits out.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+use crate::clock::boot_ms;
+use crate::clock::unix_ms;
+use crate::jobs::callers::Submission;
+use crate::jobs::engine::JobEngine;
+use crate::jobs::engine::TimePair;
+use crate::jobs::record::LANES;
+use crate::jobs::record::ShardKeys;
+use crate::jobs::writes::WriteBatch;
+use crate::kernel::ShutdownPhase;
+use crate::ports::store::LeaseId;
+use crate::ports::store::StoreWrite;
+use crate::service::jobs::bid::owner_write;
+use crate::service::jobs::commit;
+use crate::service::jobs::commit::ChainCommit;
+use crate::service::jobs::member::note_owner;
+use crate::service::jobs::messages::CommitOutcome;
+use crate::service::jobs::messages::MemberView;
+use crate::service::jobs::messages::OwnerEvent;
+use crate::service::jobs::messages::RelayAsk;
+use crate::service::jobs::messages::RelayReply;
+use crate::service::jobs::messages::take_burst;
+use crate::service::jobs::owner::HANDOVER_LIMIT;
+use crate::service::jobs::owner::OwnerContext;
+use crate::service::jobs::perform::ActionPerformer;
+
+/// Time between two rounds of what is due by time.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Events taken in before the next plan.
+const EVENT_BURST: usize = 256;
+
+/// Time after which a commit counts as slow, in milliseconds; it usually takes a few.
+const LANE_BUSY_MS: u64 = 40;
+
+/// A chain of commits.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct CommitLane {
+    /// Revision of its key.
+    pub(super) chain: u64,
+    /// Number of the last commit.
+    pub(super) number: u64,
+    /// Whether a commit is under way, and since when on the boot clock.
+    pub(super) since_ms: Option<u64>,
+}
+
+/// The scheduler of the shard with what it needs.
+pub(super) struct ShardOwner {
+    pub(super) context: OwnerContext,
+    pub(super) engine: JobEngine,
+    pub(super) lanes: [CommitLane; LANES],
+    /// Lease under which the owner's key is to be put back, and until when it holds.
+    pub(super) reclaim: Option<(LeaseId, u64)>,
+    /// Likewise, while the commit is under way.
+    pub(super) reclaiming: Option<(LeaseId, u64)>,
+    pub(super) well_heard: bool,
+    pub(super) check_lease: Arc<Notify>,
+    pub(super) stored_waves: HashMap<u64, crate::jobs::record::WaveRecord>,
+    pub(super) performer: ActionPerformer,
+    pub(super) events: mpsc::UnboundedSender<OwnerEvent>,
+    pub(super) record: crate::jobs::record::MemberRecord,
+}
+
+impl ShardOwner {
+    /// Runs until deposed or until the shutdown; returns the lease to release.
+    pub(super) async fn serve(
+        &mut self,
+        received: &mut mpsc::UnboundedReceiver<OwnerEvent>,
+        mut lease: u64,
+    ) -> u64 {
+        let mut phase = self.context.phase.clone();
+        let mut operator = self.context.operator.clone();
+        let mut members = self.context.members.clone();
+        operator.mark_changed();
+        let mut tick = Instant::now();
+        loop {
+            let mut leaving = false;
+            tokio::select! {
+                Some(event) = received.recv() => {
+                    for event in take_burst(event, received, EVENT_BURST) {
+                        if let OwnerEvent::LeaseLost(id, _) = event {
+                            lease = id;
+                        }
+                        self.take(event);
+                    }
+                }
+                () = sleep_until(tick) => {
+                    self.engine.tick(now());
+                    tick = Instant::now() + TICK;
+                    leaving = self.is_cut_off();
+                }
+                changed = operator.changed() => {
+                    if changed.is_ok() {
+                        let state = operator.borrow_and_update().clone();
+                        self.follow_operator(state);
+                    }
+                }
+                changed = members.changed() => if changed.is_ok() {
+                    members.mark_unchanged();
+                    self.follow_members(&members, lease);
+                },
+                _ = phase.changed() => leaving = *phase.borrow() > ShutdownPhase::Running,
+            }
+            if self.engine.deposed {
+                log::warn!(event = "deposed", epoch = self.engine.epoch; "");
+                return lease;
+            }
+            if leaving {
+                self.hand_over(received).await;
+                return lease;
+            }
+            self.engine.plan(now());
+            self.commit_due();
+            self.perform_all();
+        }
+    }
+
+    /// Tells whether the ownership is of no use here: no other entry VM is heard,
+    /// though some were.
+    fn is_cut_off(&mut self) -> bool {
+        let reach = self.context.exchange.reach();
+        if !reach.is_isolated() {
+            self.well_heard = true;
+            return false;
+        }
+        if !self.well_heard {
+            return false;
+        }
+        log::warn!(event = "owner_cut_off", epoch = self.engine.epoch, known = reach.known, heard = reach.heard; "");
+        true
+    }
+
+    /// Puts the owner's key back if it was removed, and yields to a later owner.
+    fn follow_members(&mut self, members: &MemberView, lease: u64) {
+        let (owner, former) = {
+            let state = members.borrow();
+            (state.owner.clone(), state.former.clone())
+        };
+        let epoch = self.engine.epoch;
+        if owner.as_ref().is_some_and(|(owner, _)| owner.epoch > epoch) {
+            self.engine.deposed = true;
+        }
+        let removed = owner.is_none() && former.is_some_and(|former| former.epoch == epoch);
+        if removed && self.reclaim.is_none() && self.reclaiming.is_none() {
+            log::warn!(event = "owner_key_removed", epoch = epoch, lease = lease; "");
+            self.check_lease.notify_one();
+        }
+    }
+
+    fn perform_all(&mut self) {
+        for action in self.engine.take_actions() {
+            self.performer.perform(action);
+        }
+    }
+
+    fn follow_operator(&mut self, state: crate::service::jobs::messages::OperatorState) {
+        if let Some(config) = state.config {
+            self.engine.set_config(config);
+        }
+        for wave in state.waves {
+            let record = self.stored_waves.get(&wave.wave).cloned();
+            self.engine.set_wave(wave, record, boot_ms());
+        }
+    }
+
+    fn take(&mut self, event: OwnerEvent) {
+        let time = now();
+        match event {
+            OwnerEvent::Relay(request, answer) => {
+                let waiter = self.performer.wait(answer);
+                let id = request.job.as_str().into();
+                match request.ask {
+                    RelayAsk::Submit(spec) => {
+                        let submission = Submission {
+                            id,
+                            queue: request.queue,
+                            pool: request.pool,
+                            spec,
+                        };
+                        self.engine.submit(submission, waiter, time);
+                    }
+                    RelayAsk::Query => self.engine.query(&id, waiter),
+                    RelayAsk::Cancel => self.engine.cancel(&id, waiter, time.boot),
+                    RelayAsk::Pending => self.engine.pending(&request.queue, waiter),
+                }
+            }
+            OwnerEvent::Called {
+                token,
+                result,
+                sent_ms,
+            } => self.engine.called(token, result, sent_ms, time.boot),
+            OwnerEvent::FleetCalled(call, reply) => {
+                self.engine.fleet_called(&call, reply, time.boot)
+            }
+            OwnerEvent::Advised(step, asked, reply) => {
+                self.engine.advised(&step, &asked, reply, time.boot);
+            }
+            OwnerEvent::WorkersSynced(entries) => self.engine.workers_synced(entries, time.boot),
+            OwnerEvent::WorkerListed(entry) => self.engine.worker_listed(entry, time.boot),
+            OwnerEvent::WorkerUnlisted(worker) => self.engine.worker_unlisted(&worker, time.boot),
+            OwnerEvent::LeaseLost(lease, until) => self.reclaim = Some((lease, until)),
+            OwnerEvent::Committed(lane, batch, outcome) => {
+                self.committed(lane, &batch, outcome, time.boot);
+            }
+        }
+    }
+
+    fn committed(&mut self, lane: usize, batch: &WriteBatch, outcome: CommitOutcome, now: u64) {
+        match outcome {
+            CommitOutcome::Stored(revision) => {
+                self.lanes[lane].chain = revision;
+                self.lanes[lane].since_ms = None;
+                if let Some((lease, until)) = self.reclaiming.take_if(|_| lane == 0) {
+                    log::info!(event = "owner_reclaimed", epoch = self.engine.epoch; "");
+                    self.performer.term.reclaim(lease, until);
+                    let record = self.record.clone();
+                    let members = &self.context.exchange.members;
+                    members.send_modify(|state| note_owner(state, record, revision));
+                }
+                self.engine.written(batch, now);
+            }
+            CommitOutcome::LeaseGone => {
+                self.lanes[lane].since_ms = None;
+                self.reclaiming = None;
+                self.engine.not_written(batch, now);
+                self.check_lease.notify_one();
+            }
+            CommitOutcome::Delayed => self.engine.store_failed(batch, now),
+            CommitOutcome::Deposed => self.engine.deposed = true,
+        }
+    }
+
+    /// Returns the chain for the next commit. A further one is used only if those
+    /// before it have been under way for long: together, small commits cost less.
+    fn free_lane(&self, now: u64) -> Option<usize> {
+        for (number, lane) in self.lanes.iter().enumerate() {
+            match lane.since_ms {
+                None => return Some(number),
+                Some(since_ms) if now < since_ms + LANE_BUSY_MS => return None,
+                Some(_) => {}
+            }
+        }
+        None
+    }
+
+    /// Starts the commits that are due, as far as there are free chains.
+    fn commit_due(&mut self) {
+        let time = now();
+        while self.engine.write_due().is_some_and(|due| due <= time.boot) || self.reclaim.is_some()
+        {
+            let Some(lane) = self.free_lane(time.boot) else {
+                return;
+            };
+            if !self.commit(lane, time) {
+                return;
+            }
+        }
+    }
+
+    /// Starts a commit; false if there is nothing for this chain.
+    fn commit(&mut self, lane: usize, time: TimePair) -> bool {
+        let batch = match self
+            .engine
+            .take_writes(ShardKeys::default(), lane == 0, time)
+        {
+            Ok(batch) => batch,
+            Err(error) => {
+                log::error!(event = "records_unencodable", error:% = error; "");
+                return false;
+            }
+        };
+        let reclaim = self.reclaim.take_if(|_| lane == 0);
+        if batch.is_empty() && reclaim.is_none() {
+            return false;
+        }
+        self.lanes[lane].number += 1;
+        self.lanes[lane].since_ms = Some(time.boot);
+        let keys = self.context.client.dialect.keys;
+        let mut extra: Vec<StoreWrite> = Vec::new();
+        for (wave, record) in &batch.waves {
+            extra.push(StoreWrite {
+                key: format!("{}{wave}", keys.wave_status),
+                value: (self.context.client.dialect.wave_status)(record.complete),
+                lease: 0,
+            });
+        }
+        let mut absent = Vec::new();
+        if let Some((lease, until)) = reclaim {
+            extra.extend(owner_write(&self.record, lease));
+            absent.push(ShardKeys::default().owner());
+            self.reclaiming = Some((lease, until));
+        }
+        let commit = ChainCommit {
+            epoch: self.engine.epoch,
+            holder: self.record.name.clone(),
+            lane,
+            number: self.lanes[lane].number,
+            chain: self.lanes[lane].chain,
+            batch,
+            extra,
+            absent,
+        };
+        tokio::spawn(commit::run(
+            self.context.link.clone(),
+            commit,
+            self.events.clone(),
+        ));
+        true
+    }
+
+    /// Stores what is not stored yet; the successor starts from it.
+    async fn hand_over(&mut self, received: &mut mpsc::UnboundedReceiver<OwnerEvent>) {
+        log::info!(event = "handing_over", epoch = self.engine.epoch, jobs = self.engine.jobs.len(); "");
+        let deadline = Instant::now() + HANDOVER_LIMIT;
+        self.engine.flush_all();
+        loop {
+            self.commit_due();
+            self.perform_all();
+            let idle = self.lanes.iter().all(|lane| lane.since_ms.is_none());
+            if idle && self.engine.dirty.is_empty() || self.engine.deposed {
+                return;
+            }
+            // What workers say from now on, the successor hears too.
+            match tokio::time::timeout_at(deadline, received.recv()).await {
+                Ok(Some(OwnerEvent::Relay(_, answer))) => {
+                    // The sender may have gone.
+                    let _ = answer.send(RelayReply::NotOwner);
+                }
+                Ok(Some(OwnerEvent::Committed(lane, batch, outcome))) => {
+                    self.committed(lane, &batch, outcome, boot_ms());
+                }
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => return,
+            }
+        }
+    }
+}
+
+fn now() -> TimePair {
+    TimePair {
+        boot: boot_ms(),
+        unix: unix_ms(),
+    }
+}
--- a/tests/jobs_members.rs
+++ b/tests/jobs_members.rs
@@ -5,6 +5,7 @@
 use chicorygauge::service::jobs::member::hear_owner;
 use chicorygauge::service::jobs::member::note_owner;
 use chicorygauge::service::jobs::messages::MemberState;
+use chicorygauge::service::jobs::messages::take_burst;
 
 fn owner(epoch: u64) -> MemberRecord {
     MemberRecord {
@@ -56,3 +57,16 @@
     term.renewed(8, 9000);
     assert_eq!(term.valid_ms(), 9000);
 }
+
+#[test]
+fn take_burst_leaves_the_rest() {
+    let (sender, mut received) = tokio::sync::mpsc::unbounded_channel();
+    (0..10).for_each(|number| sender.send(number).expect("a receiver"));
+    let mut taken = Vec::new();
+    while let Ok(first) = received.try_recv() {
+        let burst = take_burst(first, &mut received, 4);
+        assert!(burst.len() <= 4);
+        taken.extend(burst);
+    }
+    assert_eq!(taken, (0..10).collect::<Vec<_>>());
+}
--- a/tests/jobs_runs.rs
+++ b/tests/jobs_runs.rs
@@ -3,8 +3,8 @@
 #[path = "support/world.rs"]
 mod world;
 
-use chicorygauge::jobs::engine::CallToken;
-use chicorygauge::jobs::engine::CallerAnswer;
+use chicorygauge::jobs::actions::CallToken;
+use chicorygauge::jobs::actions::CallerAnswer;
 use chicorygauge::jobs::orders::CallResult;
 use chicorygauge::jobs::types::JobState;
 use chicorygauge::jobs::types::TaskId;
@@ -93,7 +93,7 @@
     // The first attempt was not answered, the second could not be sent.
     world.engine.jobs.values_mut().for_each(|job| {
         let state = job.task_mut(&task).expect("a task");
-        state.placed[0].phase = chicorygauge::jobs::job::RunPhase::Ordered;
+        state.placed[0].phase = chicorygauge::jobs::task::RunPhase::Ordered;
     });
     let token = CallToken::Start {
         worker: worker.clone(),
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -6,13 +6,13 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use chicorygauge::jobs::actions::Action;
+use chicorygauge::jobs::actions::CallToken;
+use chicorygauge::jobs::actions::CallerAnswer;
 use chicorygauge::jobs::callers::Submission;
 use chicorygauge::jobs::config::JobConfig;
 use chicorygauge::jobs::config::PoolConfig;
 use chicorygauge::jobs::config::QueueConfig;
-use chicorygauge::jobs::engine::Action;
-use chicorygauge::jobs::engine::CallToken;
-use chicorygauge::jobs::engine::CallerAnswer;
 use chicorygauge::jobs::engine::JobEngine;
 use chicorygauge::jobs::engine::SchedulerSettings;
 use chicorygauge::jobs::engine::TimePair;
