--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -12,7 +12,7 @@
 
 /// When to come back while the store takes no commits, in milliseconds; its
 /// outages last seconds.
-const STORE_RETRY_MS: u64 = 1000;
+pub(crate) const STORE_RETRY_MS: u64 = 1000;
 
 /// A job as it was handed in.
 #[derive(Clone, Debug)]
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -7,6 +7,7 @@
 
 use crate::jobs::actions::CallerAnswer;
 use crate::jobs::actions::WaiterId;
+use crate::jobs::callers::STORE_RETRY_MS;
 use crate::jobs::engine::EndedJob;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
@@ -192,7 +193,9 @@
         self.dirty.remove(id);
         for (_, waiter, answer) in self.waiting.remove(id).unwrap_or_default() {
             log::info!(event = "job_refused", job = &**id, reason = "store_lost"; "");
-            let refused = CallerAnswer::Refused { retry_ms: 1000 };
+            let refused = CallerAnswer::Refused {
+                retry_ms: STORE_RETRY_MS,
+            };
             let cancelled = answer == CallerAnswer::Cancelled;
             self.answer(
                 waiter,
--- a/src/service/jobs/turn.rs
+++ b/src/service/jobs/turn.rs
@@ -23,9 +23,10 @@
 /// Pause of an entry VM that reaches neither others nor the store.
 const CUT_OFF_WAIT: Duration = Duration::from_millis(200);
 
-/// How much longer the smallest entry VMs wait, so that larger ones win: the owner
-/// needs most of what it may use.
-const SMALL_WAIT: Duration = Duration::from_millis(400);
+/// How much longer the smallest entry VMs wait, so that larger ones win, also when a
+/// larger owner needs half a second to put its key back: at 350 workers the owner
+/// takes more than a small one has.
+const SMALL_WAIT: Duration = Duration::from_millis(2000);
 
 /// How much longer an entry VM waits that was started clearly before another one.
 const OLD_WAIT: Duration = Duration::from_millis(60);
