--- a/tests/jobs_runs.rs
+++ b/tests/jobs_runs.rs
@@ -18,6 +18,13 @@
 
 const JOB: &str = "00000000000000aa";
 
+/// Returns a worker with a run.
+fn busy_worker(world: &World) -> String {
+    let mut workers = world.workers.keys();
+    let busy = workers.find(|id| !world.tasks_at(id).is_empty());
+    busy.cloned().expect("a run")
+}
+
 #[test]
 fn submit_answered_once_stored() {
     let mut world = World::new(2, 1);
@@ -124,11 +131,7 @@
     world.run(20);
     world.submit(JOB, &job(&[step(1, 1000, 3000)]), 1);
     world.run(500);
-    let busy = world
-        .workers
-        .values()
-        .find(|worker| !world.tasks_at(&worker.entry.id).is_empty());
-    let busy = busy.map(|worker| worker.entry.id.clone()).expect("a run");
+    let busy = busy_worker(&world);
     world.workers.get_mut(&busy).expect("a worker").reachable = false;
     world.run(3500);
     assert_eq!(world.starts(), 1, "the lease still holds");
@@ -145,11 +148,7 @@
     world.run(20);
     world.submit(JOB, &job(&[step(1, 1000, 20_000)]), 1);
     world.run(500);
-    let busy = world
-        .workers
-        .values()
-        .find(|worker| !world.tasks_at(&worker.entry.id).is_empty());
-    let busy = busy.map(|worker| worker.entry.id.clone()).expect("a run");
+    let busy = busy_worker(&world);
     world.workers.get_mut(&busy).expect("a worker").reachable = false;
     world.take_over();
     world.run(4900);
