A stop waits for the entry of its worker

Cause: a data centre was cut off while the shard changed hands. The successor had a stored run at a worker whose entry had lapsed, and took it in later (run_booked at second 43.7). The job was cancelled in between, at 43.3: the run was marked as stopping, but the order went to a worker that was not known and was dropped. Nothing repeated it, as only stops without an answer were repeated, and the worker's other runs kept its lease alive.

Ruled out: a lost answer to the stop (no call was made), a cancellation that was not stored (it was acknowledged and the other four runs were stopped).

Change: a stop for a worker without an entry is repeated like one without an answer, until the run is released or the worker known.

cancel_reaches_runs_at_workers_listed_later fails before and passes now.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -331,7 +331,7 @@
                 // It was never ordered.
                 self.release_run(task, &run.worker, run.run);
             } else if !run.phase.is_stopping() {
-                self.stop_run(task, &run.worker, run.run);
+                self.stop_run(task, &run.worker, run.run, now);
             }
         }
         let Some(job) = self.jobs.get(id) else {
@@ -377,7 +377,7 @@
     }
 
     /// Orders the stop of a run.
-    pub(crate) fn stop_run(&mut self, task: &TaskId, worker: &str, run: u32) {
+    pub(crate) fn stop_run(&mut self, task: &TaskId, worker: &str, run: u32, now: u64) {
         if let Some(job) = self.jobs.get_mut(&task.job)
             && let Some(state) = job.task_mut(task)
         {
@@ -386,10 +386,14 @@
                 placed.phase = RunPhase::Stopping;
             }
         }
-        self.order_stop(worker, task.to_string(), run);
+        self.order_stop(worker, task.to_string(), run, now);
     }
 
-    pub(crate) fn order_stop(&mut self, worker: &str, task: String, run: u32) {
+    /// Orders a stop; at a worker without an entry once the entry is there.
+    pub(crate) fn order_stop(&mut self, worker: &str, task: String, run: u32, now: u64) {
+        if !self.workers.contains_key(worker) {
+            return self.order_stop_later(worker, task, run, now);
+        }
         let token = CallToken::Stop {
             worker: worker.to_owned(),
             task: task.clone(),
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -226,7 +226,7 @@
                 end:? = row.end, counted = changed; ""
             );
         }
-        self.stop_spare_copies(&task);
+        self.stop_spare_copies(&task, now);
         if state != before && state.is_final() {
             log::info!(
                 event = "job_ended", job = &*task.job, state:? = state, age_ms = age_ms; ""
@@ -254,7 +254,7 @@
     }
 
     /// Stops the other runs of a task that is done.
-    fn stop_spare_copies(&mut self, task: &TaskId) {
+    fn stop_spare_copies(&mut self, task: &TaskId, now: u64) {
         let Some(state) = self.jobs.get(&task.job).and_then(|job| job.task(task)) else {
             return;
         };
@@ -270,7 +270,7 @@
             match phase {
                 RunPhase::Reserved(_) => self.release_run(task, &worker, run),
                 phase if phase.is_stopping() => {}
-                _ => self.stop_run(task, &worker, run),
+                _ => self.stop_run(task, &worker, run, now),
             }
         }
     }
@@ -306,7 +306,7 @@
                 log::info!(
                     event = "run_unknown", task = row.task.as_str(), run = row.run, worker = worker; ""
                 );
-                self.order_stop(worker, row.task.clone(), row.run);
+                self.order_stop(worker, row.task.clone(), row.run, now);
                 continue;
             };
             self.note_running(&task, worker, row, now);
@@ -376,7 +376,7 @@
             }
         }
         if stop {
-            self.stop_run(task, worker, row.run);
+            self.stop_run(task, worker, row.run, now);
         } else {
             self.note_started(&task.job);
         }
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -68,7 +68,7 @@
             for (task, run) in runs {
                 if self.may_evict(&task, &worker, run, now) {
                     log::info!(event = "run_evicted", task:% = task, run = run, worker = worker.as_str(); "");
-                    self.stop_run(&task, &worker, run);
+                    self.stop_run(&task, &worker, run, now);
                 }
             }
         }
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -151,7 +151,7 @@
                     self.send_start(task, worker, run, tries + 1, now);
                 } else {
                     self.judge_worker(worker, RunEnd::Failed, true, now);
-                    self.stop_run(task, worker, run);
+                    self.stop_run(task, worker, run, now);
                 }
             }
         }
@@ -204,7 +204,7 @@
             self.set_phase(task, worker, run, RunPhase::Running(now));
         } else if tries > 0 {
             // An earlier attempt may still be on its way: only a stop rules it out.
-            self.stop_run(task, worker, run);
+            self.stop_run(task, worker, run, now);
         } else {
             self.give_up_run(task, worker, run, now);
         }
@@ -239,7 +239,7 @@
     }
 
     /// Repeats a stop after the next contact, as long as the run may be alive.
-    fn order_stop_later(&mut self, worker: &str, name: String, run: u32, now: u64) {
+    pub(crate) fn order_stop_later(&mut self, worker: &str, name: String, run: u32, now: u64) {
         let alive = TaskId::parse(&name)
             .is_some_and(|task| self.run_phase(&task, worker, run) == Some(RunPhase::Stopping));
         if !alive {
@@ -264,7 +264,7 @@
                 self.run_phase(&task, &worker, run) == Some(RunPhase::Stopping)
             });
             if alive {
-                self.order_stop(&worker, name, run);
+                self.order_stop(&worker, name, run, now);
             }
         }
     }
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -200,7 +200,7 @@
                 event = "run_unresolved", task:% = task, run = run, worker = worker.as_str(),
                 phase:? = self.run_phase(&task, &worker, run); ""
             );
-            self.stop_run(&task, &worker, run);
+            self.stop_run(&task, &worker, run, now);
         }
         for (task, worker, run) in unbooked {
             log::warn!(
@@ -212,7 +212,7 @@
         for (task, worker, run) in stuck {
             log::info!(event = "run_stuck", task:% = task, run = run, worker = worker.as_str(); "");
             self.judge_worker(&worker, RunEnd::Failed, true, now);
-            self.stop_run(&task, &worker, run);
+            self.stop_run(&task, &worker, run, now);
         }
     }
 }
--- a/tests/jobs_runs.rs
+++ b/tests/jobs_runs.rs
@@ -174,6 +174,31 @@
     );
 }
 
+#[test]
+fn cancel_reaches_runs_at_workers_listed_later() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    let lasting = chicorygauge::jobs::types::StepSpec {
+        lasting: true,
+        ..step(1, 2000, 100)
+    };
+    world.submit(JOB, &job(&[lasting]), 1);
+    world.run(300);
+    let id = busy_worker(&world);
+    // The successor starts while the worker's entry is missing.
+    let worker = world.workers.remove(&id).expect("the worker");
+    world.take_over();
+    world.run(50);
+    world.cancel(JOB, 2);
+    world.run(50);
+    assert_eq!(world.answers.get(&2), Some(&CallerAnswer::Cancelled));
+    let entry = worker.entry.clone();
+    world.workers.insert(id.clone(), worker);
+    world.engine.worker_listed(entry, world.now);
+    world.run(1000);
+    assert_eq!(world.tasks_at(&id), Vec::<String>::new());
+}
+
 #[test]
 fn reborn_worker_runs_nothing_of_before() {
     let mut world = World::new(1, 1);
