No VM is moved while the store does not answer

The worker of a moved VM enters itself in the store, so all of them were idle until a second after its return, in pools chosen by the demand of before.

Change: no moves while a commit is under way for 400 ms or the store counts as lost; a slow store takes a quarter of a second.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -136,6 +136,8 @@
     pub expired: VecDeque<JobId>,
     /// Whether the store took the last commits; submissions are refused if not.
     pub store_down_ms: Option<u64>,
+    /// Whether a commit is under way for much longer than usual.
+    pub store_late: bool,
     /// Whether a higher epoch was met: nothing more is ordered.
     pub deposed: bool,
     /// Number of advice calls under way.
@@ -188,6 +190,7 @@
             storing: BTreeSet::new(),
             expired: VecDeque::new(),
             store_down_ms: None,
+            store_late: false,
             deposed: false,
             advising: 0,
             actions: Vec::new(),
--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -141,7 +141,13 @@
     }
 
     /// Plans moves between pools.
+    ///
+    /// None while the store does not answer: the worker of a moved VM could not enter
+    /// itself there, and its VM would be idle until the store is back.
     pub(crate) fn plan_moves(&mut self, now: u64) {
+        if self.store_late || self.store_down_ms.is_some() {
+            return;
+        }
         let standby = self.config.pools.iter().find(|pool| pool.standby);
         let standby = standby.map_or(String::new(), |pool| pool.name.clone());
         let needs = self.pool_needs(now);
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -43,6 +43,10 @@
 /// Time after which a commit counts as slow, in milliseconds; it usually takes a few.
 const LANE_BUSY_MS: u64 = 40;
 
+/// Time after which a commit says that the store does not answer, in milliseconds; a
+/// slow store takes a quarter of a second.
+const LANE_LATE_MS: u64 = 400;
+
 /// A chain of commits.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct CommitLane {
@@ -95,6 +99,7 @@
                     }
                 }
                 () = sleep_until(tick) => {
+                    self.engine.store_late = self.is_store_late();
                     self.engine.tick(now());
                     tick = Instant::now() + TICK;
                     leaving = self.is_cut_off();
@@ -125,6 +130,12 @@
         }
     }
 
+    fn is_store_late(&self) -> bool {
+        let now = boot_ms();
+        let mut since = self.lanes.iter().filter_map(|lane| lane.since_ms);
+        since.any(|since_ms| now > since_ms + LANE_LATE_MS)
+    }
+
     /// Tells whether the ownership is of no use here: no other entry VM is heard,
     /// though some were.
     fn is_cut_off(&mut self) -> bool {
