A successor orders VMs at once, but for those just ordered

Cause: a new owner gave no order for any VM for 3.5 s, since two holders must not take turns at one VM within 3 s.

Ruled out: too few VMs (another pool has 35 and uses half of them), a late takeover (1.4 s after the loss of power, the machines are down for 1.4 s), entries of workers that come late.

Change: before its first order a VM gets a permit, a row with VM, holder and end in one record of the store. Orders are given only under a stored permit. A successor waits 4 s after the end of each permit that it finds and orders all other VMs at once; rows of an earlier life of itself do not count. In waves, VMs with a former permit and VMs that are listed in maintenance count as down.

takeover_in_a_turn_moves_at_once fails with the former wait put back.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -56,8 +56,8 @@
     pub move_ms: u64,
     /// Time that a VM's maintenance takes, in milliseconds.
     pub maintenance_ms: u64,
-    /// Time that a holder of the fleet waits before its first order, in
-    /// milliseconds: the time in which a former one may still order.
+    /// Time after the end of a former holder's permit until its VM is ordered, in
+    /// milliseconds: two holders must not take turns at a VM within the published time.
     pub fleet_wait_ms: u64,
     /// Name under which machine orders are given.
     pub holder: String,
@@ -76,7 +76,7 @@
             remote_factor: 3.0,
             move_ms: 1500,
             maintenance_ms: 2000,
-            fleet_wait_ms: 3500,
+            fleet_wait_ms: 4000,
             holder: String::new(),
         }
     }
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -5,6 +5,8 @@
 
 use crate::jobs::actions::Action;
 use crate::jobs::engine::JobEngine;
+use crate::jobs::engine::TimePair;
+use crate::jobs::permits::OrderPermits;
 use crate::jobs::record::EncodeError;
 use crate::jobs::record::ShardKeys;
 use crate::jobs::record::WaveRecord;
@@ -82,6 +84,8 @@
     pub left: BTreeMap<String, u64>,
     /// Workers of VMs that are due for maintenance.
     pub due_workers: BTreeSet<String>,
+    /// Permits to order VMs.
+    pub permits: OrderPermits,
 }
 
 impl FleetBoard {
@@ -91,24 +95,28 @@
         self.due_workers.contains(worker)
     }
 
-    /// Returns when a wave's record is to be stored; at once, if any.
+    /// Returns when waves or permits are to be stored; at once, if any.
     #[must_use]
     pub fn write_due(&self) -> Option<u64> {
-        self.waves.values().any(|wave| wave.dirty).then_some(0)
+        let waves = self.waves.values().any(|wave| wave.dirty);
+        (waves || self.permits.is_dirty()).then_some(0)
     }
 
     pub(crate) fn take_writes(
         &mut self,
         keys: ShardKeys,
+        holder: &str,
+        time: TimePair,
         batch: &mut WriteBatch,
     ) -> Result<(), EncodeError> {
+        if self.permits.is_dirty() {
+            let record = self.permits.take_record(holder, time);
+            batch.push(keys.permits(), encode(&record)?);
+            batch.permits = true;
+        }
         for (number, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.dirty) {
             let key = format!("{}{number}", keys.waves());
-            batch.writes.push(crate::ports::store::StoreWrite {
-                key,
-                value: encode(&wave.record)?,
-                lease: 0,
-            });
+            batch.push(key, encode(&wave.record)?);
             batch.waves.push((*number, wave.record.clone()));
             wave.dirty = false;
         }
@@ -116,6 +124,9 @@
     }
 
     pub(crate) fn written(&mut self, batch: &WriteBatch) {
+        if batch.permits {
+            self.permits.written();
+        }
         for (number, record) in &batch.waves {
             log::info!(
                 event = "wave_stored", wave = number, ordered = record.ordered.len(),
@@ -125,6 +136,9 @@
     }
 
     pub(crate) fn not_written(&mut self, batch: &WriteBatch) {
+        if batch.permits {
+            self.permits.not_written();
+        }
         for (number, _) in &batch.waves {
             if let Some(wave) = self.waves.get_mut(number) {
                 wave.dirty = true;
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -114,16 +114,21 @@
 
     /// Calls for the orders whose VM is empty.
     pub(crate) fn give_orders(&mut self, now: u64) {
-        if now < self.started_ms + self.settings.fleet_wait_ms {
-            return;
-        }
         let mut room: BTreeMap<u64, usize> = BTreeMap::new();
         for (number, wave) in &self.fleet.waves {
             let calling =
                 self.fleet.orders.values().filter(|order| {
                     order.calling && order.order == MachineOrder::Maintain(*number)
                 });
-            room.insert(*number, wave.room().saturating_sub(calling.count()));
+            // A former owner may have ordered some that are not in its record.
+            let unsure = wave.due().filter(|machine| {
+                let row = self.fleet.rows.get(*machine);
+                let away = row.is_some_and(|row| row.state == MachineState::Maintenance);
+                away || self.fleet.permits.is_former(machine, now)
+            });
+            let unsure = unsure.filter(|machine| !wave.down.contains(*machine));
+            let taken = calling.count() + unsure.count();
+            room.insert(*number, wave.room().saturating_sub(taken));
         }
         let mut calls = Vec::new();
         for (machine, order) in &self.fleet.orders {
@@ -134,6 +139,9 @@
             if row.state != MachineState::Up || !self.is_empty(row, order, now) {
                 continue;
             }
+            if self.fleet.permits.is_former(machine, now) {
+                continue;
+            }
             if let MachineOrder::Maintain(wave) = &order.order {
                 let Some(left) = room.get_mut(wave).filter(|left| **left > 0) else {
                     continue;
@@ -143,6 +151,9 @@
             calls.push((machine.clone(), order.order.clone()));
         }
         for (machine, order) in calls {
+            if !self.fleet.permits.use_permit(&machine, now) {
+                continue;
+            }
             if let Some(state) = self.fleet.orders.get_mut(&machine) {
                 state.calling = true;
             }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -16,6 +16,7 @@
 pub mod machines;
 pub mod orders;
 pub mod pace;
+pub mod permits;
 pub mod place;
 pub mod record;
 pub mod task;
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -73,6 +73,12 @@
     pub fn waves(self) -> String {
         format!("chicory/wave/{}/", self.shard)
     }
+
+    /// Key of the permits to order VMs.
+    #[must_use]
+    pub fn permits(self) -> String {
+        format!("chicory/permit/{}", self.shard)
+    }
 }
 
 /// Key of an entry VM.
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -40,6 +40,8 @@
     pub versions: Vec<(JobId, u64)>,
     /// Waves and the number of VMs ordered that they hold.
     pub waves: Vec<(u64, WaveRecord)>,
+    /// Whether it has the permits to order VMs.
+    pub permits: bool,
 }
 
 impl WriteBatch {
@@ -58,7 +60,8 @@
         self.writes.iter().map(|write| write.value.len()).sum()
     }
 
-    fn push(&mut self, key: String, value: Vec<u8>) {
+    /// Adds a key to write.
+    pub(crate) fn push(&mut self, key: String, value: Vec<u8>) {
         self.writes.push(StoreWrite {
             key,
             value,
@@ -99,7 +102,8 @@
     ) -> Result<WriteBatch, EncodeError> {
         let mut batch = WriteBatch::default();
         if with_fleet {
-            self.fleet.take_writes(keys, &mut batch)?;
+            self.fleet
+                .take_writes(keys, &self.settings.holder, time, &mut batch)?;
         }
         let free = self
             .dirty
@@ -143,6 +147,9 @@
             self.settle(id, now);
         }
         self.advance_cursors(now);
+        if batch.permits {
+            self.give_orders(now);
+        }
         self.plan_due = true;
     }
 
--- a/src/service/jobs/bid.rs
+++ b/src/service/jobs/bid.rs
@@ -51,8 +51,6 @@
     pub valid_ms: u64,
     /// Record under the owner's key.
     pub record: MemberRecord,
-    /// Whether the last owner was an earlier life of this process.
-    pub again: bool,
 }
 
 /// Bids for the shard; `held` is the revision of the owner's key, 0 if there is none.
@@ -78,7 +76,6 @@
         started_ms,
         share: settings.share(),
     };
-    let again = last.holder == settings.name;
     let chain = ChainRecord {
         epoch,
         commit: 0,
@@ -101,7 +98,6 @@
             lease,
             valid_ms: sent_ms + ttl_ms,
             record,
-            again,
         });
     }
     log::info!(event = "bid_lost", epoch = epoch, reply:? = reply; "");
--- a/src/service/jobs/load.rs
+++ b/src/service/jobs/load.rs
@@ -25,6 +25,8 @@
     pub progress: Vec<StoreItem>,
     /// Progress of waves.
     pub waves: HashMap<u64, WaveRecord>,
+    /// Permits to order VMs, if there are any.
+    pub permits: Option<StoreItem>,
 }
 
 /// Reads a shard.
@@ -34,15 +36,21 @@
 /// Fails if a page cannot be read.
 pub async fn read_shard(link: &StoreLink, keys: ShardKeys) -> Result<ShardContent, StoreError> {
     let (bodies, progress, waves) = (keys.bodies(), keys.progress(), keys.waves());
-    let (bodies, progress, waves) = tokio::join!(
+    let permits = keys.permits();
+    let (bodies, progress, waves, permits) = tokio::join!(
         read_all(link, &bodies),
         read_all(link, &progress),
         read_all(link, &waves),
+        read_all(link, &permits),
     );
     let mut content = ShardContent {
         bodies: bodies?.0,
         progress: progress?.0,
         waves: HashMap::new(),
+        permits: permits?
+            .0
+            .into_iter()
+            .find(|item| item.key == keys.permits()),
     };
     for item in waves?.0 {
         let number = item
@@ -96,6 +104,19 @@
             log::error!(event = "job_body_missing", job = id.as_str(); "");
         }
     }
+    if let Some(item) = content.permits {
+        let (holder, wait_ms) = (
+            engine.settings.holder.clone(),
+            engine.settings.fleet_wait_ms,
+        );
+        match decode(&item.key, &item.value) {
+            Ok(record) => engine.fleet.permits.inherit(record, &holder, wait_ms, time),
+            Err(error) => {
+                log::error!(event = "permits_unreadable", error:% = error; "");
+                engine.fleet.permits.block_all(time.boot + wait_ms);
+            }
+        }
+    }
     log::info!(
         event = "shard_loaded", jobs = engine.jobs.len(), ended = engine.ended.len(),
         waves = content.waves.len(); ""
--- a/src/service/jobs/owner.rs
+++ b/src/service/jobs/owner.rs
@@ -128,12 +128,6 @@
     };
     let scheduler = SchedulerSettings {
         holder: context.settings.name.clone(),
-        // The former holder was an earlier life of this process, which has ended.
-        fleet_wait_ms: if won.again {
-            0
-        } else {
-            context.settings.scheduler.fleet_wait_ms
-        },
         ..context.settings.scheduler.clone()
     };
     let now = boot_ms();
--- a/tests/jobs_lending.rs
+++ b/tests/jobs_lending.rs
@@ -103,6 +103,61 @@
     );
 }
 
+/// Pattern: a queue's turn begins just as the owner of the shard changes.
+#[test]
+fn takeover_in_a_turn_moves_at_once() {
+    let mut world = World::new(4, 3);
+    for number in 0..6 {
+        world.add_worker(STANDBY, &format!("s-{number}"));
+    }
+    world.engine.fleet.enabled = true;
+    world.run(1000);
+    world.take_over();
+    for number in 0..12 {
+        let id = format!("{number:016x}");
+        world.submit(&id, &job(&[step(8, 4000, 1000)]), number);
+        world.run(75);
+    }
+    assert!(world.moves >= 4, "moves within a second: {}", world.moves);
+}
+
+/// Pattern: the owner changes right after it has moved VMs.
+#[test]
+fn takeover_leaves_vms_alone_that_were_just_ordered() {
+    let mut world = World::new(4, 3);
+    for number in 0..6 {
+        world.add_worker(STANDBY, &format!("s-{number}"));
+    }
+    world.engine.fleet.enabled = true;
+    world.run(1000);
+    for number in 0..12 {
+        let id = format!("{number:016x}");
+        world.submit(&id, &job(&[step(8, 4000, 1000)]), number);
+    }
+    world.run(60);
+    let moved: Vec<String> = world.engine.fleet.orders.keys().cloned().collect();
+    assert!(moved.len() >= 4, "moves: {moved:?}");
+    world.take_over();
+    let wait_ms = world.engine.settings.fleet_wait_ms;
+    let end = world.now + wait_ms;
+    let order = |number| WaveOrder {
+        wave: number,
+        machines: moved.clone(),
+        limit_s: 40,
+        most: 10,
+    };
+    let now = world.now;
+    world.engine.set_wave(order(1), None, now);
+    while world.now < end {
+        world.run(10);
+        let waiting = world.engine.fleet.waves[&1].record.ordered.is_empty();
+        assert!(waiting, "ordered {} ms before its time", end - world.now);
+    }
+    world.run(45_000);
+    let record = &world.engine.fleet.waves[&1].record;
+    assert_eq!(record.ordered.len(), moved.len());
+}
+
 /// Pattern: a wave over most of a pool whose workers hold lasting tasks.
 #[test]
 fn wave_keeps_lasting_tasks_and_its_limit() {
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -282,8 +282,11 @@
 
     /// Replaces the scheduler by a successor that starts from the store.
     pub fn take_over(&mut self) {
-        let settings = self.engine.settings.clone();
         let epoch = self.engine.epoch + 1;
+        let settings = SchedulerSettings {
+            holder: format!("entry-{epoch}"),
+            ..self.engine.settings.clone()
+        };
         let mut engine = JobEngine::new(settings, epoch, Arc::new(config()), self.now);
         engine.inherit_ms = self.now + 5000;
         engine.fleet.enabled = self.engine.fleet.enabled;
@@ -307,6 +310,12 @@
                 engine.restore_ended(id.into(), &record, time);
             }
         }
+        if let Some(value) = self.stored.get(&keys.permits()) {
+            let record = decode(&keys.permits(), value).expect("permits");
+            let settings = engine.settings.clone();
+            let permits = &mut engine.fleet.permits;
+            permits.inherit(record, &settings.holder, settings.fleet_wait_ms, time);
+        }
         let entries = self.workers.values().filter(|worker| worker.up);
         engine.workers_synced(
             entries.map(|worker| worker.entry.clone()).collect(),
