The end of a silent worker's lease is stored for a successor

Cause: a rack went dark at second 13.0. The owner handed over at 17.0, before the leases there had ended (4.5 s), and its successor handed over at 23.0. Each successor that reached the workers no better waited anew for the longest lease that its predecessor can have granted: 6 s of keeping alive and the lease. The runs were given up at second 33.86 (run_lost reason=no_entry).

Ruled out: no room (workers were free), entries of workers that come late (the workers were gone for good).

Change: an owner stores the end of the lease of a worker that did not answer twice, and grants that worker no other lease and no start until the row is surely removed again. A successor that cannot reach the worker either waits until the stored end and 2.5 s for clocks that differ, and passes the row on.

Weighed: a note of a clean handover (shorter wait after SIGTERM only; a kill and the next takeover still add up); the end of the lease with each placement (one write a job instead of one a change, and two places to keep in step).

silent_worker_known_to_successor_by_its_lease fails if the successor does not read the record; silent_worker_back_and_lost_again_is_waited_for guards the renewal after a contact.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -22,6 +22,7 @@
 use crate::jobs::fleet::FleetBoard;
 use crate::jobs::job::JobEntry;
 use crate::jobs::load::PoolLoad;
+use crate::jobs::silence::SilentBoard;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
@@ -126,6 +127,8 @@
     pub workers: BTreeMap<String, WorkerView>,
     /// Machines, moves and waves.
     pub fleet: FleetBoard,
+    /// Workers that do not answer.
+    pub silent: SilentBoard,
     /// Who waits for a job's version to be stored.
     pub waiting: BTreeMap<JobId, Vec<(u64, WaiterId, CallerAnswer)>>,
     /// Jobs to be stored, with the time by which they should be.
@@ -185,6 +188,7 @@
             ended_order: VecDeque::new(),
             workers: BTreeMap::new(),
             fleet: FleetBoard::default(),
+            silent: SilentBoard::default(),
             waiting: BTreeMap::new(),
             dirty: BTreeMap::new(),
             storing: BTreeSet::new(),
@@ -278,6 +282,7 @@
         self.open_occurrences(time);
         self.lapse_workers(time.boot);
         self.lapse_orphans(time.boot);
+        self.note_silent();
         self.hold_workers(time.boot);
         self.repeat_stops(time.boot);
         if time.boot >= self.looked_ms + LOOK_MS {
--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -1,12 +1,17 @@
 //! Workers' entries, and the end of their lives and leases.
 
 use crate::jobs::engine::JobEngine;
+use crate::jobs::silence::SilentLease;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
 use crate::jobs::worker::WorkerView;
 use crate::ports::WorkerEntry;
 
+/// Calls without an answer after which a worker's lease is stored for a successor; a
+/// single one is mostly a connection that broke.
+const SILENT_MISSES: u32 = 2;
+
 impl JobEngine {
     /// Takes in a worker's entry.
     pub fn worker_listed(&mut self, entry: WorkerEntry, now: u64) {
@@ -131,6 +136,44 @@
         placed.map(|placed| placed.phase)
     }
 
+    /// Returns when the lease that a former owner granted has surely ended.
+    fn inherited_lapse(&self, view: &WorkerView) -> u64 {
+        let lease = self.silent.lease(&view.entry.id);
+        let lease = lease.filter(|lease| lease.born_ms == view.entry.born_ms);
+        lease.map_or(self.inherit_ms, |lease| lease.lapse_ms.min(self.inherit_ms))
+    }
+
+    /// Notes which workers with runs are silent, and which are not any more.
+    pub(crate) fn note_silent(&mut self) {
+        let noted: Vec<String> = self.silent.workers().cloned().collect();
+        for worker in noted {
+            let waits = match self.workers.get(&worker) {
+                Some(view) => {
+                    let silent = view.misses > 0 || view.contact_ms.is_none();
+                    silent && !view.runs.is_empty()
+                }
+                None => self.orphans.iter().any(|(_, at, _)| *at == worker),
+            };
+            if !waits {
+                self.silent.remove(&worker);
+            }
+        }
+        for (id, view) in &self.workers {
+            let silent = view.misses >= SILENT_MISSES && view.contact_ms.is_some();
+            if silent
+                && !view.runs.is_empty()
+                && self.silent.lease(id).is_none()
+                && let Some(lapse_ms) = view.lapse_ms()
+            {
+                let lease = SilentLease {
+                    born_ms: view.entry.born_ms,
+                    lapse_ms,
+                };
+                self.silent.insert(id, lease);
+            }
+        }
+    }
+
     /// Gives up runs at workers whose lease has surely ended.
     pub(crate) fn lapse_workers(&mut self, now: u64) {
         let grace = self.settings.entry_grace_ms;
@@ -142,7 +185,7 @@
             // the lease until its own ended.
             let lapse_ms = match view.contact_ms {
                 Some(_) => view.lapse_ms().unwrap_or(self.inherit_ms),
-                None => self.inherit_ms,
+                None => self.inherited_lapse(view),
             };
             if silent && !view.runs.is_empty() && now > lapse_ms {
                 lapsed.push(id.clone());
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -32,6 +32,10 @@
 /// Until then the worker would list them again at once.
 const STORE_WAIT_MS: u64 = 150;
 
+/// Time between two calls to a worker that was silent, until that is no longer stored
+/// and its lease can be renewed, in milliseconds; a commit takes a few.
+const REGAINED_WAIT_MS: u64 = 100;
+
 /// Most failures that are remembered against a worker.
 pub(crate) const MOST_DEMERITS: u32 = 6;
 
@@ -67,6 +71,7 @@
             .get(worker)
             .is_some_and(|view| !view.holding && now >= view.hold_at_ms);
         let shared = due && self.is_shared(worker);
+        let may_grant = self.silent.may_grant(worker);
         let Some(view) = self.workers.get_mut(worker).filter(|_| due) else {
             return;
         };
@@ -78,13 +83,14 @@
         // Nor is one that did not answer: the call may arrive all the same, and its
         // runs could then never be given up.
         let listed = view.unlisted_ms.is_none_or(|since| now < since + grace);
-        let kept = listed && view.misses == 0;
+        let kept = listed && view.misses == 0 && may_grant;
         let lease = (kept && !view.runs.is_empty()).then(|| view.lease_from(now, lease_ms));
         let lease_until_ms = lease.flatten();
         if let Some(until) = lease_until_ms {
             view.lease_until_ms = view.lease_until_ms.max(until);
         }
         let wait_ms = match (view.clock, view.runs.is_empty(), shared) {
+            _ if !may_grant => 0,
             (None, _, _) => 0,
             (_, true, _) => IDLE_WAIT_MS,
             (_, false, true) => SHARED_WAIT_MS,
@@ -138,12 +144,20 @@
             }
             return false;
         }
+        if view.misses > 0 || view.contact_ms.is_none() {
+            self.silent.remove(worker);
+        }
+        let wait_ms = if self.silent.may_grant(worker) {
+            0
+        } else {
+            REGAINED_WAIT_MS
+        };
         if view.misses > 0 {
             log::info!(event = "worker_regained", worker = worker, misses = view.misses; "");
         }
         view.misses = 0;
         view.contact_ms = Some(now);
-        view.hold_at_ms = now;
+        view.hold_at_ms = now + wait_ms;
         view.observe_clock(ClockSample {
             clock_ms,
             received_ms: now,
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -19,6 +19,7 @@
 pub mod permits;
 pub mod place;
 pub mod record;
+pub mod silence;
 pub mod task;
 pub mod types;
 pub mod wave;
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -69,6 +69,15 @@
         tries: u32,
         now: u64,
     ) {
+        if !self.silent.may_grant(worker) {
+            // Its start would grant a lease that a successor does not know of.
+            log::info!(event = "start_withheld", task:% = task, run = run, worker = worker, reason = "silent"; "");
+            // An earlier attempt may be carried out yet.
+            return match tries {
+                0 => self.give_up_run(task, worker, run, now),
+                _ => self.stop_run(task, worker, run, now),
+            };
+        }
         let ticket = self.ticket_for(task, worker, now);
         let lease_ms = self.settings.lease_ms;
         let Some(view) = self.workers.get_mut(worker) else {
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -74,6 +74,12 @@
         format!("chicory/wave/{}/", self.shard)
     }
 
+    /// Key of the leases of silent workers.
+    #[must_use]
+    pub fn silent(self) -> String {
+        format!("chicory/silent/{}", self.shard)
+    }
+
     /// Key of the permits to order VMs.
     #[must_use]
     pub fn permits(self) -> String {
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -42,6 +42,8 @@
     pub waves: Vec<(u64, WaveRecord)>,
     /// Whether it has the permits to order VMs.
     pub permits: bool,
+    /// Whether it has the leases of silent workers.
+    pub silent: bool,
 }
 
 impl WriteBatch {
@@ -80,7 +82,8 @@
             .filter(|(id, _)| !self.storing.contains(*id));
         let jobs = jobs.map(|(_, due)| *due).min();
         let fleet = self.fleet.write_due();
-        jobs.into_iter().chain(fleet).min()
+        let silent = self.silent.is_dirty().then_some(0);
+        jobs.into_iter().chain(fleet).chain(silent).min()
     }
 
     /// Makes all that is not stored due at once, before a handover.
@@ -104,6 +107,11 @@
         if with_fleet {
             self.fleet
                 .take_writes(keys, &self.settings.holder, time, &mut batch)?;
+            if self.silent.is_dirty() {
+                let record = self.silent.take_record(time);
+                batch.push(keys.silent(), encode(&record)?);
+                batch.silent = true;
+            }
         }
         let free = self
             .dirty
@@ -136,6 +144,9 @@
             log::info!(event = "store_regained", down_ms = now.saturating_sub(since_ms); "");
         }
         self.fleet.written(batch);
+        if batch.silent {
+            self.silent.written();
+        }
         for (id, version) in &batch.versions {
             self.storing.remove(id);
             if let Some(job) = self.jobs.get_mut(id) {
@@ -156,6 +167,9 @@
     /// Takes in that a batch was not stored: it is to be stored again.
     pub fn not_written(&mut self, batch: &WriteBatch, now: u64) {
         self.fleet.not_written(batch);
+        if batch.silent {
+            self.silent.not_written();
+        }
         for (id, _) in &batch.versions {
             self.storing.remove(id);
             self.mark(id, now);
@@ -328,10 +342,16 @@
 
     /// Gives up inherited runs at workers without an entry once their lease has ended.
     pub(crate) fn lapse_orphans(&mut self, now: u64) {
-        if now < self.inherit_ms {
-            return;
-        }
-        for (task, worker, run) in std::mem::take(&mut self.orphans) {
+        let (silent, inherit_ms) = (&self.silent, self.inherit_ms);
+        let lapse_ms = |worker: &str| {
+            let lease = silent.lease(worker);
+            lease.map_or(inherit_ms, |lease| lease.lapse_ms.min(inherit_ms))
+        };
+        let lapsed = self
+            .orphans
+            .extract_if(.., |(_, worker, _)| now > lapse_ms(worker));
+        let lapsed: Vec<_> = lapsed.collect();
+        for (task, worker, run) in lapsed {
             log::info!(event = "run_lost", task:% = task, run = run, worker = worker.as_str(), reason = "no_entry"; "");
             self.give_up_run(&task, &worker, run, now);
         }
--- a/src/service/jobs/load.rs
+++ b/src/service/jobs/load.rs
@@ -27,6 +27,8 @@
     pub waves: HashMap<u64, WaveRecord>,
     /// Permits to order VMs, if there are any.
     pub permits: Option<StoreItem>,
+    /// Leases of silent workers, if there are any.
+    pub silent: Option<StoreItem>,
 }
 
 /// Reads a shard.
@@ -36,17 +38,19 @@
 /// Fails if a page cannot be read.
 pub async fn read_shard(link: &StoreLink, keys: ShardKeys) -> Result<ShardContent, StoreError> {
     let (bodies, progress, waves) = (keys.bodies(), keys.progress(), keys.waves());
-    let permits = keys.permits();
-    let (bodies, progress, waves, permits) = tokio::join!(
+    let (permits, silent) = (keys.permits(), keys.silent());
+    let (bodies, progress, waves, permits, silent) = tokio::join!(
         read_all(link, &bodies),
         read_all(link, &progress),
         read_all(link, &waves),
         read_all(link, &permits),
+        read_all(link, &silent),
     );
     let mut content = ShardContent {
         bodies: bodies?.0,
         progress: progress?.0,
         waves: HashMap::new(),
+        silent: silent?.0.into_iter().find(|item| item.key == keys.silent()),
         permits: permits?
             .0
             .into_iter()
@@ -104,6 +108,13 @@
             log::error!(event = "job_body_missing", job = id.as_str(); "");
         }
     }
+    if let Some(item) = content.silent {
+        match decode(&item.key, &item.value) {
+            Ok(record) => engine.silent.inherit(record, time),
+            // Without it, the longest lease decides.
+            Err(error) => log::error!(event = "silent_unreadable", error:% = error; ""),
+        }
+    }
     if let Some(item) = content.permits {
         let (holder, wait_ms) = (
             engine.settings.holder.clone(),
--- a/tests/jobs_runs.rs
+++ b/tests/jobs_runs.rs
@@ -157,6 +157,39 @@
     assert_eq!(world.starts(), 2);
 }
 
+#[test]
+fn silent_worker_known_to_successor_by_its_lease() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.submit(JOB, &job(&[step(1, 1000, 20_000)]), 1);
+    world.run(500);
+    let busy = busy_worker(&world);
+    world.workers.get_mut(&busy).expect("a worker").reachable = false;
+    world.run(4000);
+    world.take_over();
+    // Without the stored end of the lease, the successor would wait 5 s more.
+    world.run(3600);
+    assert_eq!(world.starts(), 2);
+}
+
+#[test]
+fn silent_worker_back_and_lost_again_is_waited_for() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.submit(JOB, &job(&[step(1, 1000, 30_000)]), 1);
+    world.run(500);
+    let busy = busy_worker(&world);
+    world.workers.get_mut(&busy).expect("a worker").reachable = false;
+    world.run(2000);
+    world.workers.get_mut(&busy).expect("a worker").reachable = true;
+    world.run(8000);
+    assert_eq!(world.starts(), 1, "its lease was renewed");
+    world.workers.get_mut(&busy).expect("a worker").reachable = false;
+    world.take_over();
+    world.run(4500);
+    assert_eq!(world.starts(), 1, "the stored end was of an earlier lease");
+}
+
 #[test]
 fn cancel_races_acceptance() {
     let mut world = World::new(2, 1);
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -316,6 +316,10 @@
             let permits = &mut engine.fleet.permits;
             permits.inherit(record, &settings.holder, settings.fleet_wait_ms, time);
         }
+        if let Some(value) = self.stored.get(&keys.silent()) {
+            let record = decode(&keys.silent(), value).expect("silent workers");
+            engine.silent.inherit(record, time);
+        }
         let entries = self.workers.values().filter(|worker| worker.up);
         engine.workers_synced(
             entries.map(|worker| worker.entry.clone()).collect(),
