--- a/src/http.rs
+++ b/src/http.rs
@@ -82,7 +82,7 @@
     pub path: &'a str,
     /// Type of the body; none is stated if empty.
     pub content_type: &'a str,
-    /// Further headers.
+    /// Further headers; a host among them stands for the peer's address.
     pub headers: &'a [(&'static str, String)],
     /// Body.
     pub body: Bytes,
@@ -178,8 +178,11 @@
 ) -> Result<CallAnswer, CallError> {
     let mut builder = Request::builder()
         .method(request.method.clone())
-        .uri(request.path)
-        .header(header::HOST, peer.to_string());
+        .uri(request.path);
+    let named = |(name, _): &(&str, String)| name.eq_ignore_ascii_case("host");
+    if !request.headers.iter().any(named) {
+        builder = builder.header(header::HOST, peer.to_string());
+    }
     if !request.content_type.is_empty() {
         builder = builder.header(header::CONTENT_TYPE, request.content_type);
     }
--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -19,8 +19,10 @@
     Up,
     /// Connections are dropped, new ones too.
     Cut,
-    /// Nothing passes and nothing is dropped: new connections hang.
+    /// Open connections are dropped, new ones hang.
     Stalled,
+    /// Nothing passes and nothing is dropped, also on open connections.
+    Silent,
 }
 
 /// A link that runs until it is dropped.
@@ -80,7 +82,8 @@
     mut view: watch::Receiver<LinkState>,
 ) {
     sleep(delay).await;
-    let open = view.wait_for(|state| *state != LinkState::Stalled).await;
+    let hangs = |state: &LinkState| matches!(state, LinkState::Stalled | LinkState::Silent);
+    let open = view.wait_for(|state| !hangs(state)).await;
     // The relay is gone.
     let Ok(open) = open.map(|state| *state) else {
         return;
@@ -98,4 +101,6 @@
         _ = copy_bidirectional(&mut stream, &mut onward) => {}
         _ = view.wait_for(|state| *state != LinkState::Up) => {}
     }
+    // What was silent once stays so: the bytes in between are missing.
+    let _ = view.wait_for(|state| *state != LinkState::Silent).await;
 }
