No owner denies a job that its successor has accepted

Cause: an owner that had been frozen answered what had waited in its sockets before it learned of its successor, a few milliseconds later (run_unknown and deposed in its log at 215.310 and 215.313). A job that the successor had accepted was not in its memory, so a state or a cancellation was answered "no such job", and the caller took its job for gone while it ran.

Ruled out: cancellations that were not stored (no entry VM logged one for these jobs), stops that got lost (none was ordered).

Change: "no such job" is said only after the store was asked for its records; if the store has one or does not answer, the caller is asked to come back. Weighed: to ask whether the ownership is still sure (wrong for up to two seconds if the key was removed under a living owner).

--- a/src/service/jobs/owner.rs
+++ b/src/service/jobs/owner.rs
@@ -156,6 +156,7 @@
         check_lease,
         stored_waves: waves,
         performer: ActionPerformer {
+            link: context.link.clone(),
             client: context.client.clone(),
             term,
             events: events.clone(),
--- a/src/service/jobs/perform.rs
+++ b/src/service/jobs/perform.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -9,21 +10,40 @@
 use crate::clock::boot_ms;
 use crate::jobs::actions::Action;
 use crate::jobs::actions::CallToken;
+use crate::jobs::actions::CallerAnswer;
 use crate::jobs::actions::WaiterId;
 use crate::jobs::orders::CallResult;
+use crate::jobs::record::ShardKeys;
 use crate::ports::FleetCall;
+use crate::ports::StoreCall;
+use crate::ports::StoreReply;
 use crate::ports::client::PortClient;
 use crate::service::jobs::bid::OwnerTerm;
 use crate::service::jobs::messages::OwnerEvent;
 use crate::service::jobs::messages::RelayReply;
+use crate::service::jobs::store::StoreLink;
 
 /// How long after the end of its sure ownership an owner still keeps running work
 /// alive, in milliseconds: outages of the store last seconds. A successor waits as
 /// long before it gives up runs at workers that it cannot reach.
 pub const KEEP_ALIVE_MS: u64 = 6000;
 
+/// Limit on asking the store for a job that is not known here; a slow store answers
+/// in a quarter of a second.
+const ABSENT_LIMIT: Duration = Duration::from_millis(600);
+
+/// Who waits for an answer about a job.
+pub struct AnswerWaiter {
+    /// Job; empty for a question about a queue.
+    pub job: String,
+    /// Where the answer goes.
+    pub sender: oneshot::Sender<RelayReply>,
+}
+
 /// Carries actions out.
 pub struct ActionPerformer {
+    /// The store.
+    pub link: StoreLink,
     /// Calls workers, list of VMs and advice service.
     pub client: PortClient,
     /// How sure the ownership is.
@@ -31,16 +51,16 @@
     /// Where results go.
     pub events: mpsc::UnboundedSender<OwnerEvent>,
     /// Who waits for an answer.
-    pub waiters: HashMap<WaiterId, oneshot::Sender<RelayReply>>,
+    pub waiters: HashMap<WaiterId, AnswerWaiter>,
     /// Next waiter.
     pub next_waiter: WaiterId,
 }
 
 impl ActionPerformer {
     /// Remembers who waits for an answer.
-    pub fn wait(&mut self, answer: oneshot::Sender<RelayReply>) -> WaiterId {
+    pub fn wait(&mut self, waiter: AnswerWaiter) -> WaiterId {
         self.next_waiter += 1;
-        self.waiters.insert(self.next_waiter, answer);
+        self.waiters.insert(self.next_waiter, waiter);
         self.next_waiter
     }
 
@@ -48,9 +68,14 @@
     pub fn perform(&mut self, action: Action) {
         match action {
             Action::Answer { waiter, answer } => {
-                if let Some(sender) = self.waiters.remove(&waiter) {
+                let Some(waiter) = self.waiters.remove(&waiter) else {
+                    return;
+                };
+                if answer == CallerAnswer::Unknown {
+                    tokio::spawn(answer_unknown(self.link.clone(), waiter));
+                } else {
                     // The caller may have gone.
-                    let _ = sender.send(answer.into());
+                    let _ = waiter.sender.send(answer.into());
                 }
             }
             Action::Worker {
@@ -125,6 +150,29 @@
     }
 }
 
+/// Answers that there is no such job if the store has none either.
+///
+/// An owner that was frozen or cut off does not know the jobs that its successor has
+/// accepted, and cannot know that it has a successor.
+async fn answer_unknown(link: StoreLink, waiter: AnswerWaiter) {
+    let keys = ShardKeys::default();
+    let mut reply = RelayReply::Unknown;
+    for prefix in [keys.bodies(), keys.progress()] {
+        let key = format!("{prefix}{}", waiter.job);
+        let call = StoreCall::Get { key };
+        match link.call(&call, ABSENT_LIMIT).await {
+            Ok(StoreReply::Item(None)) => {}
+            found => {
+                log::info!(event = "job_not_here", job = waiter.job.as_str(), stored:? = found.is_ok(); "");
+                reply = RelayReply::NotOwner;
+                break;
+            }
+        }
+    }
+    // The caller may have gone.
+    let _ = waiter.sender.send(reply);
+}
+
 /// Tells whether the ownership still covers an order that is about to be sent.
 fn may_send(token: &CallToken, now: u64, valid_ms: u64) -> bool {
     match token {
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -33,6 +33,7 @@
 use crate::service::jobs::owner::HANDOVER_LIMIT;
 use crate::service::jobs::owner::OwnerContext;
 use crate::service::jobs::perform::ActionPerformer;
+use crate::service::jobs::perform::AnswerWaiter;
 
 /// Time between two rounds of what is due by time.
 const TICK: Duration = Duration::from_millis(50);
@@ -188,7 +189,10 @@
         let time = now();
         match event {
             OwnerEvent::Relay(request, answer) => {
-                let waiter = self.performer.wait(answer);
+                let waiter = self.performer.wait(AnswerWaiter {
+                    job: request.job.clone(),
+                    sender: answer,
+                });
                 let id = request.job.as_str().into();
                 match request.ask {
                     RelayAsk::Submit(spec) => {
