A worker's runs are counted by kind as they are booked; one look-up a placement

For each task the owner passed over all workers, and for each of these over all its runs with a look-up of each run's job, and looked the task up again at each worker.

Change: WorkerView keeps the numbers of its runs by kind, in the two places where runs are booked and released; what does not depend on the worker is looked up once a task; racks are compared only where data has one.

--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -19,24 +19,30 @@
     ) -> Option<String> {
         let need = spec.counted();
         let near = |view: &WorkerView| spec.data_rack.is_empty() || view.rack() == spec.data_rack;
-        let in_pool = self.workers.values().filter(|view| view.entry.pool == pool);
-        let near_exists = in_pool
-            .clone()
-            .any(|view| near(view) && view.takes_work(now));
-        let near_only = near_only && near_exists;
+        let near_only = near_only && !spec.data_rack.is_empty() && {
+            let mut in_pool = self.workers.values().filter(|view| view.entry.pool == pool);
+            in_pool.any(|view| near(view) && view.takes_work(now))
+        };
+        // Looked up once: there are many workers.
+        let needs_advice = self.needs_advice(task);
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let placed = state.map_or(&[][..], |state| &state.placed);
         let mut best: Option<(f64, &String)> = None;
         for (id, view) in &self.workers {
-            if !view.free().fits(&need) || !self.may_run(task, pool, spec, view, now) {
+            if !view.free().fits(&need) || !may_run(pool, spec, view, now) {
                 continue;
             }
             let is_near = near(view);
             if near_only && !is_near {
                 continue;
             }
+            if needs_advice && !self.is_advised(task, id, now) {
+                continue;
+            }
             if spec.per_worker > 0 && self.tasks_at(task, id) >= spec.per_worker {
                 continue;
             }
-            if self.holds_task(task, id) {
+            if placed.iter().any(|run| run.worker == *id) {
                 continue;
             }
             let cost = self.place_cost(spec, view) + if is_near { 0.0 } else { 10.0 };
@@ -51,21 +57,6 @@
         best
     }
 
-    /// Tells whether a task may run at a worker at all.
-    pub(crate) fn may_run(
-        &self,
-        task: &TaskId,
-        pool: &str,
-        spec: &StepSpec,
-        view: &WorkerView,
-        now: u64,
-    ) -> bool {
-        view.entry.pool == pool
-            && view.takes_work(now)
-            && (spec.label.is_empty() || view.has_label(&spec.label))
-            && self.is_advised(task, &view.entry.id, now)
-    }
-
     /// Number of live runs of a task's step at a worker.
     pub(crate) fn tasks_at(&self, task: &TaskId, worker: &str) -> u32 {
         let job = self.jobs.get(&task.job);
@@ -77,11 +68,6 @@
         runs.filter(|run| run.worker == worker).count() as u32
     }
 
-    pub(crate) fn holds_task(&self, task: &TaskId, worker: &str) -> bool {
-        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
-        state.is_some_and(|state| state.placed.iter().any(|run| run.worker == worker))
-    }
-
     /// Cost of a worker for a step; the least is chosen.
     ///
     /// Work is packed onto workers that are in use, so that others can be emptied
@@ -89,7 +75,7 @@
     pub(crate) fn place_cost(&self, spec: &StepSpec, view: &WorkerView) -> f64 {
         let room = view.entry.room.cpu.max(1) as f64;
         let used = view.used.cpu as f64 / room;
-        let crowd = self.crowd_at(view);
+        let crowd = view.crowd;
         let due = if self.fleet.is_due(&view.entry.id) {
             0.5
         } else {
@@ -149,9 +135,15 @@
             pace: 100,
             load: 0,
         });
-        view.runs.insert((task.clone(), run));
-        view.used.add(&spec.counted());
+        view.book(task.clone(), run, spec.into());
         view.busy_ms = now;
         self.mark(&task.job, now);
     }
 }
+
+/// Tells whether a step's tasks may run at a worker as far as it alone is concerned.
+pub(crate) fn may_run(pool: &str, spec: &StepSpec, view: &WorkerView, now: u64) -> bool {
+    view.entry.pool == pool
+        && view.takes_work(now)
+        && (spec.label.is_empty() || view.has_label(&spec.label))
+}
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -27,6 +27,7 @@
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
+use crate::jobs::worker::RunLoad;
 use crate::jobs::worker::WorkerView;
 use crate::ports::WorkerCall;
 use crate::ports::worker::WorkerOrder;
@@ -363,21 +364,15 @@
 
     /// Removes a run from its task and its worker.
     pub(crate) fn release_run(&mut self, task: &TaskId, worker: &str, run: u32) {
-        let key = (task.clone(), run);
         if let Some(job) = self.jobs.get_mut(&task.job) {
-            let need = job
-                .step_spec(task)
-                .map(|spec| spec.counted())
-                .unwrap_or_default();
+            let load = job.step_spec(task).map(RunLoad::from).unwrap_or_default();
             if let Some(state) = job.task_mut(task) {
                 state
                     .placed
                     .retain(|placed| placed.run != run || placed.worker != worker);
             }
-            if let Some(view) = self.workers.get_mut(worker)
-                && view.runs.remove(&key)
-            {
-                view.used = view.used.less(&need);
+            if let Some(view) = self.workers.get_mut(worker) {
+                view.release(task, run, load);
             }
         }
         self.unplaced.insert(task.job.clone());
--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -3,8 +3,8 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::silence::SilentLease;
 use crate::jobs::task::RunPhase;
-use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
+use crate::jobs::worker::RunLoad;
 use crate::jobs::worker::WorkerView;
 use crate::ports::WorkerEntry;
 
@@ -58,13 +58,10 @@
             .collect();
         for (task, _, run) in found {
             let job = self.jobs.get(&task.job);
-            let need = job
-                .and_then(|job| job.step_spec(&task))
-                .map(StepSpec::counted);
+            let load = job.and_then(|job| job.step_spec(&task)).map(RunLoad::from);
             if let Some(view) = self.workers.get_mut(worker) {
                 log::info!(event = "run_booked", task:% = task, run = run, worker = worker, born_ms = born_ms; "");
-                view.runs.insert((task, run));
-                view.used.add(&need.unwrap_or_default());
+                view.book(task, run, load.unwrap_or_default());
             }
         }
     }
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -368,7 +368,7 @@
         let Some(view) = self.workers.get(&row.worker) else {
             return 0;
         };
-        let crowd = self.crowd_at(view);
+        let crowd = view.crowd;
         u64::from(crowd.lasting) * 100 + view.runs.len() as u64
     }
 }
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -187,7 +187,7 @@
         }
         let patient =
             matches!(order.order, MachineOrder::Move(_)) || now < order.since_ms + EMPTY_WAIT_MS;
-        !patient && self.crowd_at(view).lasting == 0
+        !patient && view.crowd.lasting == 0
     }
 
     pub(crate) fn machine_ordered(&mut self, machine: &str, reply: Option<FleetReply>, now: u64) {
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -7,7 +7,6 @@
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::RunEnd;
 use crate::jobs::types::TaskId;
-use crate::jobs::worker::WorkerView;
 use crate::ports::worker::WorkerOrder;
 
 /// Fillers are slowed once a serving task's tail is above this share of its target.
@@ -32,36 +31,10 @@
 /// milliseconds; all its attempts have ended long before.
 const UNRESOLVED_MS: u64 = 4000;
 
-/// Tasks of both kinds at a worker.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct WorkerCrowd {
-    /// Tasks that last.
-    pub lasting: u32,
-    /// Tasks with a target.
-    pub serving: u32,
-    /// Tasks that fill.
-    pub filling: u32,
-}
-
 impl JobEngine {
-    /// Counts the tasks of each kind at a worker.
-    pub(crate) fn crowd_at(&self, view: &WorkerView) -> WorkerCrowd {
-        let mut crowd = WorkerCrowd::default();
-        for (task, _) in &view.runs {
-            let spec = self.jobs.get(&task.job).and_then(|job| job.step_spec(task));
-            let Some(spec) = spec else {
-                continue;
-            };
-            crowd.lasting += u32::from(spec.lasting);
-            crowd.serving += u32::from(spec.target_ms > 0);
-            crowd.filling += u32::from(spec.fills);
-        }
-        crowd
-    }
-
     /// Tells whether tasks that serve and tasks that fill share a worker.
     pub(crate) fn is_shared(&self, worker: &str) -> bool {
-        let crowd = self.workers.get(worker).map(|view| self.crowd_at(view));
+        let crowd = self.workers.get(worker).map(|view| view.crowd);
         crowd.is_some_and(|crowd| crowd.serving > 0 && crowd.filling > 0)
     }
 
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -4,6 +4,7 @@
 //! still meet their objective, those with the most value for their remaining work
 //! first, then the rest. A task that does not fit does not hold up smaller ones.
 
+use crate::jobs::choose::may_run;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
 use crate::jobs::task::TaskState;
@@ -323,7 +324,8 @@
         let mut chosen = Vec::new();
         for (id, view) in &self.workers {
             let on_rack = rack.is_none_or(|rack| view.rack() == rack);
-            if !on_rack || !self.may_run(first, pool, spec, view, now) {
+            let may_run = on_rack && may_run(pool, spec, view, now);
+            if !may_run || !self.is_advised(first, id, now) {
                 continue;
             }
             let mut free = view.free();
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -5,6 +5,7 @@
 
 use crate::jobs::types::JobId;
 use crate::jobs::types::RoomSize;
+use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
 use crate::jobs::types::WorkerState;
 use crate::ports::WorkerEntry;
@@ -35,6 +36,41 @@
     pub version: u64,
 }
 
+/// What a run takes at its worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunLoad {
+    /// Room.
+    pub room: RoomSize,
+    /// Whether it lasts.
+    pub lasting: bool,
+    /// Whether it has a target.
+    pub serving: bool,
+    /// Whether it fills.
+    pub filling: bool,
+}
+
+impl From<&StepSpec> for RunLoad {
+    fn from(spec: &StepSpec) -> Self {
+        Self {
+            room: spec.counted(),
+            lasting: spec.lasting,
+            serving: spec.target_ms > 0,
+            filling: spec.fills,
+        }
+    }
+}
+
+/// Runs of each kind at a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkerCrowd {
+    /// Runs that last.
+    pub lasting: u32,
+    /// Runs with a target.
+    pub serving: u32,
+    /// Runs that fill.
+    pub filling: u32,
+}
+
 /// A worker.
 #[derive(Clone, Debug)]
 pub struct WorkerView {
@@ -64,6 +100,8 @@
     pub used: RoomSize,
     /// Runs that may be alive.
     pub runs: BTreeSet<(TaskId, u32)>,
+    /// How many of these are of each kind.
+    pub crowd: WorkerCrowd,
     /// No starts before this time on the boot clock.
     pub blocked_until_ms: u64,
     /// Failures that speak against the worker.
@@ -92,6 +130,7 @@
             misses: 0,
             used: RoomSize::default(),
             runs: BTreeSet::new(),
+            crowd: WorkerCrowd::default(),
             blocked_until_ms: 0,
             demerits: 0,
             evacuating: false,
@@ -99,6 +138,27 @@
         }
     }
 
+    /// Books a run that may be alive here.
+    pub fn book(&mut self, task: TaskId, run: u32, load: RunLoad) {
+        if self.runs.insert((task, run)) {
+            self.used.add(&load.room);
+            self.crowd.lasting += u32::from(load.lasting);
+            self.crowd.serving += u32::from(load.serving);
+            self.crowd.filling += u32::from(load.filling);
+        }
+    }
+
+    /// Takes a run away that was booked with this load.
+    pub fn release(&mut self, task: &TaskId, run: u32, load: RunLoad) {
+        if self.runs.remove(&(task.clone(), run)) {
+            self.used = self.used.less(&load.room);
+            let crowd = &mut self.crowd;
+            crowd.lasting = crowd.lasting.saturating_sub(u32::from(load.lasting));
+            crowd.serving = crowd.serving.saturating_sub(u32::from(load.serving));
+            crowd.filling = crowd.filling.saturating_sub(u32::from(load.filling));
+        }
+    }
+
     /// Returns what room is left.
     #[must_use]
     pub fn free(&self) -> RoomSize {
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -20,6 +20,7 @@
 use crate::jobs::record::encode;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
+use crate::jobs::worker::RunLoad;
 use crate::ports::store::StoreWrite;
 
 /// Entries of a commit besides the chain key and its condition; the platform takes
@@ -320,18 +321,15 @@
         let mut runs = Vec::new();
         for job in self.jobs.values() {
             for (task, run) in job.live_runs() {
-                let need = job
-                    .step_spec(&task)
-                    .map(|spec| spec.counted())
-                    .unwrap_or_default();
-                runs.push((task, run.worker.clone(), run.born_ms, run.run, need));
+                let load = job.step_spec(&task).map(RunLoad::from);
+                let load = load.unwrap_or_default();
+                runs.push((task, run.worker.clone(), run.born_ms, run.run, load));
             }
         }
-        for (task, worker, born_ms, run, need) in runs {
+        for (task, worker, born_ms, run, load) in runs {
             match self.workers.get_mut(&worker) {
                 Some(view) if view.entry.born_ms == born_ms || born_ms == 0 => {
-                    view.runs.insert((task, run));
-                    view.used.add(&need);
+                    view.book(task, run, load);
                 }
                 Some(_) => self.give_up_run(&task, &worker, run, now),
                 // Without an entry the worker cannot be asked: its lease decides.
