--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -247,6 +247,32 @@
         }
     }
 
+    /// Orders the stop of a run.
+    pub(crate) fn stop_run(&mut self, task: &TaskId, worker: &str, run: u32, now: u64) {
+        if let Some(job) = self.jobs.get_mut(&task.job)
+            && let Some(state) = job.task_mut(task)
+        {
+            let placed = state.placed.iter_mut();
+            for placed in placed.filter(|placed| placed.run == run && placed.worker == worker) {
+                placed.phase = RunPhase::Stopping;
+            }
+        }
+        self.order_stop(worker, task.to_string(), run, now);
+    }
+
+    /// Orders a stop; at a worker without an entry once the entry is there.
+    pub(crate) fn order_stop(&mut self, worker: &str, task: String, run: u32, now: u64) {
+        if !self.workers.contains_key(worker) {
+            return self.order_stop_later(worker, task, run, now);
+        }
+        let token = CallToken::Stop {
+            worker: worker.to_owned(),
+            task: task.clone(),
+            run,
+        };
+        self.order(worker, WorkerOrder::Stop { task, run }, token);
+    }
+
     /// Repeats a stop after the next contact, as long as the run may be alive.
     pub(crate) fn order_stop_later(&mut self, worker: &str, name: String, run: u32, now: u64) {
         let alive = TaskId::parse(&name)
