--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -112,9 +112,9 @@
         self.choose_worker(task, &pool, &spec, false, now).is_some()
     }
 
-    /// Calls for the orders whose VM is empty.
-    pub(crate) fn give_orders(&mut self, now: u64) {
-        let mut room: BTreeMap<u64, usize> = BTreeMap::new();
+    /// Returns how many VMs may go down for each wave.
+    fn wave_rooms(&self, now: u64) -> BTreeMap<u64, usize> {
+        let mut room = BTreeMap::new();
         for (number, wave) in &self.fleet.waves {
             let calling =
                 self.fleet.orders.values().filter(|order| {
@@ -130,6 +130,12 @@
             let taken = calling.count() + unsure.count();
             room.insert(*number, wave.room().saturating_sub(taken));
         }
+        room
+    }
+
+    /// Calls for the orders whose VM is empty.
+    pub(crate) fn give_orders(&mut self, now: u64) {
+        let mut room = self.wave_rooms(now);
         let mut calls = Vec::new();
         for (machine, order) in &self.fleet.orders {
             let idle = order.done_ms.is_none() && !order.calling && now >= order.not_before_ms;
--- a/tests/jobs_runs.rs
+++ b/tests/jobs_runs.rs
@@ -25,6 +25,22 @@
     busy.cloned().expect("a run")
 }
 
+/// Makes a world in which one run is under way and its worker is cut off.
+fn world_cut_off(work_ms: u64) -> (World, String) {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.submit(JOB, &job(&[step(1, 1000, work_ms)]), 1);
+    world.run(500);
+    let busy = busy_worker(&world);
+    set_reachable(&mut world, &busy, false);
+    (world, busy)
+}
+
+fn set_reachable(world: &mut World, worker: &str, reachable: bool) {
+    let worker = world.workers.get_mut(worker).expect("a worker");
+    worker.reachable = reachable;
+}
+
 #[test]
 fn submit_answered_once_stored() {
     let mut world = World::new(2, 1);
@@ -127,29 +143,19 @@
 
 #[test]
 fn silent_worker_runs_again_after_its_lease() {
-    let mut world = World::new(2, 1);
-    world.run(20);
-    world.submit(JOB, &job(&[step(1, 1000, 3000)]), 1);
-    world.run(500);
-    let busy = busy_worker(&world);
-    world.workers.get_mut(&busy).expect("a worker").reachable = false;
+    let (mut world, busy) = world_cut_off(3000);
     world.run(3500);
     assert_eq!(world.starts(), 1, "the lease still holds");
     world.run(6000);
     assert_eq!(world.starts(), 2);
-    world.workers.get_mut(&busy).expect("a worker").reachable = true;
+    set_reachable(&mut world, &busy, true);
     world.run(3000);
     assert!(world.completed.contains_key(JOB));
 }
 
 #[test]
 fn unreachable_worker_waited_for_after_takeover() {
-    let mut world = World::new(2, 1);
-    world.run(20);
-    world.submit(JOB, &job(&[step(1, 1000, 20_000)]), 1);
-    world.run(500);
-    let busy = busy_worker(&world);
-    world.workers.get_mut(&busy).expect("a worker").reachable = false;
+    let (mut world, _) = world_cut_off(20_000);
     world.take_over();
     world.run(4900);
     assert_eq!(world.starts(), 1, "the former owner's lease may still hold");
@@ -159,12 +165,7 @@
 
 #[test]
 fn silent_worker_known_to_successor_by_its_lease() {
-    let mut world = World::new(2, 1);
-    world.run(20);
-    world.submit(JOB, &job(&[step(1, 1000, 20_000)]), 1);
-    world.run(500);
-    let busy = busy_worker(&world);
-    world.workers.get_mut(&busy).expect("a worker").reachable = false;
+    let (mut world, _) = world_cut_off(20_000);
     world.run(4000);
     world.take_over();
     // Without the stored end of the lease, the successor would wait 5 s more.
@@ -174,17 +175,12 @@
 
 #[test]
 fn silent_worker_back_and_lost_again_is_waited_for() {
-    let mut world = World::new(2, 1);
-    world.run(20);
-    world.submit(JOB, &job(&[step(1, 1000, 30_000)]), 1);
-    world.run(500);
-    let busy = busy_worker(&world);
-    world.workers.get_mut(&busy).expect("a worker").reachable = false;
+    let (mut world, busy) = world_cut_off(30_000);
     world.run(2000);
-    world.workers.get_mut(&busy).expect("a worker").reachable = true;
+    set_reachable(&mut world, &busy, true);
     world.run(8000);
     assert_eq!(world.starts(), 1, "its lease was renewed");
-    world.workers.get_mut(&busy).expect("a worker").reachable = false;
+    set_reachable(&mut world, &busy, false);
     world.take_over();
     world.run(4500);
     assert_eq!(world.starts(), 1, "the stored end was of an earlier lease");
