Scheduler: a placement pass looks at a bounded number of waiting jobs

Cause: after each event every waiting job of every pool was ranked and tried, so that a backlog multiplied the cost of each run. Also, each commit looked at all workers for ends to acknowledge, and each answered hold and each commit asked for a pass.

Change: jobs wait in the order of their ranks by pool; a pass looks at 16 misses in succession from the front and 16 beyond, continuing there; ranks are computed again after a period that grows with their number. A pass looks only at pools in which something has changed. Cursors move only at workers with ends that are not stored.

--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -119,7 +119,7 @@
         now: u64,
     ) {
         self.advice_calls = self.advice_calls.saturating_sub(1);
-        self.placement_due = true;
+        self.waiting.mark_all_due();
         let Some(advice) = self.step_advice_mut(task) else {
             return;
         };
--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -66,8 +66,7 @@
         let mut job = JobEntry::new(id.clone(), body, time.boot);
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
         self.jobs.insert(id.clone(), job);
-        self.unplaced.insert(id.clone());
-        self.placement_due = true;
+        self.waiting.insert(&id);
         self.mark_dirty(&id, time.boot);
         self.wait_stored(&id, 1, waiter, CallerAnswer::Accepted);
     }
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -29,6 +29,7 @@
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
 use crate::jobs::unresponsive::UnresponsiveWorkers;
+use crate::jobs::waiting::WaitingJobs;
 use crate::jobs::worker::RunFootprint;
 use crate::jobs::worker::WorkerView;
 use crate::ports::WorkerCall;
@@ -158,9 +159,9 @@
     /// Actions since the last [`JobEngine::take_actions`].
     pub(crate) actions: Vec<Action>,
     /// Jobs with tasks that may need placement.
-    pub(crate) unplaced: BTreeSet<JobId>,
-    /// Whether something has changed since the last placement pass.
-    pub(crate) placement_due: bool,
+    pub(crate) waiting: WaitingJobs,
+    /// Workers with ends that are not known to be stored.
+    pub(crate) ending_workers: BTreeSet<String>,
     /// Moving average of the work of each queue's jobs, in millicore-milliseconds.
     pub(crate) mean_job_work: HashMap<String, f64>,
     /// When the pace of each worker's fillers was last changed.
@@ -213,8 +214,8 @@
             deposed: false,
             advice_calls: 0,
             actions: Vec::new(),
-            unplaced: BTreeSet::new(),
-            placement_due: true,
+            waiting: WaitingJobs::default(),
+            ending_workers: BTreeSet::new(),
             mean_job_work: HashMap::new(),
             pace_changed_ms: HashMap::new(),
             arrivals: HashMap::new(),
@@ -248,7 +249,7 @@
             log::info!(event = "scheduler_config", version = config.version, before = self.config.version; "");
             self.config = config;
             self.index_queues();
-            self.placement_due = true;
+            self.waiting.mark_all_due();
         }
     }
 
@@ -308,12 +309,13 @@
         }
         self.expire_ended_jobs(time.boot);
         self.plan_fleet(time.boot);
-        self.placement_due = true;
+        self.waiting.mark_all_due();
     }
 
-    /// Places waiting tasks, if something has changed since the last call.
+    /// Places waiting tasks of the pools in which something has changed since the last
+    /// call.
     pub fn run_placement(&mut self, time: TimePair) {
-        if std::mem::take(&mut self.placement_due) && !self.deposed {
+        if !self.deposed {
             self.place_runs(time.boot);
         }
     }
@@ -368,7 +370,7 @@
         }
         let state = job.state;
         self.jobs.remove(id);
-        self.unplaced.remove(id);
+        self.waiting.remove(id);
         self.ended.insert(
             id.clone(),
             EndedJob {
@@ -393,9 +395,9 @@
             }
             if let Some(view) = self.workers.get_mut(worker) {
                 view.remove_run(task, run, footprint);
+                self.waiting.mark_due(&view.entry.pool);
             }
         }
-        self.unplaced.insert(task.job.clone());
-        self.placement_due = true;
+        self.waiting.insert(&task.job);
     }
 }
--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -18,7 +18,7 @@
     /// Entries of workers whose VM was ordered to move or into maintenance are ignored,
     /// since they may outlive the worker.
     pub fn worker_listed(&mut self, entry: WorkerEntry, now: u64) {
-        self.placement_due = true;
+        self.waiting.mark_all_due();
         if self.fleet.departed.contains_key(&entry.id) {
             return;
         }
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -325,7 +325,7 @@
         for machine in finished {
             log::info!(event = "vm_order_finished", vm = machine.as_str(); "");
         }
-        self.placement_due = true;
+        self.waiting.mark_all_due();
     }
 
     /// Marks finished waves as complete.
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -157,6 +157,7 @@
         }
         if view.missed_calls > 0 || view.contact_ms.is_none() {
             self.unresponsive.remove(worker);
+            self.waiting.mark_all_due();
         }
         let wait_ms = if self.unresponsive.may_grant_lease(worker) {
             0
@@ -173,7 +174,6 @@
             clock_ms,
             received_ms: now,
         });
-        self.placement_due = true;
         true
     }
 
@@ -215,6 +215,7 @@
             };
             view.applied_cursor = row.number;
             if let Some((job, version)) = change {
+                self.ending_workers.insert(worker.to_owned());
                 view.pending_ends.push_back(PendingEnd {
                     number: row.number,
                     job,
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -27,6 +27,7 @@
 pub mod task;
 pub mod types;
 pub mod unresponsive;
+pub mod waiting;
 pub mod wave;
 pub mod worker;
 pub mod writes;
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -190,7 +190,7 @@
                 }
             }
         }
-        self.unplaced.extend(straggling);
+        straggling.iter().for_each(|id| self.waiting.insert(id));
         for (task, worker, run) in unconfirmed {
             log::warn!(
                 event = "run_unconfirmed", task:% = task, run = run, worker = worker.as_str(),
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -13,6 +13,8 @@
 use crate::jobs::types::ResourceVector;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
+use crate::jobs::waiting::JobRank;
+use crate::jobs::waiting::WaitingPlace;
 
 /// How long a task waits for a rack-local worker, as a multiple of its estimate; after
 /// that, a slower run on another rack would end sooner.
@@ -35,16 +37,9 @@
 /// between two such log lines, in milliseconds.
 const WAITING_LOG_MS: u64 = 1000;
 
-/// Rank of a waiting job; the lowest is placed first.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
-pub struct JobRank {
-    /// 0 for long-running jobs, 1 for timely and 2 for late ones.
-    pub class: u32,
-    /// Priority of the queue; the lowest value is placed first.
-    pub priority: u32,
-    /// Remaining work divided by the job's value, relative to the queue's mean work.
-    pub work_per_value: f64,
-}
+/// Jobs in succession without a task that fits after which a pass stops, of those with
+/// the best ranks and of the others each.
+const MAX_MISSES: usize = 16;
 
 /// Class of jobs with long-running tasks.
 const CLASS_LONG_RUNNING: u32 = 0;
@@ -54,25 +49,49 @@
 const CLASS_LATE: u32 = 2;
 
 impl JobEngine {
-    /// Places the waiting tasks of all jobs as far as capacity allows.
+    /// Places the waiting tasks of the pools that are due as far as capacity allows.
     pub(crate) fn place_runs(&mut self, now: u64) {
-        self.unplaceable.clear();
-        let unplaced: Vec<JobId> = self.unplaced.iter().cloned().collect();
-        let mut ranked: Vec<(JobRank, JobId)> = Vec::with_capacity(unplaced.len());
-        for id in unplaced {
-            match self.jobs.get(&id) {
-                Some(job) if !job.state.is_final() => ranked.push((self.rank(job, now), id)),
-                _ => {
-                    self.unplaced.remove(&id);
-                }
+        for id in self.waiting.take_unranked(now) {
+            let job = self.jobs.get(&id).filter(|job| !job.state.is_final());
+            if let Some(job) = job {
+                let (rank, pool) = (self.rank(job, now), self.pool_of(job).to_owned());
+                self.waiting.set_rank(&id, &pool, rank);
             }
         }
-        ranked.sort_by(|one, other| one.partial_cmp(other).unwrap_or(std::cmp::Ordering::Equal));
-        for (_, id) in ranked {
-            self.place_job(&id, now);
+        for pool in self.waiting.take_due_pools() {
+            self.unplaceable.remove(&pool);
+            let Some(last) = self.place_from(&pool, None, now) else {
+                self.waiting.set_reached(&pool, None);
+                continue;
+            };
+            let resume = self.waiting.resume_place(&pool, last);
+            let reached = self.place_from(&pool, Some(resume), now);
+            self.waiting.set_reached(&pool, reached);
         }
     }
 
+    /// Places the waiting jobs of a pool that follow a place until [`MAX_MISSES`] in
+    /// succession had no task that fits. Returns the place of the last one, none if it was
+    /// the pool's last.
+    fn place_from(
+        &mut self,
+        pool: &str,
+        mut place: Option<WaitingPlace>,
+        now: u64,
+    ) -> Option<WaitingPlace> {
+        let mut misses = 0;
+        while misses < MAX_MISSES {
+            let next = self.waiting.next(pool, place.as_ref())?;
+            if self.place_job(&next.1, now) {
+                misses = 0;
+            } else {
+                misses += 1;
+            }
+            place = Some(next);
+        }
+        place
+    }
+
     fn rank(&self, job: &JobEntry, now: u64) -> JobRank {
         let queue = self.queue_of(job);
         let priority = queue.map_or(0, |queue| queue.priority);
@@ -129,11 +148,14 @@
         *mean += (work as f64 - *mean) * MEAN_WEIGHT;
     }
 
-    /// Places the tasks of a job's open steps; the job is no longer unplaced if none waits.
-    fn place_job(&mut self, id: &JobId, now: u64) {
+    /// Places the tasks of a job's open steps; the job stops waiting if none of them does.
+    /// Returns false if tasks are waiting and none was placed.
+    fn place_job(&mut self, id: &JobId, now: u64) -> bool {
         let Some(job) = self.jobs.get(id) else {
-            return;
+            self.waiting.remove(id);
+            return true;
         };
+        let version = job.version;
         let pool = self.pool_of(job).to_owned();
         let steps = job.open.iter().flat_map(|(occurrence, steps)| {
             let open = steps
@@ -148,8 +170,10 @@
             waiting |= self.place_step(id, &pool, occurrence, step, now);
         }
         if !waiting {
-            self.unplaced.remove(id);
+            self.waiting.remove(id);
         }
+        // Each placement changes the version.
+        !waiting || self.jobs.get(id).is_some_and(|job| job.version > version)
     }
 
     /// Places the tasks of a step; returns whether some are still waiting.
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -169,7 +169,6 @@
         if batch.permits {
             self.send_orders(now);
         }
-        self.placement_due = true;
     }
 
     /// Handles a commit that has not taken effect and will not: its changes are to be
@@ -221,7 +220,7 @@
             self.release_run(&task, &worker, run);
         }
         self.jobs.remove(id);
-        self.unplaced.remove(id);
+        self.waiting.remove(id);
         self.dirty.remove(id);
         for (_, waiter, answer) in self.store_waiters.remove(id).unwrap_or_default() {
             log::info!(event = "job_refused", job = &**id, reason = "store_unavailable"; "");
@@ -280,7 +279,10 @@
     /// to the workers whose cursor has changed.
     fn advance_cursors(&mut self, now: u64) {
         let mut moved = Vec::new();
-        for (id, view) in &mut self.workers {
+        self.ending_workers.retain(|id| {
+            let Some(view) = self.workers.get_mut(id) else {
+                return false;
+            };
             let before = view.cursor;
             while let Some(end) = view.pending_ends.front() {
                 let stored = self
@@ -299,7 +301,8 @@
             if view.cursor != before {
                 moved.push(id.clone());
             }
-        }
+            !view.pending_ends.is_empty()
+        });
         for worker in moved {
             self.send_hold(&worker, now);
         }
@@ -326,7 +329,7 @@
         let mut job = JobEntry::restore(id.clone(), body, progress, time.boot, age_ms);
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
         self.jobs.insert(id.clone(), job);
-        self.unplaced.insert(id);
+        self.waiting.insert(&id);
     }
 
     /// Adds the inherited runs to their workers, once the workers' entries are known.
