Scheduler: rows of candidates for a pass, waves and moves without repeated scans

Each task compared the views of all 1,100 workers by name of their pool; the VMs of a wave still due were found by comparing each of its 561 machines with each one ordered, several times a tick; each VM to be moved compared all VMs with all moves of the pass.

Change: a pass copies what it compares of a pool's workers that accept runs into rows side by side; a wave keeps the set of VMs that remain; idle VMs and surpluses of pools are found once for all moves of a pass. Decisions are the same, but for ties between pools with equal surplus.

--- a/benches/scheduler/main.rs
+++ b/benches/scheduler/main.rs
@@ -25,14 +25,25 @@
 const MEASURE_MS: u64 = 3_000;
 
 fn main() {
-    let sizes = std::env::args().skip(1).filter_map(|word| word.parse().ok());
+    let sizes = std::env::args()
+        .skip(1)
+        .filter_map(|word| word.parse().ok());
     let mut sizes: Vec<usize> = sizes.collect();
     if sizes.is_empty() {
         sizes = vec![60, 350, 1_100];
     }
     println!(
         "{:>8} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>6}",
-        "workers", "backlog", "runs/s", "calls", "commits", "placing", "ticks", "callers", "us/run", "ratio"
+        "workers",
+        "backlog",
+        "runs/s",
+        "calls",
+        "commits",
+        "placing",
+        "ticks",
+        "callers",
+        "us/run",
+        "ratio"
     );
     let mut base = None;
     for workers in &sizes {
--- a/benches/scheduler/simulation.rs
+++ b/benches/scheduler/simulation.rs
@@ -255,7 +255,10 @@
                 pool: pool_name(pool),
                 spec: JobSpec {
                     spec: "text".to_owned(),
-                    steps: vec![step(8, cpu, estimate_ms, &[]), step(4, cpu, estimate_ms, &[0])],
+                    steps: vec![
+                        step(8, cpu, estimate_ms, &[]),
+                        step(4, cpu, estimate_ms, &[0]),
+                    ],
                     schedule: None,
                 },
             };
@@ -316,7 +319,8 @@
             Event::RunEnds(worker) => self.end_runs(&worker),
             Event::HoldExpires(worker, deadline) => {
                 let state = self.workers.get_mut(&worker);
-                let waiting = state.and_then(|state| state.waiting.take_if(|wait| wait.2 == deadline));
+                let waiting =
+                    state.and_then(|state| state.waiting.take_if(|wait| wait.2 == deadline));
                 if let Some((token, sent_ms, _)) = waiting {
                     self.answer_hold(&worker, token, sent_ms);
                 }
@@ -334,7 +338,11 @@
             WorkerOrder::Start { task, run, .. } => {
                 self.started += 1;
                 let work_ms = self.random.random_range(300..1_500);
-                let work_ms = if call.worker.ends_with('x') { 60_000 } else { work_ms };
+                let work_ms = if call.worker.ends_with('x') {
+                    60_000
+                } else {
+                    work_ms
+                };
                 state.runs.insert(task.clone(), (now + work_ms, *run));
                 self.push(now + work_ms, Event::RunEnds(call.worker.clone()));
                 self.push(now + CALL_MS, Event::CallEnds(token, reply, sent_ms));
@@ -343,7 +351,9 @@
                 state.runs.remove(task);
                 self.push(now + CALL_MS, Event::CallEnds(token, reply, sent_ms));
             }
-            WorkerOrder::Hold { cursor, wait_ms, .. } => {
+            WorkerOrder::Hold {
+                cursor, wait_ms, ..
+            } => {
                 state.ended.retain(|row| row.number > *cursor);
                 if !state.ended.is_empty() || *wait_ms == 0 {
                     return self.answer_hold(&call.worker, token, sent_ms);
@@ -384,7 +394,10 @@
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
-        let due: Vec<_> = state.runs.extract_if(.., |_, (end_ms, _)| *end_ms <= now).collect();
+        let due: Vec<_> = state
+            .runs
+            .extract_if(.., |_, (end_ms, _)| *end_ms <= now)
+            .collect();
         for (task, (_, run)) in due {
             state.last_end += 1;
             state.ended.push(EndedRow {
--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -1,5 +1,7 @@
 //! Worker selection for a task: eligibility, placement cost and reservation.
 
+use crate::jobs::candidates::CandidateRow;
+use crate::jobs::candidates::WorkerLoad;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::task::RunPhase;
 use crate::jobs::task::TaskRun;
@@ -19,46 +21,77 @@
         spec: &StepSpec,
         rack_local_only: bool,
         now: u64,
+    ) -> Option<String> {
+        self.make_candidates(pool, now);
+        let best = self.cheapest_worker(task, pool, spec, rack_local_only, now);
+        if best.is_none() {
+            self.request_advice(task, pool, spec, now);
+        }
+        best
+    }
+
+    /// Makes the rows of a pool's candidates, if this pass has none yet.
+    fn make_candidates(&mut self, pool: &str, now: u64) {
+        if self.candidates.rows(pool).is_some() {
+            return;
+        }
+        let workers = self.workers.iter();
+        let eligible =
+            workers.filter(|(_, view)| view.entry.pool == pool && view.is_schedulable(now));
+        let rows = eligible.map(|(id, view)| CandidateRow {
+            worker: id.as_str().into(),
+            load: WorkerLoad::new(view, self.fleet.is_maintenance_due(id)),
+        });
+        let rows = rows.collect();
+        self.candidates.insert(pool, rows);
+    }
+
+    fn cheapest_worker(
+        &self,
+        task: &TaskId,
+        pool: &str,
+        spec: &StepSpec,
+        rack_local_only: bool,
+        now: u64,
     ) -> Option<String> {
         let need = spec.reserved();
-        let rack_local =
-            |view: &WorkerView| spec.data_rack.is_empty() || view.rack() == spec.data_rack;
-        let rack_local_only = rack_local_only && !spec.data_rack.is_empty() && {
-            let mut in_pool = self.workers.values().filter(|view| view.entry.pool == pool);
-            in_pool.any(|view| rack_local(view) && view.is_schedulable(now))
+        let rows = self.candidates.rows(pool)?;
+        let rack_local = |worker: &str| {
+            let view = self.workers.get(worker);
+            spec.data_rack.is_empty() || view.is_some_and(|view| view.rack() == spec.data_rack)
         };
-        // Evaluated outside the loop because the fleet may have many workers.
+        let rack_local_only = rack_local_only
+            && !spec.data_rack.is_empty()
+            && rows.iter().any(|row| rack_local(&row.worker));
+        // Evaluated outside the loop because the pool may have many workers.
         let needs_advice = self.needs_advice(task);
         let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
         let placed = state.map_or(&[][..], |state| &state.placed);
-        let mut best: Option<(f64, &String)> = None;
-        for (id, view) in &self.workers {
-            if !view.free().covers(&need) || !is_eligible(pool, spec, view, now) {
-                continue;
-            }
-            let is_rack_local = rack_local(view);
+        let mut best: Option<(f64, &CandidateRow)> = None;
+        for row in rows.iter().filter(|row| row.load.free().covers(&need)) {
+            let id = &*row.worker;
+            let is_rack_local = rack_local(id);
             if rack_local_only && !is_rack_local {
                 continue;
             }
-            if needs_advice && !self.is_advised(task, id, now) {
+            let cost = placement_cost(spec, &row.load) + if is_rack_local { 0.0 } else { 10.0 };
+            if best.is_some_and(|(lowest, _)| cost >= lowest) {
                 continue;
             }
-            if spec.per_worker > 0 && self.runs_at(task, id) >= spec.per_worker {
-                continue;
+            let is_allowed = (!needs_advice || self.is_advised(task, id, now))
+                && (spec.per_worker == 0 || self.runs_at(task, id) < spec.per_worker)
+                && !placed.iter().any(|run| run.worker == id)
+                && self.is_labelled(spec, id);
+            if is_allowed {
+                best = Some((cost, row));
             }
-            if placed.iter().any(|run| run.worker == *id) {
-                continue;
-            }
-            let cost = self.placement_cost(spec, view) + if is_rack_local { 0.0 } else { 10.0 };
-            if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, id));
-            }
-        }
-        let best = best.map(|(_, id)| id.clone());
-        if best.is_none() {
-            self.request_advice(task, pool, spec, now);
         }
-        best
+        best.map(|(_, row)| row.worker.to_string())
+    }
+
+    fn is_labelled(&self, spec: &StepSpec, worker: &str) -> bool {
+        let view = self.workers.get(worker);
+        spec.label.is_empty() || view.is_some_and(|view| view.has_label(&spec.label))
     }
 
     /// Returns the number of runs of a task's step at a worker that may be alive.
@@ -72,47 +105,6 @@
         runs.filter(|run| run.worker == worker).count() as u32
     }
 
-    /// Returns the cost of a worker for a step; the lowest cost is chosen.
-    ///
-    /// Finite tasks are packed onto workers already in use, so that others become idle for
-    /// moves and maintenance. Long-running tasks prefer workers that already have some, and
-    /// avoid fillers; fillers avoid serving tasks. All tasks but fillers avoid workers whose
-    /// VM is due for maintenance.
-    pub(crate) fn placement_cost(&self, spec: &StepSpec, view: &WorkerView) -> f64 {
-        let capacity = view.entry.capacity.cpu.max(1) as f64;
-        let used = view.used.cpu as f64 / capacity;
-        let run_counts = view.run_counts;
-        let due_cost = if self.fleet.is_maintenance_due(&view.entry.id) {
-            0.5
-        } else {
-            0.0
-        };
-        if spec.fills {
-            return f64::from(run_counts.serving) * 2.0
-                + f64::from(run_counts.fillers) * 0.5
-                + used;
-        }
-        if spec.lasting {
-            let first_run_cost = if run_counts.long_running > 0 {
-                0.0
-            } else {
-                0.3
-            };
-            return f64::from(run_counts.serving) * 0.25
-                + f64::from(run_counts.fillers) * 2.0
-                + first_run_cost
-                + used
-                + due_cost * 6.0;
-        }
-        1.0 - used
-            + if run_counts.long_running > 0 {
-                -0.5
-            } else {
-                0.0
-            }
-            + due_cost
-    }
-
     /// Reserves capacity for a run; the start is sent once the placement is stored.
     pub(crate) fn reserve(&mut self, task: &TaskId, worker: &str, spec: &StepSpec, now: u64) {
         let Some(view) = self.workers.get_mut(worker) else {
@@ -159,10 +151,38 @@
         });
         view.add_run(task.clone(), run, spec.into());
         view.last_busy_ms = now;
+        let load = WorkerLoad::new(view, self.fleet.is_maintenance_due(worker));
+        self.candidates.update(&view.entry.pool, worker, load);
         self.mark_dirty(&task.job, now);
     }
 }
 
+/// Returns the cost of a worker for a step; the lowest cost is chosen.
+///
+/// Finite tasks are packed onto workers already in use, so that others become idle for
+/// moves and maintenance. Long-running tasks prefer workers that already have some, and
+/// avoid fillers; fillers avoid serving tasks. All tasks but fillers avoid workers whose
+/// VM is due for maintenance.
+#[must_use]
+pub fn placement_cost(spec: &StepSpec, load: &WorkerLoad) -> f64 {
+    let used = load.used.cpu as f64 / load.capacity.cpu.max(1) as f64;
+    let run_counts = load.run_counts;
+    let due_cost = if load.maintenance_due { 0.5 } else { 0.0 };
+    if spec.fills {
+        return f64::from(run_counts.serving) * 2.0 + f64::from(run_counts.fillers) * 0.5 + used;
+    }
+    let has_long_running = run_counts.long_running > 0;
+    if spec.lasting {
+        let first_run_cost = if has_long_running { 0.0 } else { 0.3 };
+        return f64::from(run_counts.serving) * 0.25
+            + f64::from(run_counts.fillers) * 2.0
+            + first_run_cost
+            + used
+            + due_cost * 6.0;
+    }
+    1.0 - used + if has_long_running { -0.5 } else { 0.0 } + due_cost
+}
+
 /// Returns whether a worker is schedulable and in the right pool with the step's label.
 ///
 /// Capacity, advice, rack and the step's other runs are not checked.
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -19,6 +19,7 @@
 use crate::jobs::actions::CallToken;
 use crate::jobs::actions::CallerAnswer;
 use crate::jobs::actions::WaiterId;
+use crate::jobs::candidates::PassCandidates;
 use crate::jobs::config::JobConfig;
 use crate::jobs::config::QueueConfig;
 use crate::jobs::fleet::FleetState;
@@ -160,6 +161,8 @@
     pub(crate) actions: Vec<Action>,
     /// Jobs with tasks that may need placement.
     pub(crate) waiting: WaitingJobs,
+    /// Workers that the current placement pass may choose.
+    pub(crate) candidates: PassCandidates,
     /// Workers with ends that are not known to be stored.
     pub(crate) ending_workers: BTreeSet<String>,
     /// Moving average of the work of each queue's jobs, in millicore-milliseconds.
@@ -215,6 +218,7 @@
             advice_calls: 0,
             actions: Vec::new(),
             waiting: WaitingJobs::default(),
+            candidates: PassCandidates::default(),
             ending_workers: BTreeSet::new(),
             mean_job_work: HashMap::new(),
             pace_changed_ms: HashMap::new(),
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -186,25 +186,8 @@
             event = "wave_requested", wave = number, vms = order.machines.len(),
             max_down = order.most, limit_s = order.limit_s, taken_over = record.is_some(); ""
         );
-        let dirty = record.is_none();
-        let record = record.unwrap_or_default();
-        // VMs that a former owner ordered may still be down.
-        let down = if record.complete {
-            BTreeSet::new()
-        } else {
-            record.ordered.iter().cloned().collect()
-        };
-        self.fleet.waves.insert(
-            number,
-            WaveProgress {
-                order,
-                record,
-                down,
-                dirty,
-                first_seen_ms: now,
-                ..WaveProgress::default()
-            },
-        );
+        let wave = WaveProgress::new(order, record, now);
+        self.fleet.waves.insert(number, wave);
         self.fleet.listed_ms = None;
     }
 
@@ -314,13 +297,7 @@
                     .is_none_or(|row| row.state == MachineState::Up);
                 in_progress || !up
             });
-            let missing = wave
-                .order
-                .machines
-                .iter()
-                .filter(|machine| !rows.contains_key(*machine));
-            let missing: Vec<String> = missing.cloned().collect();
-            wave.skipped.extend(missing);
+            wave.remaining.retain(|machine| rows.contains_key(machine));
         }
         for machine in finished {
             log::info!(event = "vm_order_finished", vm = machine.as_str(); "");
--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -164,24 +164,18 @@
             .map(|pool| (shortage(pool), pool.clone()))
             .collect();
         shortages.sort_by(|one, other| other.cmp(one));
+        let mut surpluses: BTreeMap<String, usize> = BTreeMap::new();
+        for (pool, demand) in &demands {
+            let target = targets.get(pool).copied().unwrap_or(0);
+            surpluses.insert(pool.clone(), demand.present.saturating_sub(target));
+        }
+        let mut idle = self.idle_machines(&surpluses, now);
         let mut moves: Vec<(String, String)> = Vec::new();
         for (shortage, pool) in shortages {
             for _ in 0..shortage {
-                let surplus = |from: &str, moves: &[(String, String)]| {
-                    let taken = moves.iter().filter(|(machine, _)| {
-                        self.fleet
-                            .rows
-                            .get(machine)
-                            .is_some_and(|row| row.pool == from)
-                    });
-                    let left = demands
-                        .get(from)
-                        .map_or(0, |demand| demand.present.saturating_sub(taken.count()));
-                    left.saturating_sub(targets.get(from).copied().unwrap_or(0))
-                };
                 let machine = free
                     .pop()
-                    .or_else(|| self.surplus_machine(&pool, &moves, surplus, now));
+                    .or_else(|| take_surplus(&pool, &mut surpluses, &mut idle));
                 let Some(machine) = machine else {
                     break;
                 };
@@ -204,26 +198,21 @@
         row.state == MachineState::Up && !self.fleet.orders.contains_key(&row.machine)
     }
 
-    /// Finds an idle VM in the pool with the largest surplus; `pool` itself is excluded.
-    fn surplus_machine(
+    /// Returns the idle VMs of each pool with a surplus, the first one last.
+    fn idle_machines(
         &self,
-        pool: &str,
-        moves: &[(String, String)],
-        surplus: impl Fn(&str, &[(String, String)]) -> usize,
+        surpluses: &BTreeMap<String, usize>,
         now: u64,
-    ) -> Option<String> {
-        let mut best: Option<(usize, &MachineRow)> = None;
-        for row in self.fleet.rows.values() {
-            let taken = moves.iter().any(|(machine, _)| *machine == row.machine);
-            if row.pool == pool || taken || !self.is_movable(row) {
-                continue;
-            }
-            let surplus = surplus(&row.pool, moves);
-            if surplus > 0 && self.is_idle(row, now) && best.is_none_or(|(max, _)| surplus > max) {
-                best = Some((surplus, row));
+    ) -> BTreeMap<String, Vec<String>> {
+        let mut idle: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for row in self.fleet.rows.values().rev() {
+            let has_surplus = surpluses.get(&row.pool).is_some_and(|surplus| *surplus > 0);
+            if has_surplus && self.is_movable(row) && self.is_idle(row, now) {
+                let machines = idle.entry(row.pool.clone()).or_default();
+                machines.push(row.machine.clone());
             }
         }
-        best.map(|(_, row)| row.machine.clone())
+        idle
     }
 
     fn is_idle(&self, row: &MachineRow, now: u64) -> bool {
@@ -231,3 +220,18 @@
         view.is_some_and(|view| view.runs.is_empty() && now > view.last_busy_ms + MIN_IDLE_MS)
     }
 }
+
+/// Takes an idle VM of the pool with the largest surplus; `pool` itself is excluded.
+fn take_surplus(
+    pool: &str,
+    surpluses: &mut BTreeMap<String, usize>,
+    idle: &mut BTreeMap<String, Vec<String>>,
+) -> Option<String> {
+    let others = surpluses
+        .iter_mut()
+        .filter(|(from, surplus)| *from != pool && **surplus > 0);
+    let able = others.filter(|(from, _)| idle.get(*from).is_some_and(|vms| !vms.is_empty()));
+    let (from, surplus) = able.max_by_key(|(_, surplus)| **surplus)?;
+    *surplus -= 1;
+    idle.get_mut(from)?.pop()
+}
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -63,6 +63,7 @@
             .iter()
             .filter(|(_, view)| view.entry.state == WorkerState::Draining);
         workers.extend(draining.map(|(id, _)| id.clone()));
+        self.candidates.clear();
         for worker in workers {
             let Some(view) = self.workers.get(&worker) else {
                 continue;
@@ -222,7 +223,7 @@
                 self.fleet.orders.remove(machine);
                 for wave in self.fleet.waves.values_mut() {
                     if kind == MachineOrder::Maintain(wave.order.wave) {
-                        wave.skipped.insert(machine.to_owned());
+                        wave.remaining.remove(machine);
                     }
                 }
             }
@@ -262,9 +263,7 @@
             MachineOrder::Maintain(number) => {
                 row.state = MachineState::Maintenance;
                 if let Some(wave) = self.fleet.waves.get_mut(number) {
-                    wave.record.ordered.push(machine.to_owned());
-                    wave.down.insert(machine.to_owned());
-                    wave.dirty = true;
+                    wave.set_ordered(machine);
                 }
             }
         }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 pub mod admit;
 pub mod advice;
 pub mod callers;
+pub mod candidates;
 pub mod choose;
 pub mod config;
 pub mod engine;
--- a/src/jobs/waiting.rs
+++ b/src/jobs/waiting.rs
@@ -103,8 +103,7 @@
         let period_ms = (self.ranked.len() as f64 * RANK_MS_PER_JOB) as u64;
         if now >= self.ranked_ms + period_ms.max(MIN_RANK_PERIOD_MS) {
             self.ranked_ms = now;
-            self.unranked
-                .extend(self.ranked.drain().map(|(id, _)| id));
+            self.unranked.extend(self.ranked.drain().map(|(id, _)| id));
             self.pools.values_mut().for_each(|order| order.jobs.clear());
         }
         std::mem::take(&mut self.unranked)
--- a/src/jobs/wave.rs
+++ b/src/jobs/wave.rs
@@ -32,9 +32,9 @@
     pub record: WaveRecord,
     /// VMs whose maintenance was ordered and which are not back in service yet.
     pub down: BTreeSet<String>,
-    /// VMs that are not maintained: they no longer exist, or the platform refused the
-    /// order as invalid.
-    pub skipped: BTreeSet<String>,
+    /// VMs whose maintenance is still to be ordered. Those that no longer exist, and those
+    /// for which the platform refused the order as invalid, are left out.
+    pub remaining: BTreeSet<String>,
     /// Whether the record has changed since it last went into a commit.
     pub dirty: bool,
     /// When this owner first learnt of the wave, on the boot clock in milliseconds.
@@ -42,12 +42,40 @@
 }
 
 impl WaveProgress {
+    /// Returns a wave with the progress that a former owner stored, if it has begun.
+    #[must_use]
+    pub fn new(order: WaveOrder, record: Option<WaveRecord>, now: u64) -> Self {
+        let dirty = record.is_none();
+        let record = record.unwrap_or_default();
+        let ordered: BTreeSet<String> = record.ordered.iter().cloned().collect();
+        let machines = order.machines.iter();
+        let remaining = machines.filter(|machine| !ordered.contains(*machine));
+        Self {
+            remaining: remaining.cloned().collect(),
+            // VMs that a former owner ordered may still be down.
+            down: if record.complete {
+                BTreeSet::new()
+            } else {
+                ordered
+            },
+            order,
+            record,
+            dirty,
+            first_seen_ms: now,
+        }
+    }
+
+    /// Records that the maintenance of a VM was ordered.
+    pub fn set_ordered(&mut self, machine: &str) {
+        self.remaining.remove(machine);
+        self.record.ordered.push(machine.to_owned());
+        self.down.insert(machine.to_owned());
+        self.dirty = true;
+    }
+
     /// Returns the VMs whose maintenance is still to be ordered.
     pub fn due(&self) -> impl Iterator<Item = &String> {
-        let machines = self.order.machines.iter();
-        machines.filter(|machine| {
-            !self.record.ordered.contains(machine) && !self.skipped.contains(*machine)
-        })
+        self.remaining.iter()
     }
 
     /// Returns how many more VMs may go down now.
--- /dev/null
+++ b/tests/jobs_waiting.rs
@@ -0,0 +1,99 @@
+//! Placement with a large backlog: a pass must stay cheap, and no job may starve behind
+//! jobs that do not fit.
+
+#[path = "support/world.rs"]
+mod world;
+
+use chicorygauge::jobs::record::BodyRecord;
+use chicorygauge::jobs::types::JobId;
+use chicorygauge::jobs::types::JobSpec;
+use chicorygauge::jobs::waiting::JobRank;
+use chicorygauge::jobs::waiting::WaitingJobs;
+use world::POOL;
+use world::World;
+use world::job;
+use world::step;
+
+fn rank(work_per_value: f64) -> JobRank {
+    JobRank {
+        class: 1,
+        priority: 0,
+        work_per_value,
+    }
+}
+
+fn job_id(number: usize) -> JobId {
+    format!("{number:016x}").as_str().into()
+}
+
+/// Adds a job as if a former owner had accepted it, without admission.
+fn restore_waiting(world: &mut World, id: JobId, spec: &JobSpec) {
+    world.specs.insert(id.to_string(), spec.clone());
+    let time = world.time();
+    let body = BodyRecord {
+        queue: "orders".to_owned(),
+        pool: POOL.to_owned(),
+        submitted_ms: time.unix,
+        spec: spec.clone(),
+    };
+    world.engine.restore_job(id, body, None, time);
+}
+
+/// The order of placement must not depend on when a job was added.
+#[test]
+fn waiting_order_by_rank() {
+    let mut waiting = WaitingJobs::default();
+    for (number, work) in [3.0, 1.0, 2.0].into_iter().enumerate() {
+        waiting.set_rank(&job_id(number), POOL, rank(work));
+    }
+    let mut order = Vec::new();
+    let mut place = None;
+    while let Some(next) = waiting.next(POOL, place.as_ref()) {
+        order.push(next.1.clone());
+        place = Some(next);
+    }
+    assert_eq!(order, [job_id(1), job_id(2), job_id(0)]);
+}
+
+/// A job whose run ends while it waits must not be listed twice.
+#[test]
+fn waiting_inserted_twice_once_listed() {
+    let mut waiting = WaitingJobs::default();
+    waiting.set_rank(&job_id(1), POOL, rank(1.0));
+    waiting.insert(&job_id(1));
+    assert_eq!(waiting.len(), 1);
+    waiting.set_rank(&job_id(1), POOL, rank(2.0));
+    assert_eq!(waiting.len(), 1);
+    waiting.remove(&job_id(1));
+    assert!(waiting.is_empty());
+    assert_eq!(waiting.next(POOL, None), None);
+}
+
+/// A pool in which nothing has changed must not be looked at again.
+#[test]
+fn waiting_pool_due_once() {
+    let mut waiting = WaitingJobs::default();
+    waiting.set_rank(&job_id(1), POOL, rank(1.0));
+    assert_eq!(waiting.take_due_pools(), [POOL]);
+    assert!(waiting.take_due_pools().is_empty());
+    waiting.mark_due(POOL);
+    assert_eq!(waiting.take_due_pools(), [POOL]);
+}
+
+/// Load pattern: a queue's peak leaves hundreds of jobs that fit nowhere. A job that fits
+/// beside what is running must start soon, although all of them rank before it.
+#[test]
+fn backlog_fitting_job_starts_behind_others() {
+    let mut world = World::new(1, 1);
+    world.run(20);
+    world.submit("ffffffffffffffff", &job(&[step(1, 20_000, 60_000)]), 1);
+    world.run(100);
+    assert_eq!(world.starts(), 1);
+    for number in 0..400 {
+        restore_waiting(&mut world, job_id(number), &job(&[step(1, 13_000, 100)]));
+    }
+    // Its remaining work is larger, so it ranks last.
+    restore_waiting(&mut world, job_id(999), &job(&[step(1, 5_000, 30_000)]));
+    world.run(3000);
+    assert_eq!(world.starts(), 2, "the job that fits has not started");
+}
