Scheduler: rows of candidates are kept between passes, waves sent only when unknown

Cause (profile): with 1,100 workers each pass still made the rows of its pool from the views of all workers, some hundred times a second; and each of 146 entry VMs sent the 561 names of a wave to the owner twice a second, and got them back.

Change: rows follow placed and released runs and are made again at each tick; the chosen worker is compared with its view, and the rows are made again if it no longer fits. An entry VM sends its waves to an owner until that owner has answered; an owner answers with the waves that the message lacked, if it had any.

--- a/src/jobs/candidates.rs
+++ b/src/jobs/candidates.rs
@@ -1,9 +1,10 @@
-//! Workers that a placement pass may choose, copied from their views.
+//! Workers that placement may choose, copied from their views.
 //!
-//! A pass compares all workers of a pool for each task. It reads these rows, which lie
-//! side by side in memory and leave out the workers that accept no runs, instead of the
-//! views of all workers. The rows are made at the first choice of a pass in a pool and
-//! dropped with the pass.
+//! A placement pass compares all workers of a pool for each task. It reads these rows,
+//! which lie side by side in memory and leave out the workers that accept no runs, instead
+//! of the views of all workers. Rows are updated when runs are placed and released, and
+//! made again at each tick for all other changes; so a worker that was chosen must be
+//! compared with its view before it is used.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,7 +13,7 @@
 use crate::jobs::worker::RunCounts;
 use crate::jobs::worker::WorkerView;
 
-/// What placement compares of a worker.
+/// What placement compares of a worker and a run changes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorkerLoad {
     /// Total resources for runs.
@@ -21,22 +22,19 @@
     pub used: ResourceVector,
     /// Number of its runs of each kind.
     pub run_counts: RunCounts,
-    /// Whether its VM is due for maintenance.
-    pub maintenance_due: bool,
 }
 
-impl WorkerLoad {
-    /// Returns the load of a worker.
-    #[must_use]
-    pub fn new(view: &WorkerView, maintenance_due: bool) -> Self {
+impl From<&WorkerView> for WorkerLoad {
+    fn from(view: &WorkerView) -> Self {
         Self {
             capacity: view.entry.capacity,
             used: view.used,
             run_counts: view.run_counts,
-            maintenance_due,
         }
     }
+}
 
+impl WorkerLoad {
     /// Returns the free resources.
     #[must_use]
     pub fn free(&self) -> ResourceVector {
@@ -51,21 +49,23 @@
     pub worker: Arc<str>,
     /// Its load.
     pub load: WorkerLoad,
+    /// Whether its VM is due for maintenance.
+    pub maintenance_due: bool,
 }
 
-/// The candidates of each pool in a placement pass, by ascending identifier.
+/// The candidates of each pool, by ascending identifier.
 #[derive(Clone, Debug, Default)]
-pub struct PassCandidates {
+pub struct PoolCandidates {
     pools: HashMap<String, Vec<CandidateRow>>,
 }
 
-impl PassCandidates {
-    /// Drops all rows; call this when a pass begins.
+impl PoolCandidates {
+    /// Drops all rows.
     pub fn clear(&mut self) {
         self.pools.clear();
     }
 
-    /// Returns the rows of a pool, if they were made in this pass.
+    /// Returns the rows of a pool, if they were made.
     #[must_use]
     pub fn rows(&self, pool: &str) -> Option<&[CandidateRow]> {
         self.pools.get(pool).map(Vec::as_slice)
@@ -76,13 +76,13 @@
         self.pools.insert(pool.to_owned(), rows);
     }
 
-    /// Updates the row of a worker, if there is one.
-    pub fn update(&mut self, pool: &str, worker: &str, load: WorkerLoad) {
-        let Some(rows) = self.pools.get_mut(pool) else {
+    /// Updates the load in the row of a worker, if there is one.
+    pub fn update(&mut self, worker: &str, view: &WorkerView) {
+        let Some(rows) = self.pools.get_mut(&view.entry.pool) else {
             return;
         };
         if let Ok(at) = rows.binary_search_by(|row| (*row.worker).cmp(worker)) {
-            rows[at].load = load;
+            rows[at].load = view.into();
         }
     }
 }
--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -1,7 +1,6 @@
 //! Worker selection for a task: eligibility, placement cost and reservation.
 
 use crate::jobs::candidates::CandidateRow;
-use crate::jobs::candidates::WorkerLoad;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::task::RunPhase;
 use crate::jobs::task::TaskRun;
@@ -23,14 +22,25 @@
         now: u64,
     ) -> Option<String> {
         self.make_candidates(pool, now);
-        let best = self.cheapest_worker(task, pool, spec, rack_local_only, now);
+        let mut best = self.cheapest_worker(task, pool, spec, rack_local_only, now);
+        let is_outdated = |id: &String| {
+            let view = self.workers.get(id);
+            !view.is_some_and(|view| {
+                is_eligible(pool, spec, view, now) && view.free().covers(&spec.reserved())
+            })
+        };
+        if best.as_ref().is_some_and(is_outdated) {
+            self.candidates.clear();
+            self.make_candidates(pool, now);
+            best = self.cheapest_worker(task, pool, spec, rack_local_only, now);
+        }
         if best.is_none() {
             self.request_advice(task, pool, spec, now);
         }
         best
     }
 
-    /// Makes the rows of a pool's candidates, if this pass has none yet.
+    /// Makes the rows of a pool's candidates, if there are none.
     fn make_candidates(&mut self, pool: &str, now: u64) {
         if self.candidates.rows(pool).is_some() {
             return;
@@ -40,7 +50,8 @@
             workers.filter(|(_, view)| view.entry.pool == pool && view.is_schedulable(now));
         let rows = eligible.map(|(id, view)| CandidateRow {
             worker: id.as_str().into(),
-            load: WorkerLoad::new(view, self.fleet.is_maintenance_due(id)),
+            load: view.into(),
+            maintenance_due: self.fleet.is_maintenance_due(id),
         });
         let rows = rows.collect();
         self.candidates.insert(pool, rows);
@@ -74,7 +85,7 @@
             if rack_local_only && !is_rack_local {
                 continue;
             }
-            let cost = placement_cost(spec, &row.load) + if is_rack_local { 0.0 } else { 10.0 };
+            let cost = placement_cost(spec, row) + if is_rack_local { 0.0 } else { 10.0 };
             if best.is_some_and(|(lowest, _)| cost >= lowest) {
                 continue;
             }
@@ -151,8 +162,7 @@
         });
         view.add_run(task.clone(), run, spec.into());
         view.last_busy_ms = now;
-        let load = WorkerLoad::new(view, self.fleet.is_maintenance_due(worker));
-        self.candidates.update(&view.entry.pool, worker, load);
+        self.candidates.update(worker, view);
         self.mark_dirty(&task.job, now);
     }
 }
@@ -164,10 +174,11 @@
 /// avoid fillers; fillers avoid serving tasks. All tasks but fillers avoid workers whose
 /// VM is due for maintenance.
 #[must_use]
-pub fn placement_cost(spec: &StepSpec, load: &WorkerLoad) -> f64 {
+pub fn placement_cost(spec: &StepSpec, row: &CandidateRow) -> f64 {
+    let load = &row.load;
     let used = load.used.cpu as f64 / load.capacity.cpu.max(1) as f64;
     let run_counts = load.run_counts;
-    let due_cost = if load.maintenance_due { 0.5 } else { 0.0 };
+    let due_cost = if row.maintenance_due { 0.5 } else { 0.0 };
     if spec.fills {
         return f64::from(run_counts.serving) * 2.0 + f64::from(run_counts.fillers) * 0.5 + used;
     }
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -19,7 +19,7 @@
 use crate::jobs::actions::CallToken;
 use crate::jobs::actions::CallerAnswer;
 use crate::jobs::actions::WaiterId;
-use crate::jobs::candidates::PassCandidates;
+use crate::jobs::candidates::PoolCandidates;
 use crate::jobs::config::JobConfig;
 use crate::jobs::config::QueueConfig;
 use crate::jobs::fleet::FleetState;
@@ -161,8 +161,8 @@
     pub(crate) actions: Vec<Action>,
     /// Jobs with tasks that may need placement.
     pub(crate) waiting: WaitingJobs,
-    /// Workers that the current placement pass may choose.
-    pub(crate) candidates: PassCandidates,
+    /// Workers that placement may choose.
+    pub(crate) candidates: PoolCandidates,
     /// Workers with ends that are not known to be stored.
     pub(crate) ending_workers: BTreeSet<String>,
     /// Moving average of the work of each queue's jobs, in millicore-milliseconds.
@@ -218,7 +218,7 @@
             advice_calls: 0,
             actions: Vec::new(),
             waiting: WaitingJobs::default(),
-            candidates: PassCandidates::default(),
+            candidates: PoolCandidates::default(),
             ending_workers: BTreeSet::new(),
             mean_job_work: HashMap::new(),
             pace_changed_ms: HashMap::new(),
@@ -313,6 +313,7 @@
         }
         self.expire_ended_jobs(time.boot);
         self.plan_fleet(time.boot);
+        self.candidates.clear();
         self.waiting.mark_all_due();
     }
 
@@ -399,6 +400,7 @@
             }
             if let Some(view) = self.workers.get_mut(worker) {
                 view.remove_run(task, run, footprint);
+                self.candidates.update(worker, view);
                 self.waiting.mark_due(&view.entry.pool);
             }
         }
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -63,7 +63,6 @@
             .iter()
             .filter(|(_, view)| view.entry.state == WorkerState::Draining);
         workers.extend(draining.map(|(id, _)| id.clone()));
-        self.candidates.clear();
         for worker in workers {
             let Some(view) = self.workers.get(&worker) else {
                 continue;
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -58,7 +58,6 @@
                 self.waiting.set_rank(&id, &pool, rank);
             }
         }
-        self.candidates.clear();
         for pool in self.waiting.take_due_pools() {
             self.unplaceable.remove(&pool);
             let Some(last) = self.place_from(&pool, None, now) else {
--- a/src/service/jobs/election.rs
+++ b/src/service/jobs/election.rs
@@ -91,7 +91,7 @@
                     && let Some(address) = address_of(&former)
                     && let Some(message) = context
                         .exchange
-                        .send(address, u64::MAX, FORMER_OWNER_LIMIT)
+                        .send(address, u64::MAX, Vec::new(), FORMER_OWNER_LIMIT)
                         .await
                     && message.owning
                 {
--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -24,6 +24,7 @@
 use crate::http::CallRequest;
 use crate::jobs::record::MemberRecord;
 use crate::jobs::record::ShardKeys;
+use crate::jobs::wave::WaveOrder;
 use crate::keep_alive::KeepAliveClient;
 use crate::ports::StoreCall;
 use crate::ports::StoreReply;
@@ -102,12 +103,19 @@
     #[must_use]
     pub fn reply_to(&self, message: ExchangeMessage, owning: bool) -> ExchangeMessage {
         let version = message.version;
+        let known: Vec<u64> = message.waves.iter().map(|wave| wave.wave).collect();
         self.apply(message);
-        self.build_message(owning, version)
+        let mut waves = self.operator.borrow().waves.clone();
+        // Only an owner needs waves, and others send them to it when its ownership begins.
+        waves.retain(|wave| !known.is_empty() && !known.contains(&wave.wave));
+        ExchangeMessage {
+            waves,
+            ..self.build_message(owning, version)
+        }
     }
 
-    /// Returns a message for an entry VM that has this version of the configuration;
-    /// it includes the configuration only if this entry VM's is newer.
+    /// Returns a message without waves for an entry VM that has this version of the
+    /// configuration; it includes the configuration only if this entry VM's is newer.
     fn build_message(&self, owning: bool, version: u64) -> ExchangeMessage {
         let operator = self.operator.borrow();
         let config = operator.config.as_ref();
@@ -125,10 +133,14 @@
             config: config
                 .filter(|_| own > version)
                 .map(|config| config.as_ref().clone()),
-            waves: operator.waves.clone(),
+            waves: Vec::new(),
         }
     }
 
+    fn waves(&self) -> Vec<WaveOrder> {
+        self.operator.borrow().waves.clone()
+    }
+
     /// Returns whether this entry VM cannot serve callers for now: it reaches neither
     /// the owner nor the store, from which it would learn of the next owner.
     #[must_use]
@@ -186,14 +198,18 @@
     /// there is no valid answer.
     ///
     /// `version` is the version of that entry VM's configuration; with [`u64::MAX`], the
-    /// message never includes the configuration.
+    /// message never includes the configuration. `waves` are those that it may lack.
     pub async fn send(
         &self,
         peer: SocketAddr,
         version: u64,
+        waves: Vec<WaveOrder>,
         limit: Duration,
     ) -> Option<ExchangeMessage> {
-        let message = self.build_message(false, version);
+        let message = ExchangeMessage {
+            waves,
+            ..self.build_message(false, version)
+        };
         let body = rmp_serde::to_vec(&message).ok()?;
         let request = CallRequest {
             method: Method::POST,
@@ -236,6 +252,8 @@
 pub async fn run(settings: NodeSettings, link: StoreLink, state: ExchangeState) {
     let mut peer_version = u64::MAX;
     let mut peer_index = 0;
+    // Epoch of the owner that has answered, and the number of waves that it was sent.
+    let mut told = (0, 0);
     loop {
         let (owner, nodes) = {
             let members = state.members.borrow();
@@ -252,19 +270,34 @@
             .as_ref()
             .is_some_and(|owner| owner.name == settings.name);
         let target = owner.as_ref().filter(|_| !owning).and_then(address_of);
+        let waves = state.waves();
+        let tell = (owner.as_ref().map_or(0, |owner| owner.epoch), waves.len());
         let answered = match target {
-            Some(peer) => state.send(peer, peer_version, EXCHANGE_LIMIT).await,
+            Some(peer) => {
+                let waves = if tell == told { Vec::new() } else { waves };
+                state.send(peer, peer_version, waves, EXCHANGE_LIMIT).await
+            }
             None => None,
         };
         let connected = answered.is_some() || owning && !state.reach().is_isolated();
         state.set_disconnected(!connected && !reaches_store(&link).await);
         match answered {
-            Some(message) => peer_version = message.version,
+            Some(message) => {
+                peer_version = message.version;
+                if message.owning {
+                    told = tell;
+                }
+            }
             None if !others.is_empty() => {
                 peer_index = (peer_index + 1) % others.len();
                 peer_version = u64::MAX;
                 state
-                    .send(others[peer_index], peer_version, EXCHANGE_LIMIT)
+                    .send(
+                        others[peer_index],
+                        peer_version,
+                        state.waves(),
+                        EXCHANGE_LIMIT,
+                    )
                     .await;
             }
             None => {}
