Scheduler: runs are judged by the last report of their worker

Cause: the checks for stuck, unconfirmed and straggling runs compared the time of the last report with the owner's clock. An owner that was paused, or late under load, read the reports after its tick: it stopped all runs that its workers went on with, stopped starts whose answer waited to be read, and placed a copy of each run that may have one.

--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -136,6 +136,9 @@
 
     /// Checks all runs that may be alive.
     ///
+    /// A run is judged by the last report of its worker: if this owner was paused or is
+    /// late, newer reports may not have been handled yet.
+    ///
     /// Stops runs that are stuck, so that their tasks run elsewhere, and runs whose start
     /// stays unconfirmed. Requeues runs that are missing from the view of their worker.
     /// Queues the jobs of stragglers for placement, where they may get a speculative copy.
@@ -147,6 +150,7 @@
                 let running = matches!(run.phase, RunPhase::Running(_));
                 let key = (task.clone(), run.run);
                 let view = self.workers.get(&run.worker);
+                let reported_ms = view.and_then(|view| view.contact_ms).unwrap_or(0);
                 let tracked = view.is_some_and(|view| view.runs.contains(&key));
                 if !tracked
                     && now > self.inherited_leases_expiry_ms
@@ -158,7 +162,7 @@
                 let starting = matches!(run.phase, RunPhase::Reserved(_) | RunPhase::Ordered);
                 if starting
                     && job.stored_version >= job.version
-                    && now > run.last_progress_ms + UNCONFIRMED_MS
+                    && reported_ms > run.last_progress_ms + UNCONFIRMED_MS
                 {
                     unconfirmed.push((task, run.worker.clone(), run.run));
                     continue;
@@ -166,7 +170,8 @@
                 let Some(spec) = job.step_spec(&task) else {
                     continue;
                 };
-                if spec.speculative && now > run.started_ms + straggler_limit_ms(spec) {
+                let seen_ms = view.map_or(0, |view| view.observed_ms(now));
+                if spec.speculative && seen_ms > run.started_ms + straggler_limit_ms(spec) {
                     straggling.push(job.id.clone());
                 }
                 // A long-running task at 100 percent has started up and is in service.
@@ -174,7 +179,7 @@
                 // The members of a gang start computing only when all of them run.
                 let limit_ms =
                     STUCK_MS.max(spec.estimate_ms / 10) + if spec.gang { 3000 } else { 0 };
-                let no_progress = now > run.last_progress_ms + limit_ms;
+                let no_progress = reported_ms > run.last_progress_ms + limit_ms;
                 let responsive = self
                     .workers
                     .get(&run.worker)
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -8,6 +8,7 @@
 use crate::jobs::choose::is_eligible;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
+use crate::jobs::task::TaskRun;
 use crate::jobs::task::TaskState;
 use crate::jobs::types::JobId;
 use crate::jobs::types::ResourceVector;
@@ -299,8 +300,12 @@
             return;
         };
         let limit_ms = straggler_limit_ms(spec);
+        let is_late = |run: &TaskRun| {
+            let view = self.workers.get(&run.worker);
+            view.is_some_and(|view| view.observed_ms(now) > run.started_ms + limit_ms)
+        };
         let is_straggling = |task: &TaskState| match task.placed.as_slice() {
-            [run] => !task.done && now > run.started_ms + limit_ms && run.percent < NO_COPY_PERCENT,
+            [run] => !task.done && is_late(run) && run.percent < NO_COPY_PERCENT,
             _ => false,
         };
         let stragglers = step
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -188,6 +188,16 @@
             && now >= self.blocked_until_ms
     }
 
+    /// Returns until when the state of its runs is known: until its last report, as this
+    /// owner may be late itself, and until now if it does not answer.
+    #[must_use]
+    pub fn observed_ms(&self, now: u64) -> u64 {
+        if self.missed_calls > 0 {
+            return now;
+        }
+        self.contact_ms.unwrap_or(0)
+    }
+
     /// Returns when a lease of `lease_ms` that is granted now ends, on the worker's
     /// clock in milliseconds; none before the first reading of that clock.
     #[must_use]
--- a/tests/jobs_waiting.rs
+++ b/tests/jobs_waiting.rs
@@ -2,6 +2,7 @@
 //! jobs that do not fit.
 
 #[path = "support/world.rs"]
+#[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
 use chicorygauge::jobs::record::BodyRecord;
