Metrics: values of histograms are summed up every five seconds

Cause: the recorder keeps each value of a histogram until it is rendered or told to sum up, and nothing told it.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -48,6 +48,14 @@
     metrics::describe_gauge!(FLEET_SEQUENCE, "Sequence of the fleet record in force.");
 }
 
+/// Sums up the values of histograms that were recorded since the last call. Until then
+/// each value stays in memory, so this must be called every few seconds.
+pub fn sum_up() {
+    if let Some(recorder) = recorder() {
+        recorder.run_upkeep();
+    }
+}
+
 /// Renders all metrics as text; empty if another recorder was installed first.
 #[must_use]
 pub fn render() -> String {
--- a/src/service/jobs/node.rs
+++ b/src/service/jobs/node.rs
@@ -54,6 +54,9 @@
 /// balancer removes an entry VM after two failed checks, a second apart.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2400);
 
+/// Time between two sums of the recorded metrics, in which their values use memory.
+const METRICS_PERIOD: Duration = Duration::from_secs(5);
+
 /// Part of the grace period that is reserved for the end of the process itself.
 const END_MARGIN: Duration = Duration::from_millis(600);
 
@@ -174,6 +177,7 @@
         },
     );
     start_metrics(&kernel, settings.metrics).await;
+    kernel.spawn(NAME, sum_up_metrics());
     log::info!(
         event = "node_started", name = settings.name.as_str(), dc = settings.dc.as_str(),
         front:% = front_address, control:% = control_address; ""
@@ -241,6 +245,14 @@
     kernel.spawn(FRONT, serve::run(front, server, kernel.phase(), handler));
 }
 
+/// Sums up the recorded metrics in each period; never returns.
+async fn sum_up_metrics() {
+    loop {
+        sleep(METRICS_PERIOD).await;
+        metrics::sum_up();
+    }
+}
+
 async fn start_metrics(kernel: &ServiceKernel, address: Option<SocketAddr>) {
     let Some(address) = address else {
         return;
