Scheduler: changed jobs in the order in which they are due; full commits side by side

Cause: with thousands of changed jobs at a queue's peak, each turn of the event loop searched all of them for the next due one, and each commit sorted all of them for the 14 that fit.

--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -67,7 +67,7 @@
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
         self.jobs.insert(id.clone(), job);
         self.waiting.insert(&id);
-        self.mark_dirty(&id, time.boot);
+        self.dirty.mark(&id, time.boot);
         self.wait_stored(&id, 1, waiter, CallerAnswer::Accepted);
     }
 
@@ -108,7 +108,7 @@
         if job.stored_version >= version {
             return self.answer(waiter, CallerAnswer::Cancelled);
         }
-        self.mark_dirty(id, now);
+        self.dirty.mark(id, now);
         self.wait_stored(id, version, waiter, CallerAnswer::Cancelled);
     }
 
--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -163,7 +163,7 @@
         view.add_run(task.clone(), run, spec.into());
         view.last_busy_ms = now;
         self.candidates.update(worker, view);
-        self.mark_dirty(&task.job, now);
+        self.dirty.mark(&task.job, now);
     }
 }
 
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -22,6 +22,7 @@
 use crate::jobs::candidates::PoolCandidates;
 use crate::jobs::config::JobConfig;
 use crate::jobs::config::QueueConfig;
+use crate::jobs::dirty::DirtyJobs;
 use crate::jobs::fleet::FleetState;
 use crate::jobs::job::JobEntry;
 use crate::jobs::load::PoolLoad;
@@ -142,10 +143,8 @@
     pub unresponsive: UnresponsiveWorkers,
     /// Requests that wait for a version of a job to be stored, with their answers.
     pub store_waiters: BTreeMap<JobId, Vec<(u64, WaiterId, CallerAnswer)>>,
-    /// Changed jobs, with the time by which they are to be stored.
-    pub dirty: BTreeMap<JobId, u64>,
-    /// Jobs in a commit that has no result yet.
-    pub storing: BTreeSet<JobId>,
+    /// Jobs whose changes are to be stored.
+    pub dirty: DirtyJobs,
     /// Finished jobs whose stored records are to be removed.
     pub expired: VecDeque<JobId>,
     /// Since when the store executes no commits, on the boot clock; submissions are
@@ -209,8 +208,7 @@
             fleet: FleetState::default(),
             unresponsive: UnresponsiveWorkers::default(),
             store_waiters: BTreeMap::new(),
-            dirty: BTreeMap::new(),
-            storing: BTreeSet::new(),
+            dirty: DirtyJobs::default(),
             expired: VecDeque::new(),
             store_down_since_ms: None,
             store_unresponsive: false,
@@ -272,12 +270,6 @@
             .map_or(job.body.pool.as_str(), |queue| queue.pool.as_str())
     }
 
-    /// Marks a job to be stored by `due_ms`; an earlier time that was set before stays.
-    pub(crate) fn mark_dirty(&mut self, id: &JobId, due_ms: u64) {
-        let due = self.dirty.entry(id.clone()).or_insert(due_ms);
-        *due = (*due).min(due_ms);
-    }
-
     pub(crate) fn answer(&mut self, waiter: WaiterId, answer: CallerAnswer) {
         self.actions.push(Action::Answer { waiter, answer });
     }
--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -129,7 +129,7 @@
                 }
                 job.bump_version();
             }
-            self.mark_dirty(&task.job, now + self.settings.flush_ms);
+            self.dirty.mark(&task.job, now + self.settings.flush_ms);
             self.finalize_job(&task.job, now);
         }
     }
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -265,9 +265,9 @@
             log::info!(
                 event = "job_ended", job = &*task.job, state:? = state, age_ms = age_ms; ""
             );
-            self.mark_dirty(&task.job, now);
+            self.dirty.mark(&task.job, now);
         } else {
-            self.mark_dirty(&task.job, now + self.settings.flush_ms);
+            self.dirty.mark(&task.job, now + self.settings.flush_ms);
         }
         self.finalize_job(&task.job, now);
         self.jobs
@@ -391,7 +391,7 @@
             }
             job.bump_version();
         }
-        self.mark_dirty(&task.job, now + self.settings.flush_ms);
+        self.dirty.mark(&task.job, now + self.settings.flush_ms);
         self.finalize_job(&task.job, now);
     }
 
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 pub mod candidates;
 pub mod choose;
 pub mod config;
+pub mod dirty;
 pub mod engine;
 pub mod entries;
 pub mod fleet;
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -79,20 +79,22 @@
     /// there is nothing to store.
     #[must_use]
     pub fn next_write_ms(&self) -> Option<u64> {
-        let jobs = self
-            .dirty
-            .iter()
-            .filter(|(id, _)| !self.storing.contains(*id));
-        let jobs = jobs.map(|(_, due)| *due).min();
+        let jobs = self.dirty.next_due_ms();
         let fleet = self.fleet.next_write_ms();
         let unresponsive = self.unresponsive.is_dirty().then_some(0);
         jobs.into_iter().chain(fleet).chain(unresponsive).min()
     }
 
+    /// Returns whether the changed jobs fill a whole commit.
+    #[must_use]
+    pub fn fills_commit(&self) -> bool {
+        self.dirty.ready() >= MAX_BATCH_ENTRIES
+    }
+
     /// Makes the commits of all changed jobs due at once, before the ownership is
     /// transferred.
     pub fn flush_all(&mut self) {
-        self.dirty.values_mut().for_each(|due| *due = 0);
+        self.dirty.make_all_due();
     }
 
     /// Returns the next batch to store. A job that is in a commit in progress waits until
@@ -120,20 +122,13 @@
                 batch.unresponsive = true;
             }
         }
-        let ready = self
-            .dirty
-            .iter()
-            .filter(|(id, _)| !self.storing.contains(*id));
-        let mut order: Vec<_> = ready.map(|(id, due)| (*due, id.clone())).collect();
-        order.sort_unstable();
-        for (_, id) in order {
-            if batch.entries() + 2 > MAX_BATCH_ENTRIES || batch.bytes() > FULL_BATCH_BYTES {
-                break;
-            }
-            self.dirty.remove(&id);
+        while batch.entries() + 2 <= MAX_BATCH_ENTRIES
+            && batch.bytes() <= FULL_BATCH_BYTES
+            && let Some(id) = self.dirty.take_first()
+        {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.write_attempted = true;
-                self.storing.insert(id.clone());
+                self.dirty.begin_commit(&id);
                 add_job_writes(&mut batch, keys, job, time.unix)?;
             }
         }
@@ -156,7 +151,7 @@
             self.unresponsive.write_succeeded();
         }
         for (id, version) in &batch.versions {
-            self.storing.remove(id);
+            self.dirty.end_commit(id);
             if let Some(job) = self.jobs.get_mut(id) {
                 job.stored_version = job.stored_version.max(*version);
                 job.body_stored = true;
@@ -179,8 +174,8 @@
             self.unresponsive.write_failed();
         }
         for (id, _) in &batch.versions {
-            self.storing.remove(id);
-            self.mark_dirty(id, now);
+            self.dirty.end_commit(id);
+            self.dirty.mark(id, now);
         }
         for key in &batch.removals {
             if let Some((_, id)) = key.rsplit_once('/')
--- a/src/service/jobs/mod.rs
+++ b/src/service/jobs/mod.rs
@@ -20,6 +20,6 @@
 pub mod relay;
 pub mod serve;
 pub mod settings;
-mod shard;
+pub mod shard;
 pub mod store;
 pub mod watch;
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -52,14 +52,14 @@
 
 /// State of a chain of commits.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct CommitLane {
+pub struct CommitLane {
     /// Revision of the chain key.
-    pub(super) chain_revision: u64,
+    pub chain_revision: u64,
     /// Number of the last commit.
-    pub(super) number: u64,
+    pub number: u64,
     /// When the commit in progress was started, in milliseconds on the boot clock; none if
     /// there is none.
-    pub(super) commit_started_ms: Option<u64>,
+    pub commit_started_ms: Option<u64>,
 }
 
 /// The shard owner: the scheduler, its lanes and the channels around it.
@@ -270,20 +270,6 @@
         }
     }
 
-    /// Returns the lane for the next commit: the first without a commit in progress, but
-    /// none while a lane before it has one that is not slow yet. The changes then
-    /// go into one larger commit, which costs less than several small ones.
-    fn free_lane(&self, now: u64) -> Option<usize> {
-        for (number, lane) in self.lanes.iter().enumerate() {
-            match lane.commit_started_ms {
-                None => return Some(number),
-                Some(since_ms) if now < since_ms + SLOW_COMMIT_MS => return None,
-                Some(_) => {}
-            }
-        }
-        None
-    }
-
     /// Starts the commits that are due, as far as lanes are free.
     fn start_due_commits(&mut self) {
         let time = now();
@@ -293,7 +279,7 @@
             .is_some_and(|due| due <= time.boot)
             || self.reclaim.is_some()
         {
-            let Some(lane) = self.free_lane(time.boot) else {
+            let Some(lane) = free_lane(&self.lanes, self.engine.fills_commit(), time.boot) else {
                 return;
             };
             if !self.start_commit(lane, time) {
@@ -386,6 +372,22 @@
     }
 }
 
+/// Returns the lane for the next commit: the first without a commit in progress, but
+/// none while a lane before it has one that is not slow yet. The changes then go into one
+/// larger commit, which costs less than several small ones; so `is_full`, whether they
+/// fill a commit by themselves, ends the wait.
+#[must_use]
+pub fn free_lane(lanes: &[CommitLane], is_full: bool, now: u64) -> Option<usize> {
+    for (number, lane) in lanes.iter().enumerate() {
+        match lane.commit_started_ms {
+            None => return Some(number),
+            Some(since_ms) if !is_full && now < since_ms + SLOW_COMMIT_MS => return None,
+            Some(_) => {}
+        }
+    }
+    None
+}
+
 fn now() -> TimePair {
     TimePair {
         boot: boot_ms(),
