Scheduler: jobs and workers in hash tables with a fixed key

Cause (profile of the owner after the scans were gone): 16 % of its time compares strings, most of them in the ordered maps of jobs and workers, where each look compares ten keys behind pointers.

Change: hash tables with a fixed key, so that a run of events gives the same decisions; candidates and gangs are sorted where the order counts.

--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -53,7 +53,8 @@
             load: view.into(),
             maintenance_due: self.fleet.is_maintenance_due(id),
         });
-        let rows = rows.collect();
+        let mut rows: Vec<CandidateRow> = rows.collect();
+        rows.sort_unstable_by(|one, other| one.worker.cmp(&other.worker));
         self.candidates.insert(pool, rows);
     }
 
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -13,6 +13,8 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::hash::BuildHasherDefault;
+use std::hash::DefaultHasher;
 use std::sync::Arc;
 
 use crate::jobs::actions::Action;
@@ -94,6 +96,10 @@
     }
 }
 
+/// A hash table. Its hash has a fixed key, so that the scheduler decides the same whenever
+/// it is given the same events.
+pub type StableMap<K, V> = HashMap<K, V, BuildHasherDefault<DefaultHasher>>;
+
 /// Time between two checks of all runs for stuck ones and for fillers whose pace must
 /// change, in milliseconds.
 const RUN_CHECK_MS: u64 = 300;
@@ -130,13 +136,13 @@
     /// Current configuration.
     pub config: Arc<JobConfig>,
     /// Jobs in progress, and finished ones until their end is stored and no run is left.
-    pub jobs: BTreeMap<JobId, JobEntry>,
+    pub jobs: StableMap<JobId, JobEntry>,
     /// Finished jobs whose state is kept for callers.
     pub ended: HashMap<JobId, EndedJob>,
     /// End times and identifiers of finished jobs, oldest first.
     pub ended_order: VecDeque<(u64, JobId)>,
     /// Workers by identifier.
-    pub workers: BTreeMap<String, WorkerView>,
+    pub workers: StableMap<String, WorkerView>,
     /// VMs, their orders and maintenance waves.
     pub fleet: FleetState,
     /// Unresponsive workers with runs, and the ends of their leases.
@@ -201,10 +207,10 @@
             started_ms: now,
             inherited_leases_expiry_ms: now,
             config,
-            jobs: BTreeMap::new(),
+            jobs: StableMap::default(),
             ended: HashMap::new(),
             ended_order: VecDeque::new(),
-            workers: BTreeMap::new(),
+            workers: StableMap::default(),
             fleet: FleetState::default(),
             unresponsive: UnresponsiveWorkers::default(),
             store_waiters: BTreeMap::new(),
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -16,6 +16,7 @@
 use crate::jobs::types::TaskId;
 use crate::jobs::waiting::JobRank;
 use crate::jobs::waiting::WaitingPlace;
+use crate::jobs::worker::WorkerView;
 
 /// How long a task waits for a rack-local worker, as a multiple of its estimate; after
 /// that, a slower run on another rack would end sooner.
@@ -367,12 +368,14 @@
     ) -> Option<Vec<String>> {
         let need = spec.reserved();
         let mut chosen = Vec::new();
-        for (id, view) in &self.workers {
-            let on_rack = rack.is_none_or(|rack| view.rack() == rack);
-            let is_eligible = on_rack && is_eligible(pool, spec, view, now);
-            if !is_eligible || !self.is_advised(first, id, now) {
-                continue;
-            }
+        let on_rack = |view: &WorkerView| rack.is_none_or(|rack| view.rack() == rack);
+        let workers = self.workers.iter();
+        let eligible = workers.filter(|(id, view)| {
+            on_rack(view) && is_eligible(pool, spec, view, now) && self.is_advised(first, id, now)
+        });
+        let mut eligible: Vec<_> = eligible.collect();
+        eligible.sort_unstable_by_key(|(id, _)| *id);
+        for (id, view) in eligible {
             let mut free = view.free();
             let mut runs = self.runs_at(first, id);
             while chosen.len() < spec.tasks as usize
