Scheduler: a recurring job between two occurrences is not waiting

Cause: such a job stayed among the waiting ones, and as nothing is left to do of it, it ranked first. With 400 of them a pass, which now looks at a bounded number of jobs, reached others only in turn: a job started after more than 20 ms (recurring_not_due_delays_no_other failed). Change: it leaves the waiting jobs and returns when its next occurrence opens.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -326,8 +326,8 @@
     fn open_occurrences(&mut self, time: TimePair) {
         let unix = time.unix + self.settings.early_start_ms;
         for job in self.jobs.values_mut() {
-            if job.body.spec.schedule.is_some() {
-                job.open_due(time.boot, unix);
+            if job.body.spec.schedule.is_some() && job.open_due(time.boot, unix) {
+                self.waiting.insert(&job.id);
             }
         }
     }
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -158,17 +158,6 @@
         opened
     }
 
-    /// Returns when the next occurrence that is not open yet is due, in milliseconds
-    /// since the Unix epoch; none if there is no such occurrence.
-    #[must_use]
-    pub fn next_due_ms(&self) -> Option<u64> {
-        let schedule = self.body.spec.schedule?;
-        let is_opened =
-            |number: &u32| self.open.contains_key(number) || self.finished.contains(number);
-        let next = (0..schedule.times).find(|number| !is_opened(number))?;
-        Some(schedule.first_ms + u64::from(next) * schedule.interval_ms)
-    }
-
     /// Opens the steps of an occurrence whose earlier steps are all done.
     fn open_steps(&mut self, number: u32, now: u64) {
         let Some(steps) = self.open.get_mut(&number) else {
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -167,7 +167,8 @@
             open.map(move |(number, _)| (*occurrence, number as u32))
         });
         let steps: Vec<_> = steps.collect();
-        let mut waiting = job.next_due_ms().is_some();
+        // A job that only waits for an occurrence returns when that is due.
+        let mut waiting = false;
         for (occurrence, step) in steps {
             waiting |= self.place_step(id, &pool, occurrence, step, now);
         }
--- a/tests/jobs_waiting.rs
+++ b/tests/jobs_waiting.rs
@@ -7,6 +7,7 @@
 
 use chicorygauge::jobs::record::BodyRecord;
 use chicorygauge::jobs::types::JobId;
+use chicorygauge::jobs::types::JobSchedule;
 use chicorygauge::jobs::types::JobSpec;
 use chicorygauge::jobs::waiting::JobRank;
 use chicorygauge::jobs::waiting::WaitingJobs;
@@ -98,3 +99,47 @@
     world.run(3000);
     assert_eq!(world.starts(), 2, "the job that fits has not started");
 }
+
+/// Load pattern: many recurring jobs between two occurrences. A pass looked at them first,
+/// since nothing is left to do of them, and other jobs waited for their turn behind.
+#[test]
+fn recurring_not_due_delays_no_other() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    let recurring = JobSpec {
+        schedule: Some(JobSchedule {
+            times: 2,
+            first_ms: world.time().unix + 3_600_000,
+            interval_ms: 1000,
+        }),
+        ..job(&[step(1, 1000, 300)])
+    };
+    for number in 0..400 {
+        restore_waiting(&mut world, job_id(number), &recurring);
+    }
+    world.submit("ffffffffffffffff", &job(&[step(1, 1000, 300)]), 1);
+    world.run(20);
+    assert_eq!(world.starts(), 1);
+}
+
+/// A recurring job must be placed again when its next occurrence is due.
+#[test]
+fn recurring_due_placed() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    let recurring = JobSpec {
+        schedule: Some(JobSchedule {
+            times: 2,
+            first_ms: world.time().unix + 500,
+            interval_ms: 1000,
+        }),
+        ..job(&[step(1, 1000, 300)])
+    };
+    world.submit("ffffffffffffffff", &recurring, 1);
+    world.run(400);
+    assert_eq!(world.starts(), 0);
+    world.run(400);
+    assert_eq!(world.starts(), 1);
+    world.run(1000);
+    assert_eq!(world.starts(), 2);
+}
