--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -13,8 +13,6 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::hash::BuildHasherDefault;
-use std::hash::DefaultHasher;
 use std::sync::Arc;
 
 use crate::jobs::actions::Action;
@@ -28,6 +26,7 @@
 use crate::jobs::fleet::FleetState;
 use crate::jobs::job::JobEntry;
 use crate::jobs::load::PoolLoad;
+use crate::jobs::stable_map::StableMap;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
@@ -96,12 +95,7 @@
     }
 }
 
-/// A hash table. Its hash has a fixed key, so that the scheduler decides the same whenever
-/// it is given the same events.
-pub type StableMap<K, V> = HashMap<K, V, BuildHasherDefault<DefaultHasher>>;
-
-/// Time between two checks of all runs for stuck ones and for fillers whose pace must
-/// change, in milliseconds.
+/// Time between two checks of all runs for stuck ones and for their pace, in milliseconds.
 const RUN_CHECK_MS: u64 = 300;
 
 /// A finished job, of which only the state is kept.
@@ -153,8 +147,7 @@
     pub dirty: DirtyJobs,
     /// Finished jobs whose stored records are to be removed.
     pub expired: VecDeque<JobId>,
-    /// Since when the store executes no commits, on the boot clock; submissions are
-    /// refused meanwhile.
+    /// Since when the store executes no commits, on the boot clock; none while it does.
     pub store_down_since_ms: Option<u64>,
     /// Whether a commit has had no answer for longer than a slow store takes.
     pub store_unresponsive: bool,
@@ -315,8 +308,7 @@
         self.waiting.mark_all_due();
     }
 
-    /// Places waiting tasks of the pools in which something has changed since the last
-    /// call.
+    /// Places waiting tasks of the pools that have changed since the last call.
     pub fn run_placement(&mut self, time: TimePair) {
         if !self.deposed {
             self.place_runs(time.boot);
--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -1,5 +1,7 @@
 //! Worker entries in the store, worker restarts and expiry of worker leases.
 
+use std::collections::HashSet;
+
 use crate::jobs::engine::JobEngine;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::TaskId;
@@ -81,12 +83,12 @@
 
     /// Handles a complete list of entries; workers that are not in it become unlisted.
     pub fn workers_synced(&mut self, listed: Vec<WorkerEntry>, now: u64) {
-        let names: Vec<String> = listed.iter().map(|entry| entry.id.clone()).collect();
+        let names: HashSet<String> = listed.iter().map(|entry| entry.id.clone()).collect();
         for entry in listed {
             self.worker_listed(entry, now);
         }
         let known: Vec<String> = self.workers.keys().cloned().collect();
-        for worker in known.iter().filter(|worker| !names.contains(worker)) {
+        for worker in known.iter().filter(|worker| !names.contains(*worker)) {
             let was_listed = self
                 .workers
                 .get(worker)
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -5,7 +5,6 @@
 //! by their remaining work per value, with the least work first. A task that does not fit does not block
 //! smaller ones.
 
-use crate::jobs::choose::is_eligible;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
 use crate::jobs::task::TaskRun;
@@ -16,7 +15,6 @@
 use crate::jobs::types::TaskId;
 use crate::jobs::waiting::JobRank;
 use crate::jobs::waiting::WaitingPlace;
-use crate::jobs::worker::WorkerView;
 
 /// How long a task waits for a rack-local worker, as a multiple of its estimate; after
 /// that, a slower run on another rack would end sooner.
@@ -327,69 +325,6 @@
             }
         }
     }
-
-    /// Places all tasks of a gang, or none if not all fit; returns whether they were placed.
-    ///
-    /// A gang that is slower across racks is placed on one rack, preferably that of its
-    /// data.
-    fn place_gang(&mut self, first: &TaskId, pool: &str, spec: &StepSpec, now: u64) -> bool {
-        let racks: Vec<Option<String>> = if spec.one_rack {
-            let in_pool = self.workers.values().filter(|view| view.entry.pool == pool);
-            let mut racks: Vec<String> = in_pool.map(|view| view.rack().to_owned()).collect();
-            racks.sort_unstable();
-            racks.dedup();
-            racks.sort_by_key(|rack| *rack != spec.data_rack);
-            racks.into_iter().map(Some).collect()
-        } else {
-            vec![None]
-        };
-        let assignment = racks
-            .into_iter()
-            .find_map(|rack| self.assign_gang(first, pool, spec, rack.as_deref(), now));
-        let placed = assignment.is_some();
-        for (index, worker) in assignment.into_iter().flatten().enumerate() {
-            let task = TaskId {
-                index: index as u32,
-                ..first.clone()
-            };
-            self.reserve(&task, &worker, spec, now);
-        }
-        placed
-    }
-
-    /// Returns one worker for each task of a gang, or none if not all tasks fit on the
-    /// workers of the rack; without a rack, on those of the pool.
-    pub(crate) fn assign_gang(
-        &self,
-        first: &TaskId,
-        pool: &str,
-        spec: &StepSpec,
-        rack: Option<&str>,
-        now: u64,
-    ) -> Option<Vec<String>> {
-        let need = spec.reserved();
-        let mut chosen = Vec::new();
-        let on_rack = |view: &WorkerView| rack.is_none_or(|rack| view.rack() == rack);
-        let workers = self.workers.iter();
-        let eligible = workers.filter(|(id, view)| {
-            on_rack(view) && is_eligible(pool, spec, view, now) && self.is_advised(first, id, now)
-        });
-        let mut eligible: Vec<_> = eligible.collect();
-        eligible.sort_unstable_by_key(|(id, _)| *id);
-        for (id, view) in eligible {
-            let mut free = view.free();
-            let mut runs = self.runs_at(first, id);
-            while chosen.len() < spec.tasks as usize
-                && free.covers(&need)
-                && (spec.per_worker == 0 || runs < spec.per_worker)
-            {
-                free = free.saturating_sub(&need);
-                runs += 1;
-                chosen.push(id.clone());
-            }
-        }
-        (chosen.len() == spec.tasks as usize).then_some(chosen)
-    }
 }
 
 /// Returns the time after which a run of a step counts as a straggler, in milliseconds.
