--- a/tests/jobs_pause.rs
+++ b/tests/jobs_pause.rs
@@ -113,3 +113,45 @@
     world.run(3500);
     assert_eq!(world.starts(), 2);
 }
+
+/// Answers that were lost or late made the owner stop runs that were at work: a
+/// long-running task became unavailable by its order.
+#[test]
+fn start_unanswered_listed_goes_on() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    let spec = StepSpec {
+        lasting: true,
+        ..step(2, 1000, 300)
+    };
+    world.faults.lost_replies = 1000;
+    world.submit(JOB, &job(&[spec]), 1);
+    world.run(1100);
+    world.faults.lost_replies = 0;
+    world.run(4000);
+    let stops = world.calls.iter().filter(|(_, call)| is_stop(&call.order));
+    assert_eq!(stops.count(), 0);
+    assert_eq!(world.running(), 2);
+}
+
+/// A start that never arrived must be forbidden before its task is placed again, also that
+/// of a long-running task.
+#[test]
+fn start_lost_stopped_and_placed_again() {
+    for lasting in [false, true] {
+        let mut world = World::new(2, 1);
+        world.run(20);
+        let spec = StepSpec {
+            lasting,
+            ..step(1, 1000, 3000)
+        };
+        world.faults.lost_calls = 1000;
+        world.submit(JOB, &job(&[spec]), 1);
+        world.run(1100);
+        world.faults.lost_calls = 0;
+        world.run(6000);
+        assert!(world.calls.iter().any(|(_, call)| is_stop(&call.order)));
+        let completed = world.completed.contains_key(JOB);
+        assert!(completed || world.running() == 1, "lasting={lasting}");
+    }
+}
