Revert: the start of a long-running task without an answer is judged by a report

A run that waits for a report counts as placed for as long as the worker's reports are late, so its task is placed nowhere. What is missing is the owner's measure of its own delay and link.

--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -10,7 +10,6 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::EndedRun;
 use crate::jobs::task::RunPhase;
-use crate::jobs::types::JobId;
 use crate::jobs::types::RunEnd;
 use crate::jobs::types::TaskId;
 use crate::jobs::worker::ClockSample;
@@ -218,7 +217,12 @@
     }
 
     /// Applies one end; returns its job, if in progress, and the version that includes it.
-    fn apply_end(&mut self, worker: &str, row: &EndedRow, now: u64) -> Option<(JobId, u64)> {
+    fn apply_end(
+        &mut self,
+        worker: &str,
+        row: &EndedRow,
+        now: u64,
+    ) -> Option<(crate::jobs::types::JobId, u64)> {
         let task = TaskId::parse(&row.task)?;
         let attempts = self.max_attempts(&task);
         let first_failure = self.has_not_failed(&task);
@@ -297,9 +301,8 @@
     /// Compares the runs that a worker lists as alive with those known here.
     ///
     /// Unknown runs are stopped. A known run that is not listed is removed if it was
-    /// inherited, or was running or stopped before the hold was sent at `sent_ms`; it is
-    /// stopped if no attempt at its start was answered before that. Other runs have a start
-    /// or stop without an answer, which may take effect later.
+    /// inherited, or was running or stopped before the hold was sent at `sent_ms`. Other
+    /// runs have a start or stop without an answer, which may take effect later.
     fn apply_running(&mut self, worker: &str, rows: &[RunningRow], sent_ms: u64, now: u64) {
         let mut listed = BTreeMap::new();
         for row in rows {
@@ -326,13 +329,6 @@
             .collect();
         for (task, run) in runs {
             let ended = match self.run_phase(&task, worker, run) {
-                Some(RunPhase::Unanswered(since)) if sent_ms > since => {
-                    // The start may still arrive; a stop forbids it.
-                    log::info!(event = "start_given_up", task:% = task, run = run, worker = worker; "");
-                    self.record_run_outcome(worker, RunEnd::Failed, true, now);
-                    self.stop_run(&task, worker, run, now);
-                    false
-                }
                 Some(RunPhase::Inherited) => true,
                 Some(RunPhase::Running(since) | RunPhase::Stopped(since)) => sent_ms > since,
                 _ => false,
@@ -381,7 +377,7 @@
             placed.percent = row.percent;
             placed.load = row.load;
             match placed.phase {
-                RunPhase::Ordered | RunPhase::Unanswered(_) | RunPhase::Inherited => {
+                RunPhase::Ordered | RunPhase::Inherited => {
                     placed.phase = RunPhase::Running(now);
                     stop = done || ended;
                 }
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -16,7 +16,7 @@
 use crate::ports::worker::RefusalReason;
 use crate::ports::worker::WorkerOrder;
 
-/// Maximum number of attempts at a start; if none is answered, the run is given up.
+/// Maximum number of attempts at a start; if none is answered, the run is stopped instead.
 const MAX_START_ATTEMPTS: u32 = 2;
 
 /// How long no run is placed at a worker that refused a start for lack of capacity, in
@@ -171,27 +171,13 @@
                 if retries + 1 < MAX_START_ATTEMPTS {
                     self.send_start(task, worker, run, retries + 1, now);
                 } else {
-                    self.give_up_start(task, worker, run, now);
+                    self.record_run_outcome(worker, RunEnd::Failed, true, now);
+                    self.stop_run(task, worker, run, now);
                 }
             }
         }
     }
 
-    /// Handles a run of which no attempt at the start was answered.
-    ///
-    /// It may be at work. A finite one is stopped, which costs its work at most; a
-    /// long-running one only once a report without it shows that a stop ends nothing, since
-    /// its step may lack other tasks.
-    fn give_up_start(&mut self, task: &TaskId, worker: &str, run: u32, now: u64) {
-        let step = self.jobs.get(&task.job).and_then(|job| job.step_spec(task));
-        if step.is_some_and(|step| step.lasting) {
-            self.set_phase(task, worker, run, RunPhase::Unanswered(now));
-            return self.make_hold_due(worker, now);
-        }
-        self.record_run_outcome(worker, RunEnd::Failed, true, now);
-        self.stop_run(task, worker, run, now);
-    }
-
     /// Handles what a refused start says about the worker, the owner or the ticket.
     fn record_refusal(
         &mut self,
