Wording: placement passes, candidates, changed jobs and their names

Read as a newcomer: a position in the order of waiting jobs was called a place, beside placement; rows were made again, histograms summed up, an owner told. No behaviour, log, wire or stored name changes. The scheduler's benchmark loses a branch that was never taken (no worker's name ends in x) and a head that described other pools than it has.

--- a/benches/scheduler/main.rs
+++ b/benches/scheduler/main.rs
@@ -1,10 +1,10 @@
-//! Processor time of the scheduler a run, by part, without network and in virtual time.
+//! CPU time of the scheduler per run, by part, without network and in virtual time.
 //!
-//! Four pools of workers and a standby pool; the queues' load peaks alternate, as each
-//! in turn submits four times its mean for five seconds. Workers answer in two
-//! milliseconds and the store in four. Printed for each size: microseconds a run of each
-//! part of the scheduler, the same with jobs that wait for a pool that is full, and the
-//! ratio to the smallest size.
+//! Four pools share the workers; their queues' load peaks alternate, five seconds each. A
+//! fifth pool of two workers is full, and a backlog of jobs waits for it. Workers answer in
+//! two milliseconds and the store in four. Printed for each number of workers and each
+//! backlog: microseconds per run of each part of the scheduler, and the ratio of their sum
+//! to that of the first line.
 //!
 //! `cargo bench --bench scheduler -- 60 350 1100` names the numbers of workers.
 
--- a/benches/scheduler/simulation.rs
+++ b/benches/scheduler/simulation.rs
@@ -46,9 +46,9 @@
 const TURN_MS: u64 = 5_000;
 /// Share of the jobs that arrive at the queue that has its peak.
 const PEAK_SHARE: f64 = 0.85;
-/// Jobs that arrive in a second for each worker.
+/// Jobs that arrive per second and worker.
 const JOBS_PER_WORKER: f64 = 0.12;
-/// Pool whose workers are all in use while a backlog is simulated.
+/// Pool for which the backlog waits.
 const FULL_POOL: usize = POOLS;
 
 /// Processor time of each part of the scheduler.
@@ -219,7 +219,7 @@
         format!("{:016x}", self.jobs.wrapping_mul(0x9e37_79b9_7f4a_7c15))
     }
 
-    /// Adds a job to the full pool; each of its tasks takes a whole worker for a minute.
+    /// Adds a job to the full pool; each of its tasks needs a whole worker.
     fn restore_waiting_job(&mut self) {
         let id = self.next_job();
         let body = BodyRecord {
@@ -338,11 +338,6 @@
             WorkerOrder::Start { task, run, .. } => {
                 self.started += 1;
                 let work_ms = self.random.random_range(300..1_500);
-                let work_ms = if call.worker.ends_with('x') {
-                    60_000
-                } else {
-                    work_ms
-                };
                 state.runs.insert(task.clone(), (now + work_ms, *run));
                 self.push(now + work_ms, Event::RunEnds(call.worker.clone()));
                 self.push(now + CALL_MS, Event::CallEnds(token, reply, sent_ms));
--- a/src/jobs/candidates.rs
+++ b/src/jobs/candidates.rs
@@ -1,10 +1,10 @@
-//! Workers that placement may choose, copied from their views.
+//! Workers that placement may choose, as rows copied from their views.
 //!
-//! A placement pass compares all workers of a pool for each task. It reads these rows,
-//! which lie side by side in memory and leave out the workers that accept no runs, instead
-//! of the views of all workers. Rows are updated when runs are placed and released, and
-//! made again at each tick for all other changes; so a worker that was chosen must be
-//! compared with its view before it is used.
+//! For each task, placement compares all workers of a pool. The rows are contiguous in
+//! memory and leave out the workers that accept no runs, so this is cheaper than reading
+//! all views. A row is updated when a run is placed or released; all other changes appear
+//! when the rows are rebuilt, at each tick. A chosen worker must therefore be checked
+//! against its view before it is used.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use crate::jobs::worker::RunCounts;
 use crate::jobs::worker::WorkerView;
 
-/// What placement compares of a worker and a run changes.
+/// Resources and runs of a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorkerLoad {
     /// Total resources for runs.
@@ -65,7 +65,7 @@
         self.pools.clear();
     }
 
-    /// Returns the rows of a pool, if they were made.
+    /// Returns the rows of a pool; none if they must be built first.
     #[must_use]
     pub fn rows(&self, pool: &str) -> Option<&[CandidateRow]> {
         self.pools.get(pool).map(Vec::as_slice)
--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -21,7 +21,7 @@
         rack_local_only: bool,
         now: u64,
     ) -> Option<String> {
-        self.make_candidates(pool, now);
+        self.build_candidates(pool, now);
         let mut best = self.cheapest_worker(task, pool, spec, rack_local_only, now);
         let is_outdated = |id: &String| {
             let view = self.workers.get(id);
@@ -31,7 +31,7 @@
         };
         if best.as_ref().is_some_and(is_outdated) {
             self.candidates.clear();
-            self.make_candidates(pool, now);
+            self.build_candidates(pool, now);
             best = self.cheapest_worker(task, pool, spec, rack_local_only, now);
         }
         if best.is_none() {
@@ -40,8 +40,8 @@
         best
     }
 
-    /// Makes the rows of a pool's candidates, if there are none.
-    fn make_candidates(&mut self, pool: &str, now: u64) {
+    /// Builds the rows of a pool's candidates, unless there are some.
+    fn build_candidates(&mut self, pool: &str, now: u64) {
         if self.candidates.rows(pool).is_some() {
             return;
         }
@@ -58,6 +58,7 @@
         self.candidates.insert(pool, rows);
     }
 
+    /// Returns the candidate with the lowest cost whose row has enough free resources.
     fn cheapest_worker(
         &self,
         task: &TaskId,
--- a/src/jobs/dirty.rs
+++ b/src/jobs/dirty.rs
@@ -1,7 +1,7 @@
 //! Jobs whose changes are to be stored, in the order in which they are due.
 //!
-//! A job in a commit without a result waits until that commit ends, so that an older
-//! state never replaces a newer one.
+//! While a job is in a commit without a result, it goes into no other one: the two could
+//! take effect in either order and leave the older state.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -13,7 +13,7 @@
 pub struct DirtyJobs {
     /// Changed jobs, with the time by which they are to be stored.
     due: BTreeMap<JobId, u64>,
-    /// Changed jobs that are in no commit, by that time.
+    /// The changed jobs that are in no commit, by due time.
     order: BTreeSet<(u64, JobId)>,
     /// Jobs in a commit that has no result yet.
     storing: BTreeSet<JobId>,
@@ -67,7 +67,7 @@
         self.order = order.into_iter().map(|(_, id)| (0, id)).collect();
     }
 
-    /// Takes the job that is due first and is in no commit.
+    /// Removes and returns the job that is due first, of those in no commit.
     pub fn take_first(&mut self) -> Option<JobId> {
         let (_, id) = self.order.pop_first()?;
         self.due.remove(&id);
--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -198,7 +198,7 @@
         row.state == MachineState::Up && !self.fleet.orders.contains_key(&row.machine)
     }
 
-    /// Returns the idle VMs of each pool with a surplus, the first one last.
+    /// Returns the idle VMs of each pool with a surplus, by descending name.
     fn idle_machines(
         &self,
         surpluses: &BTreeMap<String, usize>,
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -170,8 +170,8 @@
                 let Some(spec) = job.step_spec(&task) else {
                     continue;
                 };
-                let seen_ms = view.map_or(0, |view| view.observed_ms(now));
-                if spec.speculative && seen_ms > run.started_ms + straggler_limit_ms(spec) {
+                let observed_ms = view.map_or(0, |view| view.observed_ms(now));
+                if spec.speculative && observed_ms > run.started_ms + straggler_limit_ms(spec) {
                     straggling.push(job.id.clone());
                 }
                 // A long-running task at 100 percent has started up and is in service.
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -14,7 +14,7 @@
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
 use crate::jobs::waiting::JobRank;
-use crate::jobs::waiting::WaitingPlace;
+use crate::jobs::waiting::WaitingPosition;
 
 /// How long a task waits for a rack-local worker, as a multiple of its estimate; after
 /// that, a slower run on another rack would end sooner.
@@ -37,8 +37,8 @@
 /// between two such log lines, in milliseconds.
 const WAITING_LOG_MS: u64 = 1000;
 
-/// Jobs in succession without a task that fits after which a pass stops, of those with
-/// the best ranks and of the others each.
+/// Number of consecutive jobs without a fitting task after which a part of a pass ends.
+/// The first part starts at the lowest rank, the second where the previous pass stopped.
 const MAX_MISSES: usize = 16;
 
 /// Class of jobs with long-running tasks.
@@ -60,36 +60,36 @@
         }
         for pool in self.waiting.take_due_pools() {
             self.unplaceable.remove(&pool);
-            let Some(last) = self.place_from(&pool, None, now) else {
+            let Some(last) = self.place_after(&pool, None, now) else {
                 self.waiting.set_reached(&pool, None);
                 continue;
             };
-            let resume = self.waiting.resume_place(&pool, last);
-            let reached = self.place_from(&pool, Some(resume), now);
+            let resume = self.waiting.resume_position(&pool, last);
+            let reached = self.place_after(&pool, Some(resume), now);
             self.waiting.set_reached(&pool, reached);
         }
     }
 
-    /// Places the waiting jobs of a pool that follow a place until [`MAX_MISSES`] in
-    /// succession had no task that fits. Returns the place of the last one, none if it was
-    /// the pool's last.
-    fn place_from(
+    /// Places the waiting jobs of a pool after a position, until [`MAX_MISSES`] consecutive
+    /// ones had no fitting task. Returns the position of the last job tried, none if it was
+    /// the last of the pool.
+    fn place_after(
         &mut self,
         pool: &str,
-        mut place: Option<WaitingPlace>,
+        mut position: Option<WaitingPosition>,
         now: u64,
-    ) -> Option<WaitingPlace> {
+    ) -> Option<WaitingPosition> {
         let mut misses = 0;
         while misses < MAX_MISSES {
-            let next = self.waiting.next(pool, place.as_ref())?;
+            let next = self.waiting.next(pool, position.as_ref())?;
             if self.place_job(&next.1, now) {
                 misses = 0;
             } else {
                 misses += 1;
             }
-            place = Some(next);
+            position = Some(next);
         }
-        place
+        position
     }
 
     fn rank(&self, job: &JobEntry, now: u64) -> JobRank {
@@ -165,7 +165,7 @@
             open.map(move |(number, _)| (*occurrence, number as u32))
         });
         let steps: Vec<_> = steps.collect();
-        // A job that only waits for an occurrence returns when that is due.
+        // A job between two occurrences is inserted again when the next one is due.
         let mut waiting = false;
         for (occurrence, step) in steps {
             waiting |= self.place_step(id, &pool, occurrence, step, now);
--- a/src/jobs/waiting.rs
+++ b/src/jobs/waiting.rs
@@ -1,9 +1,9 @@
 //! Jobs with tasks that may need placement, in the order in which they are placed.
 //!
-//! A placement pass looks at a bounded number of jobs of each pool, so that its cost does
-//! not grow with the backlog: at those with the best ranks, and at some of the others,
-//! continuing where the last pass stopped. Ranks change with time; all are computed again
-//! after a period that grows with the number of jobs.
+//! A placement pass tries a bounded number of jobs of each pool, so that its cost does not
+//! grow with the backlog: first the jobs with the lowest ranks, then some of the others,
+//! continuing after the last one that the previous pass tried. Ranks change with time; all
+//! are recomputed after a period that grows with the number of jobs.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -12,7 +12,7 @@
 
 use crate::jobs::types::JobId;
 
-/// Shortest time between two computations of all ranks, in milliseconds.
+/// Minimum time between two computations of all ranks, in milliseconds.
 const MIN_RANK_PERIOD_MS: u64 = 50;
 
 /// Time between two computations of all ranks for each waiting job, in milliseconds, so
@@ -47,14 +47,14 @@
 }
 
 /// Position of a job in the order of its pool.
-pub type WaitingPlace = (JobRank, JobId);
+pub type WaitingPosition = (JobRank, JobId);
 
 /// Waiting jobs of a pool.
 #[derive(Clone, Debug, Default)]
 struct PoolOrder {
-    jobs: BTreeSet<WaitingPlace>,
-    /// Last job that a pass has looked at beyond those with the best ranks.
-    reached: Option<WaitingPlace>,
+    jobs: BTreeSet<WaitingPosition>,
+    /// Last job that the previous pass tried; none if it was the last of the pool.
+    reached: Option<WaitingPosition>,
     /// Whether something has changed since the last pass.
     due: bool,
 }
@@ -67,6 +67,7 @@
     ranked: HashMap<JobId, (String, JobRank)>,
     /// Jobs without a rank.
     unranked: BTreeSet<JobId>,
+    /// When all ranks were last computed, on the boot clock in milliseconds.
     ranked_ms: u64,
 }
 
@@ -88,7 +89,7 @@
         }
     }
 
-    /// Ranks a job in a pool. The pool's next pass looks at it.
+    /// Sets the rank of a job in a pool and makes the pool due.
     pub fn set_rank(&mut self, id: &JobId, pool: &str, rank: JobRank) {
         self.remove(id);
         self.ranked.insert(id.clone(), (pool.to_owned(), rank));
@@ -97,8 +98,8 @@
         order.due = true;
     }
 
-    /// Returns the jobs to be ranked now: the unranked ones, and all once their ranks are
-    /// out of date.
+    /// Removes and returns the jobs to be ranked now: the unranked ones, or all jobs once
+    /// their ranks are out of date.
     pub fn take_unranked(&mut self, now: u64) -> BTreeSet<JobId> {
         let period_ms = (self.ranked.len() as f64 * RANK_MS_PER_JOB) as u64;
         if now >= self.ranked_ms + period_ms.max(MIN_RANK_PERIOD_MS) {
@@ -109,20 +110,19 @@
         std::mem::take(&mut self.unranked)
     }
 
-    /// Makes the next pass look at the jobs of a pool.
+    /// Makes the next pass try the jobs of a pool.
     pub fn mark_due(&mut self, pool: &str) {
         if let Some(order) = self.pools.get_mut(pool) {
             order.due = true;
         }
     }
 
-    /// Makes the next pass look at the jobs of all pools.
+    /// Makes the next pass try the jobs of all pools.
     pub fn mark_all_due(&mut self) {
         self.pools.values_mut().for_each(|order| order.due = true);
     }
 
-    /// Returns the pools with waiting jobs at which a pass must look; they are no longer
-    /// due.
+    /// Returns the due pools that have waiting jobs; no pool is due afterwards.
     pub fn take_due_pools(&mut self) -> Vec<String> {
         let due = self.pools.iter_mut().filter_map(|(pool, order)| {
             let due = std::mem::take(&mut order.due);
@@ -131,25 +131,25 @@
         due.collect()
     }
 
-    /// Returns the job of a pool that follows a place, or the first one.
+    /// Returns the next job of a pool after a position; without a position, the first one.
     #[must_use]
-    pub fn next(&self, pool: &str, place: Option<&WaitingPlace>) -> Option<WaitingPlace> {
-        let start = place.map_or(Bound::Unbounded, Bound::Excluded);
+    pub fn next(&self, pool: &str, position: Option<&WaitingPosition>) -> Option<WaitingPosition> {
+        let start = position.map_or(Bound::Unbounded, Bound::Excluded);
         let jobs = &self.pools.get(pool)?.jobs;
         jobs.range((start, Bound::Unbounded)).next().cloned()
     }
 
-    /// Returns where a pass continues after the jobs with the best ranks, of which `last`
-    /// was the last one.
+    /// Returns the position after which a pass continues once it has tried the jobs with
+    /// the lowest ranks, up to `last`.
     #[must_use]
-    pub fn resume_place(&self, pool: &str, last: WaitingPlace) -> WaitingPlace {
+    pub fn resume_position(&self, pool: &str, last: WaitingPosition) -> WaitingPosition {
         let order = self.pools.get(pool);
         let reached = order.and_then(|order| order.reached.clone());
         reached.map_or(last.clone(), |reached| reached.max(last))
     }
 
-    /// Records the last job that a pass has looked at; none if it was the pool's last.
-    pub fn set_reached(&mut self, pool: &str, reached: Option<WaitingPlace>) {
+    /// Records the last job that a pass tried; none if it was the last of the pool.
+    pub fn set_reached(&mut self, pool: &str, reached: Option<WaitingPosition>) {
         if let Some(order) = self.pools.get_mut(pool) {
             order.reached = reached;
         }
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -188,8 +188,9 @@
             && now >= self.blocked_until_ms
     }
 
-    /// Returns until when the state of its runs is known: until its last report, as this
-    /// owner may be late itself, and until now if it does not answer.
+    /// Returns the time up to which its runs were observed, on the boot clock in
+    /// milliseconds: its last report, or `now` if it does not answer. Newer reports may wait
+    /// to be handled by this owner.
     #[must_use]
     pub fn observed_ms(&self, now: u64) -> u64 {
         if self.missed_calls > 0 {
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -85,7 +85,7 @@
         jobs.into_iter().chain(fleet).chain(unresponsive).min()
     }
 
-    /// Returns whether the changed jobs fill a whole commit.
+    /// Returns whether the changed jobs in no commit are enough for a full commit.
     #[must_use]
     pub fn fills_commit(&self) -> bool {
         self.dirty.ready() >= MAX_BATCH_ENTRIES
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -48,9 +48,9 @@
     metrics::describe_gauge!(FLEET_SEQUENCE, "Sequence of the fleet record in force.");
 }
 
-/// Sums up the values of histograms that were recorded since the last call. Until then
-/// each value stays in memory, so this must be called every few seconds.
-pub fn sum_up() {
+/// Aggregates the histogram values that were recorded since the last call. Until then, each
+/// value stays in memory, so this must be called every few seconds.
+pub fn drain_histograms() {
     if let Some(recorder) = recorder() {
         recorder.run_upkeep();
     }
--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -252,8 +252,8 @@
 pub async fn run(settings: NodeSettings, link: StoreLink, state: ExchangeState) {
     let mut peer_version = u64::MAX;
     let mut peer_index = 0;
-    // Epoch of the owner that has answered, and the number of waves that it was sent.
-    let mut told = (0, 0);
+    // Epoch of the last owner that answered, and the number of waves that it was sent.
+    let mut acknowledged = (0, 0);
     loop {
         let (owner, nodes) = {
             let members = state.members.borrow();
@@ -271,10 +271,14 @@
             .is_some_and(|owner| owner.name == settings.name);
         let target = owner.as_ref().filter(|_| !owning).and_then(address_of);
         let waves = state.waves();
-        let tell = (owner.as_ref().map_or(0, |owner| owner.epoch), waves.len());
+        let current = (owner.as_ref().map_or(0, |owner| owner.epoch), waves.len());
         let answered = match target {
             Some(peer) => {
-                let waves = if tell == told { Vec::new() } else { waves };
+                let waves = if current == acknowledged {
+                    Vec::new()
+                } else {
+                    waves
+                };
                 state.send(peer, peer_version, waves, EXCHANGE_LIMIT).await
             }
             None => None,
@@ -285,7 +289,7 @@
             Some(message) => {
                 peer_version = message.version;
                 if message.owning {
-                    told = tell;
+                    acknowledged = current;
                 }
             }
             None if !others.is_empty() => {
--- a/src/service/jobs/node.rs
+++ b/src/service/jobs/node.rs
@@ -54,8 +54,8 @@
 /// balancer removes an entry VM after two failed checks, a second apart.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2400);
 
-/// Time between two sums of the recorded metrics, in which their values use memory.
-const METRICS_PERIOD: Duration = Duration::from_secs(5);
+/// Time between two aggregations of histogram values, which use memory until then.
+const DRAIN_PERIOD: Duration = Duration::from_secs(5);
 
 /// Part of the grace period that is reserved for the end of the process itself.
 const END_MARGIN: Duration = Duration::from_millis(600);
@@ -177,7 +177,7 @@
         },
     );
     start_metrics(&kernel, settings.metrics).await;
-    kernel.spawn(NAME, sum_up_metrics());
+    kernel.spawn(NAME, drain_histograms());
     log::info!(
         event = "node_started", name = settings.name.as_str(), dc = settings.dc.as_str(),
         front:% = front_address, control:% = control_address; ""
@@ -245,11 +245,11 @@
     kernel.spawn(FRONT, serve::run(front, server, kernel.phase(), handler));
 }
 
-/// Sums up the recorded metrics in each period; never returns.
-async fn sum_up_metrics() {
+/// Aggregates the recorded histogram values in each period; never returns.
+async fn drain_histograms() {
     loop {
-        sleep(METRICS_PERIOD).await;
-        metrics::sum_up();
+        sleep(DRAIN_PERIOD).await;
+        metrics::drain_histograms();
     }
 }
 
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -372,10 +372,11 @@
     }
 }
 
-/// Returns the lane for the next commit: the first without a commit in progress, but
-/// none while a lane before it has one that is not slow yet. The changes then go into one
-/// larger commit, which costs less than several small ones; so `is_full`, whether they
-/// fill a commit by themselves, ends the wait.
+/// Returns the lane for the next commit, the first without a commit in progress.
+///
+/// Returns none while a lane before it has a commit that is not slow yet, so that changes
+/// go into one larger commit, which costs less than several small ones. This does not
+/// apply if the changes are enough for a full commit (`is_full`).
 #[must_use]
 pub fn free_lane(lanes: &[CommitLane], is_full: bool, now: u64) -> Option<usize> {
     for (number, lane) in lanes.iter().enumerate() {
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -17,7 +17,7 @@
 /// whose metrics nobody reads grew by sixteen bytes a request.
 #[test]
 fn histogram_unread_bounded() {
-    /// Values recorded between two sums.
+    /// Values recorded between two aggregations.
     const BATCH: usize = 1 << 18;
     /// Less than half of what all values would take.
     const LIMIT_BYTES: u64 = 16 << 20;
@@ -26,7 +26,7 @@
         for value in 0..BATCH {
             ::metrics::histogram!("chicory_request_seconds").record(value as f64);
         }
-        metrics::sum_up();
+        metrics::drain_histograms();
     };
     record();
     let before = resident_bytes();
