Client accounts: API keys at the front, account in requests and job bodies

Callers of queues that are not anonymous need the API key of an account; other calls are answered 401. The account travels with the relayed request and is stored with the job's body.

The new fields are encoded after the existing MessagePack values, which entry VMs of earlier versions ignore; a configuration without accounts from such a peer is not put in force where the deployment has accounts.

--- a/benches/scheduler/simulation.rs
+++ b/benches/scheduler/simulation.rs
@@ -231,6 +231,7 @@
                 steps: vec![step(8, 31_000, 60_000, &[])],
                 schedule: None,
             },
+            account: None,
         };
         let time = self.time();
         self.engine
@@ -261,6 +262,7 @@
                     ],
                     schedule: None,
                 },
+                account: None,
             };
             self.waiter += 1;
             let (time, waiter) = (self.time(), self.waiter);
--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -1,5 +1,6 @@
 //! Requests of callers: submissions, queries, cancellations and counts of pending jobs.
 
+use crate::jobs::account::AccountName;
 use crate::jobs::actions::CallerAnswer;
 use crate::jobs::actions::WaiterId;
 use crate::jobs::engine::JobEngine;
@@ -26,6 +27,8 @@
     pub pool: String,
     /// Steps and schedule.
     pub spec: JobSpec,
+    /// Client account of the caller; none if the queue needs no API key.
+    pub account: Option<AccountName>,
 }
 
 impl JobEngine {
@@ -62,6 +65,7 @@
             pool: queue.map_or(submission.pool, |queue| queue.pool.clone()),
             submitted_ms: time.unix,
             spec: submission.spec,
+            account: submission.account,
         };
         let mut job = JobEntry::new(id.clone(), body, time.boot);
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
--- a/src/jobs/config.rs
+++ b/src/jobs/config.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::jobs::account::AccountConfig;
+
 /// Response times and ticket validity of a queue's advice service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -37,6 +39,10 @@
     pub target_ms: u64,
     /// Advice service that must allow each placement; none if no advice is needed.
     pub advice: Option<AdviceTiming>,
+    /// Whether calls need no API key. Not part of the encoding, which entry VMs of earlier
+    /// versions read too; see [`AccountExtension`].
+    #[serde(skip)]
+    pub anonymous: bool,
 }
 
 /// A pool of workers.
@@ -68,6 +74,30 @@
     pub head_ms: u64,
     /// Idle timeout of a connection, in milliseconds.
     pub idle_ms: u64,
+    /// Client accounts; none if calls need no API keys. Not part of the encoding, like
+    /// [`QueueConfig::anonymous`].
+    #[serde(skip)]
+    pub accounts: Option<Vec<AccountConfig>>,
+}
+
+/// The part of a configuration about client accounts, which is encoded after the rest.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct AccountExtension {
+    /// Client accounts; none if calls need no API keys.
+    pub accounts: Option<Vec<AccountConfig>>,
+    /// Names of the queues whose calls need no API key.
+    pub anonymous_queues: Vec<String>,
+}
+
+impl From<&JobConfig> for AccountExtension {
+    fn from(config: &JobConfig) -> Self {
+        let anonymous = config.queues.iter().filter(|queue| queue.anonymous);
+        Self {
+            accounts: config.accounts.clone(),
+            anonymous_queues: anonymous.map(|queue| queue.name.clone()).collect(),
+        }
+    }
 }
 
 impl JobConfig {
@@ -87,6 +117,23 @@
         Some((queue, &path[queue.prefix.len()..]))
     }
 
+    /// Adds the part about client accounts, which was decoded apart.
+    #[must_use]
+    pub fn with_accounts(mut self, extension: AccountExtension) -> Self {
+        for queue in &mut self.queues {
+            queue.anonymous = extension.anonymous_queues.contains(&queue.name);
+        }
+        self.accounts = extension.accounts;
+        self
+    }
+
+    /// Finds an account by name.
+    #[must_use]
+    pub fn account(&self, name: &str) -> Option<&AccountConfig> {
+        let mut accounts = self.accounts.iter().flatten();
+        accounts.find(|account| account.name == name)
+    }
+
     /// Finds a queue by name.
     #[must_use]
     pub fn queue(&self, name: &str) -> Option<&QueueConfig> {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 //! reads a clock: the service passes events and times to the scheduler and executes the
 //! actions that it returns.
 
+pub mod account;
 pub mod actions;
 pub mod admit;
 pub mod advice;
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -10,9 +10,11 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::jobs::account::AccountName;
 use crate::jobs::types::JobSpec;
 use crate::jobs::types::JobState;
 
@@ -138,6 +140,47 @@
     pub submitted_ms: u64,
     /// The job as submitted.
     pub spec: JobSpec,
+    /// Client account that submitted it; none if its queue needs no API key. It is encoded
+    /// as a [`BodyExtension`].
+    #[serde(skip)]
+    pub account: Option<AccountName>,
+}
+
+/// Fields of a job's body that are encoded after it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct BodyExtension {
+    /// Client account that submitted the job.
+    pub account: Option<String>,
+}
+
+/// Encodes a job's body.
+///
+/// # Errors
+///
+/// Fails if the encoder fails.
+pub fn encode_body(body: &BodyRecord) -> Result<Vec<u8>, EncodeError> {
+    let Some(account) = &body.account else {
+        return encode(body);
+    };
+    let extension = BodyExtension {
+        account: Some(account.to_string()),
+    };
+    encode_with(body, &extension)
+}
+
+/// Decodes a job's body that is stored under `key`.
+///
+/// # Errors
+///
+/// Fails if `bytes` is not an encoded body.
+pub fn decode_body(key: &str, bytes: &[u8]) -> Result<BodyRecord, RecordError> {
+    let (body, extension): (BodyRecord, Option<BodyExtension>) = decode_with(key, bytes)?;
+    let account = extension.and_then(|extension| extension.account);
+    Ok(BodyRecord {
+        account: account.map(Into::into),
+        ..body
+    })
 }
 
 /// A run that may be alive at a worker.
@@ -211,6 +254,41 @@
     rmp_serde::to_vec(record).context(EncodeSnafu)
 }
 
+/// Encodes a record and, after it, fields that it gained in a later version.
+///
+/// Entry VMs of earlier versions decode the record and ignore what follows it. They would
+/// reject a record with further fields.
+///
+/// # Errors
+///
+/// Fails if the encoder fails.
+pub fn encode_with<T: Serialize, E: Serialize>(
+    record: &T,
+    extension: &E,
+) -> Result<Vec<u8>, EncodeError> {
+    let mut bytes = encode(record)?;
+    bytes.extend(encode(extension)?);
+    Ok(bytes)
+}
+
+/// Decodes a record that [`encode_with`] or [`encode`] has encoded; the extension is none
+/// if the record has none. The key only names the record in the error.
+///
+/// # Errors
+///
+/// Fails if `bytes` does not start with a `T`, or an `E` does not follow it.
+pub fn decode_with<T: DeserializeOwned, E: DeserializeOwned>(
+    key: &str,
+    mut bytes: &[u8],
+) -> Result<(T, Option<E>), RecordError> {
+    let record = rmp_serde::from_read(&mut bytes).context(RecordSnafu { key })?;
+    if bytes.is_empty() {
+        return Ok((record, None));
+    }
+    let extension = rmp_serde::from_read(&mut bytes).context(RecordSnafu { key })?;
+    Ok((record, Some(extension)))
+}
+
 /// Decodes the record that is stored under `key`; the key only names it in the error.
 ///
 /// # Errors
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -18,6 +18,7 @@
 use crate::jobs::record::ShardKeys;
 use crate::jobs::record::WaveRecord;
 use crate::jobs::record::encode;
+use crate::jobs::record::encode_body;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
 use crate::jobs::worker::RunFootprint;
@@ -386,7 +387,7 @@
             batch.removals.push(body_key);
         }
     } else if !job.body_stored {
-        batch.push(body_key, encode(&job.body)?);
+        batch.push(body_key, encode_body(&job.body)?);
     }
     let is_new = !job.body_stored && job.live_runs().next().is_none();
     if !is_new || job.state.is_final() {
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -97,6 +97,8 @@
     pub ready_path: &'static str,
     /// Header with the time that a caller waits for the response, in milliseconds.
     pub deadline_header: &'static str,
+    /// Header with the API key of the caller's account.
+    pub key_header: &'static str,
     /// Encodes a call to the store.
     pub store_call: fn(&StoreCall) -> WireCall,
     /// Decodes the store's reply to a call.
--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -95,6 +95,8 @@
     pub disconnected: Arc<AtomicBool>,
     /// HTTP client for other entry VMs.
     pub client: KeepAliveClient,
+    /// Whether configurations of this deployment have client accounts.
+    pub needs_accounts: bool,
 }
 
 impl ExchangeState {
@@ -120,6 +122,7 @@
         let operator = self.operator.borrow();
         let config = operator.config.as_ref();
         let own = config.map_or(0, |config| config.version);
+        let newer = config.filter(|_| own > version);
         ExchangeMessage {
             name: self.name.clone(),
             owner: self
@@ -130,10 +133,9 @@
                 .map(|(owner, _)| owner.clone()),
             owning,
             version: own,
-            config: config
-                .filter(|_| own > version)
-                .map(|config| config.as_ref().clone()),
+            config: newer.map(|config| config.as_ref().clone()),
             waves: Vec::new(),
+            accounts: newer.map(|config| config.as_ref().into()),
         }
     }
 
@@ -183,7 +185,20 @@
         last_contact.insert(message.name.clone(), boot_ms());
         drop(last_contact);
         if let Some(config) = message.config {
-            update_config(&self.operator, config, &message.name);
+            match message.accounts {
+                Some(accounts) => {
+                    let config = config.with_accounts(accounts);
+                    update_config(&self.operator, config, &message.name);
+                }
+                None if !self.needs_accounts => {
+                    update_config(&self.operator, config, &message.name);
+                }
+                // Without accounts, the configuration would put all API keys out of force.
+                None => log::info!(
+                    event = "config_without_accounts", version = config.version,
+                    source = message.name.as_str(); ""
+                ),
+            }
         }
         for wave in message.waves {
             add_wave(&self.operator, wave);
@@ -210,7 +225,13 @@
             waves,
             ..self.build_message(false, version)
         };
-        let body = rmp_serde::to_vec(&message).ok()?;
+        let body = match message.encode() {
+            Ok(body) => body,
+            Err(error) => {
+                log::error!(event = "exchange_encode_failed", error:% = error; "");
+                return None;
+            }
+        };
         let request = CallRequest {
             method: Method::POST,
             path: EXCHANGE_PATH,
@@ -227,7 +248,7 @@
                 return None;
             }
         };
-        let answer: ExchangeMessage = match rmp_serde::from_slice(&answer.body) {
+        let answer = match ExchangeMessage::decode(&answer.body) {
             Ok(answer) => answer,
             Err(error) => {
                 log::warn!(event = "exchange_unreadable", peer:% = peer, error:% = error; "");
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -14,9 +14,11 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::jobs::account::AccountDirectory;
 use crate::jobs::config::JobConfig;
 use crate::kernel::ShutdownPhase;
 use crate::metrics::REQUESTS;
+use crate::metrics::UNAUTHORIZED;
 use crate::ports::DialectPort;
 use crate::ports::client::JSON;
 use crate::service::jobs::exchange::ExchangeState;
@@ -94,14 +96,15 @@
 }
 
 async fn serve(state: &FrontState, request: Request<Incoming>, started: Instant) -> HttpAnswer {
-    let Some(config) = state.operator.borrow().config.clone() else {
+    let operator = state.operator.borrow().clone();
+    let Some(config) = &operator.config else {
         return refused(503, NO_OWNER_RETRY_MS);
     };
     let wait = request.headers().get(state.dialect.deadline_header);
     let wait = wait.and_then(|wait| wait.to_str().ok()?.parse().ok());
     let wait = wait.map_or(DEFAULT_WAIT, Duration::from_millis);
     let deadline = started + wait - ANSWER_MARGIN.min(wait / ANSWER_MARGIN_DIVISOR);
-    let relay = match parse_request(state, &config, request).await {
+    let relay = match parse_request(state, config, operator.accounts.as_deref(), request).await {
         Ok(relay) => relay,
         Err(response) => return *response,
     };
@@ -117,6 +120,7 @@
 async fn parse_request(
     state: &FrontState,
     config: &JobConfig,
+    accounts: Option<&AccountDirectory>,
     request: Request<Incoming>,
 ) -> Result<RelayRequest, Box<HttpAnswer>> {
     let host = request.headers().get(header::HOST);
@@ -134,7 +138,22 @@
         pool: queue.pool.clone(),
         ask: RelayOperation::Query,
         version: config.version,
+        account: None,
     };
+    if let Some(accounts) = accounts.filter(|_| !queue.anonymous) {
+        let keys = request.headers().get_all(state.dialect.key_header);
+        match accounts.authenticate(keys.iter().map(HeaderValue::as_bytes)) {
+            Ok(account) => relay.account = Some(account.to_string()),
+            Err(fault) => {
+                log::info!(
+                    event = "request_unauthorized", path = path.as_str(), reason = fault.as_str(),
+                    version = config.version; ""
+                );
+                metrics::counter!(UNAUTHORIZED, "reason" => fault.as_str()).increment(1);
+                return Err(Box::new(answer(401, "", Bytes::new())));
+            }
+        }
+    }
     relay.ask = match (request.method(), rest) {
         (&Method::GET, "") => RelayOperation::Pending,
         (_, rest) if !is_job_id(rest) => return Err(Box::new(answer(404, "", Bytes::new()))),
--- a/src/service/jobs/load.rs
+++ b/src/service/jobs/load.rs
@@ -6,11 +6,11 @@
 use crate::clock::unix_ms;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
-use crate::jobs::record::BodyRecord;
 use crate::jobs::record::ProgressRecord;
 use crate::jobs::record::ShardKeys;
 use crate::jobs::record::WaveRecord;
 use crate::jobs::record::decode;
+use crate::jobs::record::decode_body;
 use crate::ports::store::StoreItem;
 use crate::service::jobs::store::StoreError;
 use crate::service::jobs::store::StoreLink;
@@ -98,7 +98,7 @@
     }
     for item in content.bodies {
         let id = item.key.rsplit('/').next().unwrap_or_default().to_owned();
-        match decode::<BodyRecord>(&item.key, &item.value) {
+        match decode_body(&item.key, &item.value) {
             Ok(body) => {
                 let record = progress.remove(&id);
                 engine.restore_job(id.as_str().into(), body, record, time);
--- a/src/service/jobs/messages.rs
+++ b/src/service/jobs/messages.rs
@@ -12,11 +12,17 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::jobs::account::AccountDirectory;
 use crate::jobs::actions::CallToken;
 use crate::jobs::actions::CallerAnswer;
+use crate::jobs::config::AccountExtension;
 use crate::jobs::config::JobConfig;
 use crate::jobs::orders::CallResult;
+use crate::jobs::record::EncodeError;
 use crate::jobs::record::MemberRecord;
+use crate::jobs::record::RecordError;
+use crate::jobs::record::decode_with;
+use crate::jobs::record::encode_with;
 use crate::jobs::types::JobSpec;
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
@@ -42,6 +48,43 @@
     pub ask: RelayOperation,
     /// Version of the configuration in which the sender looked up the queue.
     pub version: u64,
+    /// Client account of the caller; none if the queue needs no API key. It is encoded as
+    /// a [`RelayExtension`].
+    #[serde(skip)]
+    pub account: Option<String>,
+}
+
+/// Fields of a relayed request that are encoded after it.
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct RelayExtension {
+    /// Client account of the caller.
+    pub account: Option<String>,
+}
+
+impl RelayRequest {
+    /// Encodes the request for another entry VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the encoder fails.
+    pub fn encode(&self) -> Result<Vec<u8>, EncodeError> {
+        let account = self.account.clone();
+        encode_with(self, &RelayExtension { account })
+    }
+
+    /// Decodes a request of another entry VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `bytes` is not an encoded request.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        let (request, extension): (Self, Option<RelayExtension>) = decode_with("relay", bytes)?;
+        Ok(Self {
+            account: extension.unwrap_or_default().account,
+            ..request
+        })
+    }
 }
 
 /// Operation that a caller requests.
@@ -118,6 +161,35 @@
     pub config: Option<JobConfig>,
     /// Maintenance waves that the sender knows.
     pub waves: Vec<WaveOrder>,
+    /// The part of `config` about client accounts, encoded after the message. None from an
+    /// entry VM of an earlier version, which knows no accounts.
+    #[serde(skip)]
+    pub accounts: Option<AccountExtension>,
+}
+
+impl ExchangeMessage {
+    /// Encodes the message for another entry VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the encoder fails.
+    pub fn encode(&self) -> Result<Vec<u8>, EncodeError> {
+        encode_with(self, &self.accounts)
+    }
+
+    /// Decodes a message of another entry VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `bytes` is not an encoded message.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        let (message, accounts): (Self, Option<Option<AccountExtension>>) =
+            decode_with("exchange", bytes)?;
+        Ok(Self {
+            accounts: accounts.flatten(),
+            ..message
+        })
+    }
 }
 
 /// A store call that the receiver makes for an entry VM whose own calls fail.
@@ -210,6 +282,8 @@
 pub struct OperatorState {
     /// Configuration in force; none until one was read.
     pub config: Option<Arc<JobConfig>>,
+    /// Accounts of that configuration by API key; none if calls need no keys.
+    pub accounts: Option<Arc<AccountDirectory>>,
     /// Requested maintenance waves, in the order in which they became known.
     pub waves: Vec<WaveOrder>,
 }
--- a/src/service/jobs/node.rs
+++ b/src/service/jobs/node.rs
@@ -127,6 +127,7 @@
         started_ms: boot_ms(),
         disconnected: Arc::default(),
         client: client.clone(),
+        needs_accounts: settings.needs_accounts,
     };
     let relay = RelayClient {
         name: settings.name.clone(),
--- a/src/service/jobs/operator.rs
+++ b/src/service/jobs/operator.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::watch;
 
+use crate::jobs::account::AccountDirectory;
 use crate::jobs::config::JobConfig;
 use crate::jobs::wave::WaveOrder;
 use crate::metrics::CONFIG_VERSION;
@@ -65,6 +66,8 @@
             queues = config.queues.len(), source = source; ""
         );
         metrics::gauge!(CONFIG_VERSION).set(config.version as f64);
+        let accounts = config.accounts.as_deref();
+        state.accounts = accounts.map(|accounts| Arc::new(AccountDirectory::new(accounts)));
         state.config = Some(Arc::new(config));
         true
     });
--- a/src/service/jobs/peer.rs
+++ b/src/service/jobs/peer.rs
@@ -1,6 +1,7 @@
 //! HTTP server for other entry VMs: relayed requests, exchange messages, calls to the
 //! store.
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,8 +10,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::body::Incoming;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 
 use crate::metrics::count_peer_message;
 use crate::service::jobs::exchange::ExchangeState;
@@ -66,20 +65,19 @@
     };
     count_peer_message("in", body.len());
     match path.as_str() {
-        RELAY_PATH => match parse::<RelayRequest>(&path, &body) {
-            Some(request) => reply(&relay(&state, request).await),
+        RELAY_PATH => match parse(&path, RelayRequest::decode(&body)) {
+            Some(request) => reply(rmp_serde::to_vec(&relay(&state, request).await)),
             None => answer(400, "", Bytes::new()),
         },
-        EXCHANGE_PATH => match parse::<ExchangeMessage>(&path, &body) {
-            Some(message) => reply(
-                &state
-                    .exchange
-                    .reply_to(message, state.owner.borrow().is_some()),
-            ),
+        EXCHANGE_PATH => match parse(&path, ExchangeMessage::decode(&body)) {
+            Some(message) => {
+                let owning = state.owner.borrow().is_some();
+                reply(state.exchange.reply_to(message, owning).encode())
+            }
             None => answer(400, "", Bytes::new()),
         },
-        STORE_PATH => match parse::<ProxyRequest>(&path, &body) {
-            Some(request) => reply(&call_store(&state, request).await),
+        STORE_PATH => match parse::<ProxyRequest, _>(&path, rmp_serde::from_slice(&body)) {
+            Some(request) => reply(rmp_serde::to_vec(&call_store(&state, request).await)),
             None => answer(400, "", Bytes::new()),
         },
         _ => answer(404, "", Bytes::new()),
@@ -112,8 +110,8 @@
     }
 }
 
-fn parse<T: DeserializeOwned>(path: &str, body: &[u8]) -> Option<T> {
-    match rmp_serde::from_slice(body) {
+fn parse<T, E: Display>(path: &str, decoded: Result<T, E>) -> Option<T> {
+    match decoded {
         Ok(message) => Some(message),
         Err(error) => {
             log::warn!(event = "peer_message_unreadable", path = path, error:% = error; "");
@@ -122,8 +120,8 @@
     }
 }
 
-fn reply<T: Serialize>(message: &T) -> HttpAnswer {
-    match rmp_serde::to_vec(message) {
+fn reply<E: Display>(encoded: Result<Vec<u8>, E>) -> HttpAnswer {
+    match encoded {
         Ok(body) => {
             count_peer_message("out", body.len());
             answer(200, MSGPACK, body)
--- a/src/service/jobs/relay.rs
+++ b/src/service/jobs/relay.rs
@@ -77,7 +77,7 @@
 impl RelayClient {
     /// Relays a request until it is answered or the deadline passes.
     pub async fn relay(&self, request: &RelayRequest, deadline: Instant) -> RelayOutcome {
-        let body = match rmp_serde::to_vec(request) {
+        let body = match request.encode() {
             Ok(body) => Bytes::from(body),
             Err(error) => {
                 log::error!(event = "relay_encode_failed", job = request.job.as_str(), error:% = error; "");
--- a/src/service/jobs/settings.rs
+++ b/src/service/jobs/settings.rs
@@ -35,6 +35,8 @@
     /// Time to live of the owner's lease. A shorter one replaces a dead owner sooner;
     /// with a longer one an owner survives longer store outages.
     pub owner_ttl: Duration,
+    /// Whether the deployment has client accounts.
+    pub needs_accounts: bool,
     /// Limits and periods of the scheduler.
     pub scheduler: SchedulerSettings,
 }
@@ -58,6 +60,7 @@
             cpu_share: 0.25,
             grace: Duration::from_secs(6),
             owner_ttl: Duration::from_millis(2000),
+            needs_accounts: false,
             scheduler: SchedulerSettings::default(),
         }
     }
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -211,6 +211,7 @@
                             queue: request.queue,
                             pool: request.pool,
                             spec,
+                            account: request.account.map(Into::into),
                         };
                         self.engine.submit(submission, waiter, time);
                     }
--- a/tests/jobs_waiting.rs
+++ b/tests/jobs_waiting.rs
@@ -37,6 +37,7 @@
         pool: POOL.to_owned(),
         submitted_ms: time.unix,
         spec: spec.clone(),
+        account: None,
     };
     world.engine.restore_job(id, body, None, time);
 }
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -24,6 +24,7 @@
 use chicorygauge::jobs::record::ProgressRecord;
 use chicorygauge::jobs::record::ShardKeys;
 use chicorygauge::jobs::record::decode;
+use chicorygauge::jobs::record::decode_body;
 use chicorygauge::jobs::types::JobSpec;
 use chicorygauge::jobs::types::ResourceVector;
 use chicorygauge::jobs::types::RunEnd;
@@ -319,7 +320,7 @@
             };
             let progress = self.stored.get(&format!("{}{id}", keys.progress()));
             let progress = progress.map(|value| decode(key, value).expect("a progress record"));
-            let body = decode(key, value).expect("a body");
+            let body = decode_body(key, value).expect("a body");
             engine.restore_job(id.into(), body, progress, time);
         }
         for (key, value) in &self.stored {
@@ -393,6 +394,7 @@
             queue: "orders".to_owned(),
             pool: POOL.to_owned(),
             spec: spec.clone(),
+            account: None,
         };
         let time = self.time();
         self.engine.submit(submission, waiter, time);
