Scheduler: ledger of the resources in use by account, checked before each reservation

A run counts from its reservation until it is released, so runs that are being stopped, at unresponsive workers or taken over count. Tasks, speculative copies and gangs of accounts at their limit wait.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -25,6 +25,7 @@
 use crate::jobs::dirty::DirtyJobs;
 use crate::jobs::fleet::FleetState;
 use crate::jobs::job::JobEntry;
+use crate::jobs::ledger::AccountLedger;
 use crate::jobs::load::PoolLoad;
 use crate::jobs::stable_map::StableMap;
 use crate::jobs::task::RunPhase;
@@ -157,6 +158,10 @@
     pub advice_calls: u32,
     /// Actions since the last [`JobEngine::take_actions`].
     pub(crate) actions: Vec<Action>,
+    /// Resources in use by client account.
+    pub ledger: AccountLedger,
+    /// When an account at its limit was last logged.
+    pub(crate) limit_logged_ms: u64,
     /// Jobs with tasks that may need placement.
     pub(crate) waiting: WaitingJobs,
     /// Workers that placement may choose.
@@ -214,6 +219,8 @@
             deposed: false,
             advice_calls: 0,
             actions: Vec::new(),
+            ledger: AccountLedger::default(),
+            limit_logged_ms: 0,
             waiting: WaitingJobs::default(),
             candidates: PoolCandidates::default(),
             ending_workers: BTreeSet::new(),
@@ -378,6 +385,7 @@
 
     /// Removes a run from its task and frees its capacity at the worker.
     pub(crate) fn release_run(&mut self, task: &TaskId, worker: &str, run: u32) {
+        self.ledger.end(task, run);
         if let Some(job) = self.jobs.get_mut(&task.job) {
             let footprint = job
                 .step_spec(task)
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -7,6 +7,7 @@
 
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
+use crate::jobs::limits::StartKind;
 use crate::jobs::task::TaskRun;
 use crate::jobs::task::TaskState;
 use crate::jobs::types::JobId;
@@ -211,7 +212,9 @@
             index: 0,
         };
         if spec.gang {
-            if ready.len() == state.tasks.len() {
+            if ready.len() == state.tasks.len()
+                && self.account_allows(id, &spec, StartKind::Gang, now)
+            {
                 return !self.place_gang(&first, pool, &spec, now);
             }
             return waiting > 0;
@@ -225,6 +228,9 @@
                 index,
                 ..first.clone()
             };
+            if !self.account_allows(id, &spec, StartKind::Task, now) {
+                break;
+            }
             let rack_local_until_ms =
                 open_ms + (spec.estimate_ms as f64 * RACK_LOCAL_WAIT_FACTOR) as u64;
             let rack_local_only = now < rack_local_until_ms;
@@ -319,6 +325,9 @@
                 index,
                 ..first.clone()
             };
+            if !self.account_allows(&first.job, spec, StartKind::Copy, now) {
+                return;
+            }
             if let Some(worker) = self.choose_worker(&task, pool, spec, false, now) {
                 log::info!(event = "speculative_copy_placed", task:% = task, worker = worker.as_str(); "");
                 self.reserve(&task, &worker, spec, now);
--- a/src/jobs/types.rs
+++ b/src/jobs/types.rs
@@ -144,6 +144,17 @@
 }
 
 impl StepSpec {
+    /// Returns what all tasks of the step need together.
+    #[must_use]
+    pub fn total_need(&self) -> ResourceVector {
+        let tasks = u64::from(self.tasks);
+        ResourceVector {
+            cpu: self.need.cpu.saturating_mul(tasks),
+            memory_mb: self.need.memory_mb.saturating_mul(tasks),
+            gpu: self.need.gpu.saturating_mul(tasks),
+        }
+    }
+
     /// Returns the resources that a task reserves at a worker: fillers reserve no CPU.
     #[must_use]
     pub fn reserved(&self) -> ResourceVector {
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -326,6 +326,7 @@
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
         self.jobs.insert(id.clone(), job);
         self.waiting.insert(&id);
+        self.count_restored_runs(&id);
     }
 
     /// Adds the inherited runs to their workers, once the workers' entries are known.
