Pools: demand by the tasks that can run instead of the whole backlog

Cause: a pool's demand was its backlog of work divided by 700 ms. Change: the demand is the CPU of the tasks that run or could run now, or the arriving work if that is more. The new test failed before with 6 moves.

--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -1,7 +1,8 @@
 //! Moves of VMs between pools, decided from each pool's demand and supply.
 //!
 //! Load peaks alternate between queues: each in turn submits several times its mean.
-//! A pool's demand is its arriving work and its backlog. Missing VMs are taken from the
+//! A pool's demand is its arriving work, or the tasks that could run now if that is more.
+//! Work of later steps does not count: no VM could run it yet. Missing VMs are taken from the
 //! standby pool first, then from idle VMs of pools that have more than their target.
 
 use std::collections::BTreeMap;
@@ -11,10 +12,6 @@
 use crate::ports::fleet::MachineRow;
 use crate::ports::fleet::MachineState;
 
-/// Time within which a pool should complete its backlog, in milliseconds; objectives
-/// allow about this much time in addition to that of the work itself.
-const BACKLOG_DRAIN_MS: f64 = 700.0;
-
 /// Long and short window of the arrival rate, in milliseconds; the trend is the
 /// difference of the two rates.
 const ARRIVAL_WINDOW_MS: u64 = 1000;
@@ -111,7 +108,7 @@
         let mut demands = BTreeMap::new();
         for (pool, load) in loads {
             let rate = self.arrival_rate(&pool, now);
-            let cpu = (load.backlog / BACKLOG_DRAIN_MS).max(rate) + load.long_running;
+            let cpu = load.runnable.max(rate) + load.long_running;
             let wanted = if load.largest_worker > 0.0 {
                 (cpu / load.largest_worker / TARGET_UTILIZATION).ceil()
             } else {
@@ -125,7 +122,7 @@
                 present: load.present,
             };
             log::debug!(
-                event = "pool_demand", pool = pool.as_str(), rate = rate as u64, backlog = load.backlog as u64,
+                event = "pool_demand", pool = pool.as_str(), rate = rate as u64, runnable = load.runnable as u64,
                 long_running = load.long_running as u64, wanted = demand.wanted, present = demand.present; ""
             );
             demands.insert(pool, demand);
--- a/src/jobs/load.rs
+++ b/src/jobs/load.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 
 use crate::jobs::engine::JobEngine;
+use crate::jobs::job::JobEntry;
 use crate::jobs::place::remaining_work;
 use crate::jobs::types::StepSpec;
 use crate::ports::fleet::MachineRow;
@@ -26,6 +27,9 @@
     pub largest_worker: f64,
     /// Remaining work of accepted jobs, in millicore-milliseconds.
     pub backlog: f64,
+    /// CPU of the tasks that run or could run now if the pool had enough workers, in
+    /// millicores; long-running tasks do not count.
+    pub runnable: f64,
     /// CPU requested by long-running tasks, in millicores.
     pub long_running: f64,
     /// Largest number of workers that a long-running step needs for its limit per worker,
@@ -47,6 +51,19 @@
     workers as usize + 1
 }
 
+/// Returns the CPU of a job's tasks that run or could run now, in millicores. Tasks of
+/// steps that wait for other steps do not count.
+fn runnable_cpu(job: &JobEntry) -> u64 {
+    let specs = &job.body.spec.steps;
+    let steps = job.open.values().flat_map(|steps| specs.iter().zip(steps));
+    let open = steps.filter(|(_, step)| step.open_ms.is_some());
+    let cpu = open.map(|(spec, step)| {
+        let tasks = step.tasks.iter().filter(|task| !task.done).count();
+        tasks as u64 * spec.reserved().cpu
+    });
+    cpu.sum()
+}
+
 impl JobEngine {
     /// Returns the load of a pool; all zero if the pool is unknown or in standby.
     #[must_use]
@@ -81,6 +98,7 @@
             };
             if !job.body.spec.has_long_running_step() {
                 load.backlog += remaining_work(job).0 as f64;
+                load.runnable += runnable_cpu(job) as f64;
                 continue;
             }
             for step in &job.body.spec.steps {
--- a/tests/jobs_lending.rs
+++ b/tests/jobs_lending.rs
@@ -111,6 +111,25 @@
     );
 }
 
+/// Load pattern: a pool has a backlog of jobs with long chains of steps. Their later steps
+/// cannot run yet, so they must not claim VMs that other pools could use.
+#[test]
+fn backlog_of_chains_claims_no_vms() {
+    let mut world = World::new(4, 3);
+    for number in 0..6 {
+        world.add_worker(STANDBY, &format!("s-{number}"));
+    }
+    world.engine.fleet.enabled = true;
+    world.run(1000);
+    let chain: Vec<StepSpec> = (0..10).map(|_| step(2, 8000, 3000)).collect();
+    for number in 0..4 {
+        world.restore_waiting(&format!("{number:016x}"), &job(&chain));
+    }
+    world.run(2000);
+    assert_eq!(world.starts(), 8, "the first steps run");
+    assert_eq!(world.moves, 0, "VMs moved for steps that cannot run yet");
+}
+
 /// A queue's load peak begins just as the owner of the shard changes. The successor must
 /// not delay moves of VMs that its predecessor has not ordered.
 #[test]
--- a/tests/jobs_runs.rs
+++ b/tests/jobs_runs.rs
@@ -2,6 +2,7 @@
 //! cancellations.
 
 #[path = "support/world.rs"]
+#[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
 use chicorygauge::jobs::actions::CallToken;
--- a/tests/jobs_waiting.rs
+++ b/tests/jobs_waiting.rs
@@ -5,7 +5,6 @@
 #[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
-use chicorygauge::jobs::record::BodyRecord;
 use chicorygauge::jobs::types::JobId;
 use chicorygauge::jobs::types::JobSchedule;
 use chicorygauge::jobs::types::JobSpec;
@@ -28,20 +27,6 @@
     format!("{number:016x}").as_str().into()
 }
 
-/// Adds a job as if a former owner had accepted it, without admission.
-fn restore_waiting(world: &mut World, id: JobId, spec: &JobSpec) {
-    world.specs.insert(id.to_string(), spec.clone());
-    let time = world.time();
-    let body = BodyRecord {
-        queue: "orders".to_owned(),
-        pool: POOL.to_owned(),
-        submitted_ms: time.unix,
-        spec: spec.clone(),
-        account: None,
-    };
-    world.engine.restore_job(id, body, None, time);
-}
-
 /// The order of placement must not depend on when a job was added.
 #[test]
 fn waiting_order_by_rank() {
@@ -94,14 +79,10 @@
     assert_eq!(world.starts(), 1);
     // All of them can meet their objectives throughout, so that their order stays.
     for number in 0..400 {
-        restore_waiting(
-            &mut world,
-            job_id(number),
-            &job(&[step(1, 13_000, 100_000)]),
-        );
+        world.restore_waiting(&job_id(number), &job(&[step(1, 13_000, 100_000)]));
     }
     // Its remaining work is larger, so it ranks last.
-    restore_waiting(&mut world, job_id(999), &job(&[step(1, 5_000, 300_000)]));
+    world.restore_waiting(&job_id(999), &job(&[step(1, 5_000, 300_000)]));
     world.run(3000);
     assert_eq!(world.starts(), 2, "the job that fits has not started");
 }
@@ -121,7 +102,7 @@
         ..job(&[step(1, 1000, 300)])
     };
     for number in 0..400 {
-        restore_waiting(&mut world, job_id(number), &recurring);
+        world.restore_waiting(&job_id(number), &recurring);
     }
     world.submit("ffffffffffffffff", &job(&[step(1, 1000, 300)]), 1);
     world.run(20);
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -21,6 +21,7 @@
 use chicorygauge::jobs::engine::SchedulerSettings;
 use chicorygauge::jobs::engine::TimePair;
 use chicorygauge::jobs::orders::CallResult;
+use chicorygauge::jobs::record::BodyRecord;
 use chicorygauge::jobs::record::ProgressRecord;
 use chicorygauge::jobs::record::ShardKeys;
 use chicorygauge::jobs::record::decode;
@@ -401,6 +402,20 @@
         self.step();
     }
 
+    /// Adds a job as if a former owner had accepted it, without admission.
+    pub fn restore_waiting(&mut self, id: &str, spec: &JobSpec) {
+        self.specs.insert(id.to_owned(), spec.clone());
+        let time = self.time();
+        let body = BodyRecord {
+            queue: "orders".to_owned(),
+            pool: POOL.to_owned(),
+            submitted_ms: time.unix,
+            spec: spec.clone(),
+            account: None,
+        };
+        self.engine.restore_job(id.into(), body, None, time);
+    }
+
     /// Cancels a job; the answer is stored in `answers` under `waiter`.
     pub fn cancel(&mut self, id: &str, waiter: u64) {
         self.engine.cancel(&id.into(), waiter, self.now);
