Client accounts: a faulty configuration is rejected as a whole

One key at two accounts, a malformed key, an empty or duplicate name and a weight that is not above 0 made calls ambiguous or left an account without service. Such a version is now rejected with a log line (config_rejected) and a counter by reason; the last valid version stays in force. A version that stays rejected is logged once.

--- a/src/jobs/account.rs
+++ b/src/jobs/account.rs
@@ -4,6 +4,7 @@
 //! held, and they are compared in constant time.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt;
 use std::sync::Arc;
 
@@ -11,6 +12,7 @@
 use serde::Serialize;
 use sha2::Digest;
 use sha2::Sha256;
+use snafu::Snafu;
 use subtle::ConstantTimeEq;
 
 use crate::jobs::types::ResourceVector;
@@ -93,6 +95,115 @@
     }
 }
 
+/// Checks the form of an API key.
+///
+/// # Errors
+///
+/// Fails if the key is empty, too long or not printable ASCII.
+pub fn check_key(key: &[u8]) -> Result<(), KeyFault> {
+    if key.is_empty() {
+        return Err(KeyFault::Empty);
+    }
+    if key.len() > MAX_KEY_BYTES {
+        return Err(KeyFault::TooLong);
+    }
+    if !key.iter().all(u8::is_ascii_graphic) {
+        return Err(KeyFault::NotAscii);
+    }
+    Ok(())
+}
+
+/// Reason for which the accounts of a configuration are rejected. None of them holds a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
+pub enum AccountFault {
+    /// An account has no name.
+    #[snafu(display("the name of account {index} is empty"))]
+    EmptyName {
+        /// Index in the list of accounts, from 0.
+        index: usize,
+    },
+    /// Two accounts have the same name.
+    #[snafu(display("two accounts are named {account:?}"))]
+    DuplicateName {
+        /// The name.
+        account: String,
+    },
+    /// The weight is not a finite number above 0.
+    #[snafu(display("the weight of account {account:?} is not a finite number above 0"))]
+    InvalidWeight {
+        /// Name of the account.
+        account: String,
+    },
+    /// A key of the account is empty.
+    #[snafu(display("a key of account {account:?} is empty"))]
+    EmptyKey {
+        /// Name of the account.
+        account: String,
+    },
+    /// Two accounts have the same key.
+    #[snafu(display("accounts {other:?} and {account:?} have the same key"))]
+    SharedKey {
+        /// Name of the account.
+        account: String,
+        /// Name of the account before it that has the key too.
+        other: String,
+    },
+}
+
+impl AccountFault {
+    /// Returns the name for logs and metrics.
+    #[must_use]
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::EmptyName { .. } => "account_name_empty",
+            Self::DuplicateName { .. } => "account_name_duplicate",
+            Self::InvalidWeight { .. } => "account_weight_invalid",
+            Self::EmptyKey { .. } => "account_key_empty",
+            Self::SharedKey { .. } => "account_key_shared",
+        }
+    }
+}
+
+/// Checks the accounts of a configuration. The forms of the keys are checked before, where
+/// they are replaced by their digests.
+///
+/// # Errors
+///
+/// Returns the first fault.
+pub fn check_accounts(accounts: &[AccountConfig]) -> Result<(), AccountFault> {
+    let empty = KeyDigest::of(b"");
+    let mut names = HashSet::new();
+    let mut owners: HashMap<KeyDigest, &str> = HashMap::new();
+    for (index, account) in accounts.iter().enumerate() {
+        let name = account.name.as_str();
+        if name.is_empty() {
+            return EmptyNameSnafu { index }.fail();
+        }
+        if !names.insert(name) {
+            return DuplicateNameSnafu { account: name }.fail();
+        }
+        if !account.weight.is_finite() || account.weight <= 0.0 {
+            return InvalidWeightSnafu { account: name }.fail();
+        }
+        for key in &account.keys {
+            if *key == empty {
+                return EmptyKeySnafu { account: name }.fail();
+            }
+            // The same key twice at one account is harmless.
+            let other = *owners.entry(*key).or_insert(name);
+            if other != name {
+                return SharedKeySnafu {
+                    account: name,
+                    other,
+                }
+                .fail();
+            }
+        }
+    }
+    Ok(())
+}
+
 /// The accounts of a configuration version by API key.
 #[derive(Clone, Debug, Default)]
 pub struct AccountDirectory {
@@ -127,15 +238,7 @@
         if keys.next().is_some() {
             return Err(KeyFault::Repeated);
         }
-        if key.is_empty() {
-            return Err(KeyFault::Empty);
-        }
-        if key.len() > MAX_KEY_BYTES {
-            return Err(KeyFault::TooLong);
-        }
-        if !key.iter().all(u8::is_ascii_graphic) {
-            return Err(KeyFault::NotAscii);
-        }
+        check_key(key)?;
         let digest = KeyDigest::of(key);
         let bucket = self.buckets.get(&digest.bucket()).map(Vec::as_slice);
         let mut found = None;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -9,6 +9,8 @@
 pub const REQUESTS: &str = "chicory_requests_total";
 /// Calls without a valid API key, by reason.
 pub const UNAUTHORIZED: &str = "chicory_unauthorized_total";
+/// Configuration versions that were rejected, by reason.
+pub const CONFIG_REJECTED: &str = "chicory_config_rejected_total";
 /// Resends of requests, by pool.
 pub const RESENDS: &str = "chicory_resends_total";
 /// Forwards of requests to other entry VMs, by pool.
@@ -40,6 +42,10 @@
     recorder();
     metrics::describe_counter!(REQUESTS, "Requests by outcome and reason.");
     metrics::describe_counter!(UNAUTHORIZED, "Calls without a valid API key, by reason.");
+    metrics::describe_counter!(
+        CONFIG_REJECTED,
+        "Rejected configuration versions, by reason."
+    );
     metrics::describe_counter!(RESENDS, "Further sends of requests, by pool.");
     metrics::describe_counter!(FORWARDS, "Requests passed on to other entry VMs, by pool.");
     metrics::describe_counter!(EJECTIONS, "Ejections of VMs by pool and cause.");
--- a/src/service/jobs/messages.rs
+++ b/src/service/jobs/messages.rs
@@ -276,6 +276,15 @@
 /// shard.
 pub type OwnerInbox = watch::Receiver<Option<mpsc::UnboundedSender<OwnerEvent>>>;
 
+/// A configuration that was rejected, so that it is logged only once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RejectedConfig {
+    /// Its version or, if it cannot be decoded, the revision of its item in the store.
+    pub number: u64,
+    /// Reason, as in the log.
+    pub reason: &'static str,
+}
+
 /// The operator's configuration and waves, as read from the store or from other
 /// entry VMs.
 #[derive(Clone, Debug, Default)]
@@ -284,6 +293,8 @@
     pub config: Option<Arc<JobConfig>>,
     /// Accounts of that configuration by API key; none if calls need no keys.
     pub accounts: Option<Arc<AccountDirectory>>,
+    /// The last configuration that was rejected.
+    pub rejected: Option<RejectedConfig>,
     /// Requested maintenance waves, in the order in which they became known.
     pub waves: Vec<WaveOrder>,
 }
