Client accounts: confirmation of the configuration, strict revocation

A withdrawn key could come back at an entry VM that starts without a configuration and takes one from a peer that is behind, or reads an older version. Exchange messages now carry the age of the sender's confirmation: an answered read or watch of the operator's keys, or the answer of a peer that has the same version and was confirmed itself, whose age is kept. Where there are accounts, a first configuration of a peer must have been confirmed within 3 s, and calls are answered 503 until a peer without a newer version has answered, none is known, or 3 s have passed.

With bounds.revokeStrict, calls that need a key are answered 503 if the configuration was not confirmed for bounds.revokeMs. Deployments without accounts behave as before.

--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -13,6 +13,7 @@
 pub mod candidates;
 pub mod choose;
 pub mod config;
+pub mod confirmation;
 pub mod dirty;
 pub mod engine;
 pub mod entries;
--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -29,14 +29,18 @@
 use crate::ports::StoreCall;
 use crate::ports::StoreReply;
 use crate::service::jobs::member::update_owner_from_peer;
+use crate::service::jobs::messages::ExchangeExtension;
 use crate::service::jobs::messages::ExchangeMessage;
 use crate::service::jobs::messages::MemberState;
 use crate::service::jobs::messages::OperatorState;
+use crate::service::jobs::operator::ConfigOffer;
 use crate::service::jobs::operator::add_wave;
-use crate::service::jobs::operator::update_config;
+use crate::service::jobs::operator::apply_offer;
+use crate::service::jobs::operator::config_version;
 use crate::service::jobs::peer::EXCHANGE_PATH;
 use crate::service::jobs::peer::MSGPACK;
 use crate::service::jobs::settings::NodeSettings;
+use crate::service::jobs::status::ConfigStatus;
 use crate::service::jobs::store::StoreLink;
 
 /// Time between two exchange messages; a change of the configuration must be in force
@@ -95,8 +99,8 @@
     pub disconnected: Arc<AtomicBool>,
     /// HTTP client for other entry VMs.
     pub client: KeepAliveClient,
-    /// Whether configurations of this deployment have client accounts.
-    pub needs_accounts: bool,
+    /// Whether the configuration in force may be used to check API keys.
+    pub status: ConfigStatus,
 }
 
 impl ExchangeState {
@@ -106,7 +110,7 @@
     pub fn reply_to(&self, message: ExchangeMessage, owning: bool) -> ExchangeMessage {
         let version = message.version;
         let known: Vec<u64> = message.waves.iter().map(|wave| wave.wave).collect();
-        self.apply(message);
+        self.apply(message, None);
         let mut waves = self.operator.borrow().waves.clone();
         // Only an owner needs waves, and others send them to it when its ownership begins.
         waves.retain(|wave| !known.is_empty() && !known.contains(&wave.wave));
@@ -135,7 +139,10 @@
             version: own,
             config: newer.map(|config| config.as_ref().clone()),
             waves: Vec::new(),
-            accounts: newer.map(|config| config.as_ref().into()),
+            extension: Some(ExchangeExtension {
+                accounts: newer.map(|config| config.as_ref().into()),
+                age_ms: self.status.age_ms(),
+            }),
         }
     }
 
@@ -177,29 +184,28 @@
         }
     }
 
-    fn apply(&self, message: ExchangeMessage) {
+    /// Applies a message; `sent_ms` is when the request was sent that it answers, on the boot
+    /// clock, and none if it is itself a request, which may have been long on its way.
+    fn apply(&self, message: ExchangeMessage, sent_ms: Option<u64>) {
         let mut last_contact = self
             .last_contact
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         last_contact.insert(message.name.clone(), boot_ms());
         drop(last_contact);
-        if let Some(config) = message.config {
-            match message.accounts {
-                Some(accounts) => {
-                    let config = config.with_accounts(accounts);
-                    update_config(&self.operator, config, &message.name);
-                }
-                None if !self.needs_accounts => {
-                    update_config(&self.operator, config, &message.name);
-                }
-                // Without accounts, the configuration would put all API keys out of force.
-                None => log::info!(
-                    event = "config_without_accounts", version = config.version,
-                    source = message.name.as_str(); ""
-                ),
-            }
-        }
+        let offer = ConfigOffer {
+            source: &message.name,
+            version: message.version,
+            sent_ms,
+        };
+        let extension = message.extension.unwrap_or_default();
+        apply_offer(
+            &self.operator,
+            &self.status,
+            offer,
+            message.config,
+            extension,
+        );
         for wave in message.waves {
             add_wave(&self.operator, wave);
         }
@@ -240,6 +246,7 @@
             limit,
             ..CallRequest::default()
         };
+        let sent_ms = boot_ms();
         let answer = match self.client.call(peer, request).await {
             Ok(answer) => answer,
             Err(error) => {
@@ -255,7 +262,10 @@
                 return None;
             }
         };
-        self.apply(answer.clone());
+        self.apply(answer.clone(), Some(sent_ms));
+        if config_version(&self.operator) >= answer.version {
+            self.status.set_peers_asked();
+        }
         Some(answer)
     }
 }
@@ -306,6 +316,10 @@
         };
         let connected = answered.is_some() || owning && !state.reach().is_isolated();
         state.set_disconnected(!connected && !reaches_store(&link).await);
+        let alone = state.members.borrow().synced && others.is_empty();
+        if alone || state.reach().is_startup_over {
+            state.status.set_peers_asked();
+        }
         match answered {
             Some(message) => {
                 peer_version = message.version;
@@ -316,14 +330,10 @@
             None if !others.is_empty() => {
                 peer_index = (peer_index + 1) % others.len();
                 peer_version = u64::MAX;
-                state
-                    .send(
-                        others[peer_index],
-                        peer_version,
-                        state.waves(),
-                        EXCHANGE_LIMIT,
-                    )
-                    .await;
+                let peer = others[peer_index];
+                let waves = state.waves();
+                let answer = state.send(peer, peer_version, waves, EXCHANGE_LIMIT);
+                answer.await;
             }
             None => {}
         }
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -16,6 +16,8 @@
 
 use crate::jobs::account::AccountDirectory;
 use crate::jobs::config::JobConfig;
+use crate::jobs::config::QueueConfig;
+use crate::jobs::confirmation::RevocationPolicy;
 use crate::kernel::ShutdownPhase;
 use crate::metrics::REQUESTS;
 use crate::metrics::UNAUTHORIZED;
@@ -50,6 +52,10 @@
 /// at once is right, since the load balancer then chooses another entry VM.
 const DISCONNECTED_RETRY_MS: u64 = 0;
 
+/// Retry delay for a caller if the configuration was not confirmed recently, in
+/// milliseconds; exchanges with peers, which may confirm it, are half a second apart.
+const UNCONFIRMED_RETRY_MS: u64 = 1000;
+
 /// State of the server for callers.
 #[derive(Clone)]
 pub struct FrontState {
@@ -59,6 +65,8 @@
     pub operator: OperatorView,
     /// Relays requests to the owner.
     pub relay: RelayClient,
+    /// Whether API keys need a configuration that was confirmed recently.
+    pub revocation: RevocationPolicy,
     /// Contact with other entry VMs.
     pub exchange: ExchangeState,
     /// Phase of the shutdown.
@@ -96,15 +104,26 @@
 }
 
 async fn serve(state: &FrontState, request: Request<Incoming>, started: Instant) -> HttpAnswer {
+    // Read before the configuration, which may be replaced by a newer one in between.
+    let is_current = state.revocation.allows(state.exchange.status.age_ms());
     let operator = state.operator.borrow().clone();
-    let Some(config) = &operator.config else {
+    let Some(config) = operator
+        .config
+        .as_deref()
+        .filter(|_| state.exchange.status.is_usable())
+    else {
         return refused(503, NO_OWNER_RETRY_MS);
     };
+    let check = KeyCheck {
+        accounts: operator.accounts.as_deref(),
+        is_current,
+        version: config.version,
+    };
     let wait = request.headers().get(state.dialect.deadline_header);
     let wait = wait.and_then(|wait| wait.to_str().ok()?.parse().ok());
     let wait = wait.map_or(DEFAULT_WAIT, Duration::from_millis);
     let deadline = started + wait - ANSWER_MARGIN.min(wait / ANSWER_MARGIN_DIVISOR);
-    let relay = match parse_request(state, config, operator.accounts.as_deref(), request).await {
+    let relay = match parse_request(state, config, check, request).await {
         Ok(relay) => relay,
         Err(response) => return *response,
     };
@@ -116,11 +135,57 @@
     respond(state, &relay, outcome)
 }
 
+/// What is needed to check the API key of a call.
+struct KeyCheck<'a> {
+    /// Accounts by API key; none if calls need no keys.
+    accounts: Option<&'a AccountDirectory>,
+    /// Whether the configuration was confirmed recently enough to check keys with it.
+    is_current: bool,
+    /// Version of the configuration.
+    version: u64,
+}
+
+impl KeyCheck<'_> {
+    /// Returns the account of a call, none if the queue needs no key; fails with the answer
+    /// if there is no valid key.
+    fn account(
+        &self,
+        state: &FrontState,
+        queue: &QueueConfig,
+        request: &Request<Incoming>,
+    ) -> Result<Option<String>, Box<HttpAnswer>> {
+        let Some(accounts) = self.accounts.filter(|_| !queue.anonymous) else {
+            return Ok(None);
+        };
+        let path = request.uri().path();
+        if !self.is_current {
+            log::info!(event = "request_refused", path = path, reason = "config_unconfirmed"; "");
+            let mut response = refused(503, UNCONFIRMED_RETRY_MS);
+            // The caller's next request then goes to another entry VM.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+            return Err(Box::new(response));
+        }
+        let keys = request.headers().get_all(state.dialect.key_header);
+        match accounts.authenticate(keys.iter().map(HeaderValue::as_bytes)) {
+            Ok(account) => Ok(Some(account.to_string())),
+            Err(fault) => {
+                log::info!(
+                    event = "request_unauthorized", path = path, reason = fault.as_str(),
+                    version = self.version; ""
+                );
+                metrics::counter!(UNAUTHORIZED, "reason" => fault.as_str()).increment(1);
+                Err(Box::new(answer(401, "", Bytes::new())))
+            }
+        }
+    }
+}
+
 /// Parses a request; fails with the answer if the request cannot be relayed.
 async fn parse_request(
     state: &FrontState,
     config: &JobConfig,
-    accounts: Option<&AccountDirectory>,
+    check: KeyCheck<'_>,
     request: Request<Incoming>,
 ) -> Result<RelayRequest, Box<HttpAnswer>> {
     let host = request.headers().get(header::HOST);
@@ -138,22 +203,8 @@
         pool: queue.pool.clone(),
         ask: RelayOperation::Query,
         version: config.version,
-        account: None,
+        account: check.account(state, queue, &request)?,
     };
-    if let Some(accounts) = accounts.filter(|_| !queue.anonymous) {
-        let keys = request.headers().get_all(state.dialect.key_header);
-        match accounts.authenticate(keys.iter().map(HeaderValue::as_bytes)) {
-            Ok(account) => relay.account = Some(account.to_string()),
-            Err(fault) => {
-                log::info!(
-                    event = "request_unauthorized", path = path.as_str(), reason = fault.as_str(),
-                    version = config.version; ""
-                );
-                metrics::counter!(UNAUTHORIZED, "reason" => fault.as_str()).increment(1);
-                return Err(Box::new(answer(401, "", Bytes::new())));
-            }
-        }
-    }
     relay.ask = match (request.method(), rest) {
         (&Method::GET, "") => RelayOperation::Pending,
         (_, rest) if !is_job_id(rest) => return Err(Box::new(answer(404, "", Bytes::new()))),
--- a/src/service/jobs/messages.rs
+++ b/src/service/jobs/messages.rs
@@ -161,10 +161,22 @@
     pub config: Option<JobConfig>,
     /// Maintenance waves that the sender knows.
     pub waves: Vec<WaveOrder>,
-    /// The part of `config` about client accounts, encoded after the message. None from an
-    /// entry VM of an earlier version, which knows no accounts.
+    /// Fields that are encoded after the message. None from an entry VM of an earlier
+    /// version, which knows no accounts.
     #[serde(skip)]
+    pub extension: Option<ExchangeExtension>,
+}
+
+/// Fields of an exchange message that are encoded after it. It must not gain further ones:
+/// decoders reject a longer list. They belong in another value after it.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ExchangeExtension {
+    /// The part of the message's configuration about client accounts.
     pub accounts: Option<AccountExtension>,
+    /// Time since the sender's configuration was confirmed as current, in milliseconds; none
+    /// if it was not.
+    pub age_ms: Option<u64>,
 }
 
 impl ExchangeMessage {
@@ -174,7 +186,7 @@
     ///
     /// Fails if the encoder fails.
     pub fn encode(&self) -> Result<Vec<u8>, EncodeError> {
-        encode_with(self, &self.accounts)
+        encode_with(self, &self.extension)
     }
 
     /// Decodes a message of another entry VM.
@@ -183,10 +195,10 @@
     ///
     /// Fails if `bytes` is not an encoded message.
     pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
-        let (message, accounts): (Self, Option<Option<AccountExtension>>) =
+        let (message, extension): (Self, Option<Option<ExchangeExtension>>) =
             decode_with("exchange", bytes)?;
         Ok(Self {
-            accounts: accounts.flatten(),
+            extension: extension.flatten(),
             ..message
         })
     }
--- a/src/service/jobs/mod.rs
+++ b/src/service/jobs/mod.rs
@@ -21,5 +21,6 @@
 pub mod serve;
 pub mod settings;
 pub mod shard;
+pub mod status;
 pub mod store;
 pub mod watch;
--- a/src/service/jobs/node.rs
+++ b/src/service/jobs/node.rs
@@ -38,6 +38,7 @@
 use crate::service::jobs::serve;
 use crate::service::jobs::serve::ServeSettings;
 use crate::service::jobs::settings::NodeSettings;
+use crate::service::jobs::status::ConfigStatus;
 use crate::service::jobs::store::StoreLink;
 
 /// Name under which the kernel runs all tasks except those of [`FRONT`] and [`OWNER`].
@@ -121,13 +122,13 @@
     let (inbox, inbox_view) = watch::channel(None);
     let exchange = ExchangeState {
         name: settings.name.clone(),
-        operator: operator.clone(),
+        operator,
         members: members.clone(),
         last_contact: Arc::default(),
         started_ms: boot_ms(),
         disconnected: Arc::default(),
         client: client.clone(),
-        needs_accounts: settings.needs_accounts,
+        status: ConfigStatus::new(settings.needs_accounts),
     };
     let relay = RelayClient {
         name: settings.name.clone(),
@@ -152,7 +153,11 @@
     };
     kernel.spawn(NAME, member::register(settings.clone(), link.clone()));
     kernel.spawn(NAME, member::run(settings.clone(), link.clone(), members));
-    kernel.spawn(NAME, operator::run(dialect, link.clone(), operator));
+    let wait = settings.operator_wait();
+    kernel.spawn(
+        NAME,
+        operator::run(dialect, link.clone(), wait, exchange.clone()),
+    );
     kernel.spawn(
         NAME,
         exchange::run(settings.clone(), link.clone(), exchange.clone()),
@@ -167,6 +172,7 @@
                 dialect,
                 operator: operator_view,
                 relay,
+                revocation: settings.revocation,
                 exchange: exchange.clone(),
                 phase: kernel.phase(),
             },
@@ -287,7 +293,8 @@
 impl ReadyState {
     fn is_ready(&self) -> bool {
         let running = *self.front.phase.borrow() == ShutdownPhase::Running;
-        let configured = self.front.operator.borrow().config.is_some();
+        let configured =
+            self.front.operator.borrow().config.is_some() && self.peer.exchange.status.is_usable();
         running && configured && !self.peer.exchange.is_disconnected()
     }
 }
--- a/src/service/jobs/settings.rs
+++ b/src/service/jobs/settings.rs
@@ -5,8 +5,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::jobs::confirmation::RevocationPolicy;
 use crate::jobs::engine::SchedulerSettings;
 use crate::ports::PortAddresses;
+use crate::service::jobs::watch::WATCH_WAIT;
 
 /// Settings of an entry VM, as its settings file gives them.
 #[derive(Clone, Debug, PartialEq)]
@@ -37,6 +39,8 @@
     pub owner_ttl: Duration,
     /// Whether the deployment has client accounts.
     pub needs_accounts: bool,
+    /// Whether API keys need a configuration that was confirmed recently.
+    pub revocation: RevocationPolicy,
     /// Limits and periods of the scheduler.
     pub scheduler: SchedulerSettings,
 }
@@ -61,12 +65,24 @@
             grace: Duration::from_secs(6),
             owner_ttl: Duration::from_millis(2000),
             needs_accounts: false,
+            revocation: RevocationPolicy::default(),
             scheduler: SchedulerSettings::default(),
         }
     }
 }
 
 impl NodeSettings {
+    /// Returns the longest wait of a watch of the operator's keys. Where they include API
+    /// keys, its answers confirm the configuration.
+    #[must_use]
+    pub fn operator_wait(&self) -> Duration {
+        if self.needs_accounts || self.revocation.strict {
+            Duration::from_millis(self.revocation.watch_wait_ms())
+        } else {
+            WATCH_WAIT
+        }
+    }
+
     /// Returns the CPU share in millicores.
     #[must_use]
     pub fn share_millicores(&self) -> u64 {
--- a/src/service/jobs/watch.rs
+++ b/src/service/jobs/watch.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::sleep;
 
+use crate::clock::boot_ms;
 use crate::platform::backoff::BackoffSettings;
 use crate::platform::backoff::BackoffState;
 use crate::ports::StoreCall;
@@ -15,7 +16,7 @@
 use crate::service::jobs::store::StoreLink;
 
 /// Longest wait of a watch call; a dead connection is noticed after this time.
-const WATCH_WAIT: Duration = Duration::from_millis(2000);
+pub const WATCH_WAIT: Duration = Duration::from_millis(2000);
 
 /// Added to the wait for the time limit of a watch call.
 const WATCH_SLACK: Duration = Duration::from_millis(600);
@@ -87,16 +88,33 @@
 pub async fn watch_prefix(
     link: &StoreLink,
     prefix: &str,
+    handle: impl FnMut(PrefixUpdate) -> bool,
+) {
+    watch_with_confirmation(link, prefix, WATCH_WAIT, handle, |_| {}).await;
+}
+
+/// Watches a prefix as [`watch_prefix`] does, with this longest wait, and calls `confirm`
+/// after each answer whose updates have been passed on, with the time at which its call was
+/// sent, in milliseconds on the boot clock: the updates until then are complete.
+pub async fn watch_with_confirmation(
+    link: &StoreLink,
+    prefix: &str,
+    wait: Duration,
     mut handle: impl FnMut(PrefixUpdate) -> bool,
+    mut confirm: impl FnMut(u64),
 ) {
     let mut backoff = BackoffState::new(STORE_BACKOFF);
     loop {
+        let sent_ms = boot_ms();
         match read_all(link, prefix).await {
             Ok((items, from)) => {
                 backoff.reset();
-                if !handle(PrefixUpdate::Snapshot(items))
-                    || !watch_changes(link, prefix, from, &mut handle).await
-                {
+                if !handle(PrefixUpdate::Snapshot(items)) {
+                    return;
+                }
+                confirm(sent_ms);
+                let call = WatchCall { link, prefix, wait };
+                if !call.repeat(from, &mut handle, &mut confirm).await {
                     return;
                 }
             }
@@ -108,42 +126,56 @@
     }
 }
 
-/// Watches for changes after a revision; returns true once the store no longer has all
-/// changes since then, false once `handle` returns false.
-async fn watch_changes(
-    link: &StoreLink,
-    prefix: &str,
-    mut after: u64,
-    handle: &mut impl FnMut(PrefixUpdate) -> bool,
-) -> bool {
-    let mut backoff = BackoffState::new(STORE_BACKOFF);
-    loop {
-        let call = StoreCall::Watch {
-            prefix: prefix.to_owned(),
-            after,
-            wait_ms: WATCH_WAIT.as_millis() as u64,
-        };
-        match link.call(&call, WATCH_WAIT + WATCH_SLACK).await {
-            Ok(StoreReply::Events { events, revision }) => {
-                backoff.reset();
-                after = after.max(revision);
-                for event in events {
-                    if !handle(PrefixUpdate::Change(event)) {
-                        return false;
+struct WatchCall<'a> {
+    link: &'a StoreLink,
+    prefix: &'a str,
+    wait: Duration,
+}
+
+impl WatchCall<'_> {
+    /// Watches for changes after a revision; returns true once the store no longer has all
+    /// changes since then, false once `handle` returns false.
+    async fn repeat(
+        &self,
+        mut after: u64,
+        handle: &mut impl FnMut(PrefixUpdate) -> bool,
+        confirm: &mut impl FnMut(u64),
+    ) -> bool {
+        let prefix = self.prefix;
+        let mut backoff = BackoffState::new(STORE_BACKOFF);
+        loop {
+            let call = StoreCall::Watch {
+                prefix: prefix.to_owned(),
+                after,
+                wait_ms: self.wait.as_millis() as u64,
+            };
+            let sent_ms = boot_ms();
+            match self.link.call(&call, self.wait + WATCH_SLACK).await {
+                Ok(StoreReply::Events { events, revision }) => {
+                    backoff.reset();
+                    let is_stale = revision < after;
+                    after = after.max(revision);
+                    for event in events {
+                        if !handle(PrefixUpdate::Change(event)) {
+                            return false;
+                        }
+                    }
+                    if !is_stale {
+                        confirm(sent_ms);
                     }
                 }
-            }
-            Ok(StoreReply::Compacted) => {
-                log::info!(event = "history_gone", prefix = prefix, after = after; "");
-                return true;
-            }
-            Ok(reply) => {
-                log::debug!(event = "watch_refused", prefix = prefix, reply:? = reply; "");
-                sleep(backoff.next_pause(rand::random())).await;
-            }
-            Err(error) => {
-                log::debug!(event = "watch_failed", prefix = prefix, error:% = error; "");
-                sleep(backoff.next_pause(rand::random())).await;
+                Ok(StoreReply::Compacted) => {
+                    log::info!(event = "history_gone", prefix = prefix, after = after; "");
+                    return true;
+                }
+                Ok(reply) => {
+                    log::debug!(event = "watch_refused", prefix = prefix, reply:? = reply; "");
+                    sleep(backoff.next_pause(rand::random())).await;
+                }
+                Err(error) => {
+                    log::debug!(event = "watch_failed", prefix = prefix, error:% = error; "");
+                    sleep(backoff.next_pause(rand::random())).await;
+                }
             }
         }
     }
