--- a/tests/accounts_keys.rs
+++ b/tests/accounts_keys.rs
@@ -16,6 +16,7 @@
 use chicorygauge::jobs::config::JobConfig;
 use chicorygauge::jobs::types::ResourceVector;
 use chicorygauge::metrics;
+use chicorygauge::service::jobs::messages::ExchangeExtension;
 use chicorygauge::service::jobs::messages::ExchangeMessage;
 use chicorygauge::service::jobs::messages::OperatorState;
 use chicorygauge::service::jobs::operator::update_config;
@@ -246,7 +247,10 @@
     update_config(&sender, config(1, accounts.clone()), "test");
     let message = ExchangeMessage {
         config: view.borrow().config.as_deref().cloned(),
-        accounts: Some(AccountExtension::from(&config(1, accounts.clone()))),
+        extension: Some(ExchangeExtension {
+            accounts: Some(AccountExtension::from(&config(1, accounts.clone()))),
+            age_ms: None,
+        }),
         ..ExchangeMessage::default()
     };
     let outputs = [
