Client accounts: shorter exchange period until the first answer of a peer

An entry VM of a deployment with accounts was not ready for up to half a second longer than needed after its start. The members are read once a round, so that a list that arrives during the round is not taken for an empty one.

--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -47,6 +47,10 @@
 /// everywhere within two seconds.
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(500);
 
+/// Time between two exchange messages while the configuration may not be used before a peer
+/// has answered; lasts for [`STARTUP_GRACE_MS`] at most.
+const START_PERIOD: Duration = Duration::from_millis(100);
+
 /// Time limit of an exchange: several round trips between data centres.
 const EXCHANGE_LIMIT: Duration = Duration::from_millis(400);
 
@@ -215,6 +219,15 @@
         }
     }
 
+    /// Returns the time until the next message.
+    fn period(&self) -> Duration {
+        if self.status.is_usable() {
+            EXCHANGE_PERIOD
+        } else {
+            START_PERIOD
+        }
+    }
+
     /// Sends a message to another entry VM, applies the answer and returns it; none if
     /// there is no valid answer.
     ///
@@ -286,10 +299,10 @@
     // Epoch of the last owner that answered, and the number of waves that it was sent.
     let mut acknowledged = (0, 0);
     loop {
-        let (owner, nodes) = {
+        let (owner, nodes, synced) = {
             let members = state.members.borrow();
             let owner = members.owner.as_ref().map(|(owner, _)| owner.clone());
-            (owner, members.nodes.clone())
+            (owner, members.nodes.clone(), members.synced)
         };
         let others = nodes.iter().map(|(_, address)| *address);
         let seeds = settings.seeds.iter().copied();
@@ -316,8 +329,7 @@
         };
         let connected = answered.is_some() || owning && !state.reach().is_isolated();
         state.set_disconnected(!connected && !reaches_store(&link).await);
-        let alone = state.members.borrow().synced && others.is_empty();
-        if alone || state.reach().is_startup_over {
+        if synced && others.is_empty() || state.reach().is_startup_over {
             state.status.set_peers_asked();
         }
         match answered {
@@ -330,14 +342,12 @@
             None if !others.is_empty() => {
                 peer_index = (peer_index + 1) % others.len();
                 peer_version = u64::MAX;
-                let peer = others[peer_index];
-                let waves = state.waves();
-                let answer = state.send(peer, peer_version, waves, EXCHANGE_LIMIT);
-                answer.await;
+                let (peer, waves) = (others[peer_index], state.waves());
+                state.send(peer, peer_version, waves, EXCHANGE_LIMIT).await;
             }
             None => {}
         }
-        sleep(EXCHANGE_PERIOD).await;
+        sleep(state.period()).await;
     }
 }
 
