Scheduler: runs of finished jobs count and are stopped after a takeover; accounts own jobs

The progress record of a cancelled or failed job held no runs, so that a new owner neither counted nor adopted those that were still being stopped. The body and the runs now stay stored until none may be alive; entry VMs of the previous version read such records as those of a job in progress in a final state and stop the runs.

The ledger identifies runs by task, worker and number, is built anew with each configuration, and can be compared with all live runs. Pools in which tasks wait for an account's limit are due when a run of the account ends; jobs at their account's limit do not count as misses of a pass. Jobs of another account are unknown to a caller (410), a submission of their id is refused (409), and a gang wider than its account's limit is invalid (400). Status and metrics by account.

An inherited run is no longer requeued if the stored entry of its worker is older than the run's incarnation. A cancelled job no longer shows as running while the ends of its runs are stored.

--- a/src/jobs/actions.rs
+++ b/src/jobs/actions.rs
@@ -70,6 +70,8 @@
         /// Delay before the caller should retry, in milliseconds.
         retry_ms: u64,
     },
+    /// The identifier is that of a job of another account; nothing was done.
+    Conflict,
 }
 
 /// A side effect that the service executes for the scheduler.
--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -31,12 +31,81 @@
     pub account: Option<AccountName>,
 }
 
+/// Which jobs a caller may read, cancel and submit again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallerScope {
+    /// Those of its account, and those without one.
+    Account(AccountName),
+    /// Those without an account: the caller's queue needs no API key.
+    Anonymous,
+    /// All: the entry VM that received the call knows no accounts, so that it could not
+    /// check a key.
+    Unrestricted,
+}
+
+impl CallerScope {
+    /// Returns whether a job of `account` is in the scope.
+    #[must_use]
+    pub fn covers(&self, account: Option<&AccountName>) -> bool {
+        match self {
+            Self::Account(own) => account.is_none_or(|account| account == own),
+            Self::Anonymous => account.is_none(),
+            Self::Unrestricted => true,
+        }
+    }
+
+    /// Returns the name of the caller's account for logs; empty if it has none.
+    fn account(&self) -> &str {
+        match self {
+            Self::Account(account) => account,
+            Self::Anonymous | Self::Unrestricted => "",
+        }
+    }
+}
+
+/// Returns whether a job belongs to an account that the caller has no access to, and logs
+/// it if so.
+fn is_foreign(id: &str, account: Option<&AccountName>, scope: &CallerScope) -> bool {
+    let is_foreign = !scope.covers(account);
+    if is_foreign {
+        let owner = account.map_or("", |account| &**account);
+        log::info!(event = "foreign_account", job = id, account = scope.account(), job_account = owner; "");
+    }
+    is_foreign
+}
+
 impl JobEngine {
+    /// Returns which jobs a caller of a queue has access to, given its account.
+    ///
+    /// A call without an account on a queue that needs API keys comes from an entry VM of
+    /// an earlier version or configuration.
+    #[must_use]
+    pub fn caller_scope(&self, queue: &str, account: Option<AccountName>) -> CallerScope {
+        if let Some(account) = account {
+            return CallerScope::Account(account);
+        }
+        let is_anonymous = self.config.queue(queue).is_none_or(|queue| queue.anonymous);
+        if self.config.accounts.is_some() && is_anonymous {
+            return CallerScope::Anonymous;
+        }
+        CallerScope::Unrestricted
+    }
+
+    /// Returns the account of a known job; none if it has none, or there is no such job.
+    fn account_of(&self, id: &JobId) -> Option<&AccountName> {
+        let ended = self.ended.get(id).and_then(|ended| ended.account.as_ref());
+        ended.or_else(|| self.jobs.get(id)?.body.account.as_ref())
+    }
+
     /// Handles a submission; it is accepted only once the job is stored.
     ///
     /// A repeated submission of the same job gets the same answer.
     pub fn submit(&mut self, submission: Submission, waiter: WaiterId, time: TimePair) {
         let id = submission.id.clone();
+        let scope = self.caller_scope(&submission.queue, submission.account.clone());
+        if is_foreign(&id, self.account_of(&id), &scope) {
+            return self.answer(waiter, CallerAnswer::Conflict);
+        }
         if self.ended.contains_key(&id) {
             return self.answer(waiter, CallerAnswer::Accepted);
         }
@@ -50,6 +119,11 @@
             log::info!(event = "job_invalid", job = &*id, fault = fault.as_str(); "");
             return self.answer(waiter, CallerAnswer::Invalid);
         }
+        if let Some(step) = self.gang_beyond_limit(submission.account.as_ref(), &submission.spec) {
+            let account = submission.account.as_deref().unwrap_or_default();
+            log::info!(event = "job_invalid", job = &*id, account = account, step = step, fault = "gang_beyond_limit"; "");
+            return self.answer(waiter, CallerAnswer::Invalid);
+        }
         if let Some(since_ms) = self.store_down_since_ms {
             let down_ms = time.boot.saturating_sub(since_ms);
             log::info!(event = "job_refused", job = &*id, reason = "store_down", down_ms = down_ms; "");
@@ -76,14 +150,18 @@
     }
 
     /// Answers with the state of a job; an end that is not stored yet counts as running.
-    pub fn query(&mut self, id: &JobId, waiter: WaiterId) {
-        let answer = if let Some(ended) = self.ended.get(id) {
+    ///
+    /// A job of another account is unknown to the caller.
+    pub fn query(&mut self, id: &JobId, scope: &CallerScope, waiter: WaiterId) {
+        let answer = if is_foreign(id, self.account_of(id), scope) {
+            CallerAnswer::Unknown
+        } else if let Some(ended) = self.ended.get(id) {
             CallerAnswer::State(ended.state)
         } else {
             match self.jobs.get(id) {
                 None => CallerAnswer::Unknown,
                 Some(job) if job.stored_version == 0 => CallerAnswer::Unknown,
-                Some(job) if job.state.is_final() && job.stored_version < job.version => {
+                Some(job) if job.state.is_final() && !job.is_end_stored() => {
                     CallerAnswer::State(JobState::Running)
                 }
                 Some(job) => CallerAnswer::State(job.state),
@@ -93,7 +171,12 @@
     }
 
     /// Cancels a job; the answer follows once the cancellation is stored.
-    pub fn cancel(&mut self, id: &JobId, waiter: WaiterId, now: u64) {
+    ///
+    /// A job of another account is unknown to the caller.
+    pub fn cancel(&mut self, id: &JobId, scope: &CallerScope, waiter: WaiterId, now: u64) {
+        if is_foreign(id, self.account_of(id), scope) {
+            return self.answer(waiter, CallerAnswer::Unknown);
+        }
         let Some(job) = self.jobs.get_mut(id) else {
             let known = self.ended.contains_key(id);
             let answer = if known {
--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -166,7 +166,7 @@
         view.last_busy_ms = now;
         self.candidates.update(worker, view);
         self.dirty.mark(&task.job, now);
-        self.count_run(task, run, spec.need);
+        self.count_run(task, worker, run, spec.need);
     }
 }
 
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -15,6 +15,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use crate::jobs::account::AccountName;
 use crate::jobs::actions::Action;
 use crate::jobs::actions::CallToken;
 use crate::jobs::actions::CallerAnswer;
@@ -26,15 +27,14 @@
 use crate::jobs::fleet::FleetState;
 use crate::jobs::job::JobEntry;
 use crate::jobs::ledger::AccountLedger;
+use crate::jobs::limits::LimitState;
 use crate::jobs::load::PoolLoad;
 use crate::jobs::stable_map::StableMap;
-use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
 use crate::jobs::unresponsive::UnresponsiveWorkers;
 use crate::jobs::waiting::WaitingJobs;
-use crate::jobs::worker::RunFootprint;
 use crate::jobs::worker::WorkerView;
 use crate::ports::WorkerCall;
 use crate::ports::worker::WorkerOrder;
@@ -100,12 +100,14 @@
 const RUN_CHECK_MS: u64 = 300;
 
 /// A finished job, of which only the state is kept.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndedJob {
     /// Final state.
     pub state: JobState,
     /// When it ended, on the boot clock in milliseconds.
     pub ended_ms: u64,
+    /// Client account that submitted it.
+    pub account: Option<AccountName>,
 }
 
 /// The same instant on both clocks.
@@ -160,8 +162,8 @@
     pub(crate) actions: Vec<Action>,
     /// Resources in use by client account.
     pub ledger: AccountLedger,
-    /// When an account at its limit was last logged.
-    pub(crate) limit_logged_ms: u64,
+    /// Bookkeeping of the accounts' limits.
+    pub(crate) limits: LimitState,
     /// Jobs with tasks that may need placement.
     pub(crate) waiting: WaitingJobs,
     /// Workers that placement may choose.
@@ -220,7 +222,7 @@
             advice_calls: 0,
             actions: Vec::new(),
             ledger: AccountLedger::default(),
-            limit_logged_ms: 0,
+            limits: LimitState::default(),
             waiting: WaitingJobs::default(),
             candidates: PoolCandidates::default(),
             ending_workers: BTreeSet::new(),
@@ -238,6 +240,7 @@
             stop_retries: Vec::new(),
         };
         engine.index_queues();
+        engine.apply_accounts();
         engine
     }
 
@@ -257,6 +260,7 @@
             log::info!(event = "scheduler_config", version = config.version, before = self.config.version; "");
             self.config = config;
             self.index_queues();
+            self.apply_accounts();
             self.waiting.mark_all_due();
         }
     }
@@ -311,6 +315,7 @@
         }
         self.expire_ended_jobs(time.boot);
         self.plan_fleet(time.boot);
+        self.update_account_metrics(time.boot);
         self.candidates.clear();
         self.waiting.mark_all_due();
     }
@@ -330,78 +335,4 @@
             }
         }
     }
-
-    /// Forgets finished jobs after their retention and queues their records for removal.
-    fn expire_ended_jobs(&mut self, now: u64) {
-        while let Some((ended_ms, _)) = self.ended_order.front()
-            && ended_ms + self.settings.ended_retention_ms < now
-        {
-            if let Some((_, id)) = self.ended_order.pop_front() {
-                self.ended.remove(&id);
-                self.expired.push_back(id);
-            }
-        }
-    }
-
-    /// Stops the remaining runs of a job in a final state, and replaces the job by its
-    /// state once that is stored and no run is left. Does nothing for other jobs.
-    pub(crate) fn finalize_job(&mut self, id: &JobId, now: u64) {
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        if !job.state.is_final() {
-            return;
-        }
-        let live: Vec<_> = job
-            .live_runs()
-            .map(|(task, run)| (task, run.clone()))
-            .collect();
-        for (task, run) in &live {
-            if matches!(run.phase, RunPhase::Reserved(_)) {
-                // Its start was never sent.
-                self.release_run(task, &run.worker, run.run);
-            } else if !run.phase.is_stopping() {
-                self.stop_run(task, &run.worker, run.run, now);
-            }
-        }
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        if job.stored_version < job.version || job.live_runs().next().is_some() {
-            return;
-        }
-        let state = job.state;
-        self.jobs.remove(id);
-        self.waiting.remove(id);
-        self.ended.insert(
-            id.clone(),
-            EndedJob {
-                state,
-                ended_ms: now,
-            },
-        );
-        self.ended_order.push_back((now, id.clone()));
-    }
-
-    /// Removes a run from its task and frees its capacity at the worker.
-    pub(crate) fn release_run(&mut self, task: &TaskId, worker: &str, run: u32) {
-        self.ledger.end(task, run);
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            let footprint = job
-                .step_spec(task)
-                .map(RunFootprint::from)
-                .unwrap_or_default();
-            if let Some(state) = job.task_mut(task) {
-                state
-                    .placed
-                    .retain(|placed| placed.run != run || placed.worker != worker);
-            }
-            if let Some(view) = self.workers.get_mut(worker) {
-                view.remove_run(task, run, footprint);
-                self.candidates.update(worker, view);
-                self.waiting.mark_due(&view.entry.pool);
-            }
-        }
-        self.waiting.insert(&task.job);
-    }
 }
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -7,6 +7,7 @@
 use crate::jobs::record::BodyRecord;
 use crate::jobs::record::OccurrenceRecord;
 use crate::jobs::record::ProgressRecord;
+use crate::jobs::task::RunPhase;
 use crate::jobs::task::StepState;
 use crate::jobs::task::TaskRun;
 use crate::jobs::task::TaskState;
@@ -40,6 +41,11 @@
     pub body_stored: bool,
     /// Whether the job went into a commit, which may have succeeded.
     pub write_attempted: bool,
+    /// Version at which the removal of the body and a record without runs went into a
+    /// commit; 0 if it did not.
+    pub closed_version: u64,
+    /// First version with a final state that went into a commit; 0 if none did.
+    pub ended_version: u64,
     /// When the job was submitted, on the boot clock in milliseconds.
     pub submitted_ms: u64,
 }
@@ -58,6 +64,8 @@
             stored_version: 0,
             body_stored: false,
             write_attempted: false,
+            closed_version: 0,
+            ended_version: 0,
             submitted_ms: now,
         }
     }
@@ -79,6 +87,7 @@
             return job;
         };
         job.state = progress.state;
+        job.ended_version = u64::from(job.state.is_final());
         job.finished = progress.finished.into_iter().collect();
         for record in progress.open {
             let steps = record.steps.into_iter().map(|tasks| StepState {
@@ -97,7 +106,22 @@
         job
     }
 
-    /// Returns the progress record to store; it holds only the state of a finished job.
+    /// Returns whether a final state of the job is stored.
+    #[must_use]
+    pub fn is_end_stored(&self) -> bool {
+        self.ended_version > 0 && self.stored_version >= self.ended_version
+    }
+
+    /// Returns whether the job is finished and no run of it may be alive. The starts of
+    /// reserved runs of a finished job are never sent.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        let mut runs = self.live_runs();
+        self.state.is_final() && runs.all(|(_, run)| matches!(run.phase, RunPhase::Reserved(_)))
+    }
+
+    /// Returns the progress record to store; it holds only the state and the account of a
+    /// finished job without runs.
     #[must_use]
     pub fn progress(&self, unix_ms: u64) -> ProgressRecord {
         let open = self.open.iter().map(|(number, steps)| OccurrenceRecord {
@@ -107,16 +131,21 @@
                 .map(|step| step.tasks.iter().map(store_task).collect())
                 .collect(),
         });
-        let is_final = self.state.is_final();
+        let is_closed = self.is_closed();
         ProgressRecord {
             state: self.state,
             written_ms: unix_ms,
-            finished: if is_final {
+            finished: if is_closed {
                 Vec::new()
             } else {
                 self.finished.iter().copied().collect()
             },
-            open: if is_final { Vec::new() } else { open.collect() },
+            open: if is_closed {
+                Vec::new()
+            } else {
+                open.collect()
+            },
+            account: self.body.account.clone(),
         }
     }
 
--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -10,20 +10,29 @@
 use crate::jobs::types::ResourceVector;
 use crate::jobs::types::TaskId;
 
+/// Maximum amount of a resource that a run counts with. Fillers may request any CPU, as they
+/// reserve none; the sums of a million runs must not overflow.
+const MAX_COUNTED: u64 = 1 << 44;
+
 /// What a run occupies.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct RunUsage {
-    account: Option<AccountName>,
-    pool: String,
-    need: ResourceVector,
+pub struct RunUsage {
+    /// Client account of its job.
+    pub account: Option<AccountName>,
+    /// Pool of its job.
+    pub pool: String,
+    /// Resources that its task needs.
+    pub need: ResourceVector,
 }
 
+/// Identifies a run: task, worker and number.
+type RunKey = (TaskId, String, u32);
+
 /// Resources in use by account and by pool.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AccountLedger {
-    /// Runs that may be alive, by task and number; gang members share a number, and all runs
-    /// of a task have different ones.
-    runs: HashMap<(TaskId, u32), RunUsage>,
+    /// Runs that may be alive.
+    runs: HashMap<RunKey, RunUsage>,
     by_account: HashMap<AccountName, ResourceVector>,
     /// Usage in each pool; without an account, that of all runs that have none.
     by_pool: HashMap<String, HashMap<Option<AccountName>, ResourceVector>>,
@@ -31,35 +40,32 @@
 
 impl AccountLedger {
     /// Adds a run; does nothing if it is known.
-    pub fn begin(
-        &mut self,
-        task: &TaskId,
-        run: u32,
-        account: Option<&AccountName>,
-        pool: &str,
-        need: ResourceVector,
-    ) {
-        let usage = RunUsage {
-            account: account.cloned(),
-            pool: pool.to_owned(),
-            need,
-        };
-        if self.runs.insert((task.clone(), run), usage).is_some() {
+    pub fn begin(&mut self, task: &TaskId, worker: &str, run: u32, usage: RunUsage) {
+        let key = (task.clone(), worker.to_owned(), run);
+        if self.runs.contains_key(&key) {
             return;
         }
-        if let Some(account) = account {
+        let need = ResourceVector {
+            cpu: usage.need.cpu.min(MAX_COUNTED),
+            memory_mb: usage.need.memory_mb.min(MAX_COUNTED),
+            gpu: usage.need.gpu.min(MAX_COUNTED),
+        };
+        if let Some(account) = &usage.account {
             let sum = self.by_account.entry(account.clone()).or_default();
             sum.add(&need);
         }
-        let in_pool = self.by_pool.entry(pool.to_owned()).or_default();
-        in_pool.entry(account.cloned()).or_default().add(&need);
+        let in_pool = self.by_pool.entry(usage.pool.clone()).or_default();
+        in_pool.entry(usage.account.clone()).or_default().add(&need);
+        self.runs.insert(key, RunUsage { need, ..usage });
     }
 
-    /// Removes a run that is certainly over; does nothing if it is unknown.
-    pub fn end(&mut self, task: &TaskId, run: u32) {
-        let Some(usage) = self.runs.remove(&(task.clone(), run)) else {
-            return;
-        };
+    /// Removes a run that is certainly over and returns what it occupied; none if it is
+    /// unknown.
+    pub fn end(&mut self, task: &TaskId, worker: &str, run: u32) -> Option<RunUsage> {
+        if self.runs.is_empty() {
+            return None;
+        }
+        let usage = self.runs.remove(&(task.clone(), worker.to_owned(), run))?;
         if let Some(account) = &usage.account
             && let Some(sum) = self.by_account.get_mut(account)
         {
@@ -68,14 +74,18 @@
                 self.by_account.remove(account);
             }
         }
-        if let Some(in_pool) = self.by_pool.get_mut(&usage.pool)
-            && let Some(sum) = in_pool.get_mut(&usage.account)
-        {
-            *sum = sum.saturating_sub(&usage.need);
-            if *sum == ResourceVector::default() {
-                in_pool.remove(&usage.account);
+        if let Some(in_pool) = self.by_pool.get_mut(&usage.pool) {
+            if let Some(sum) = in_pool.get_mut(&usage.account) {
+                *sum = sum.saturating_sub(&usage.need);
+                if *sum == ResourceVector::default() {
+                    in_pool.remove(&usage.account);
+                }
+            }
+            if in_pool.is_empty() {
+                self.by_pool.remove(&usage.pool);
             }
         }
+        Some(usage)
     }
 
     /// Returns what the runs of an account use at all workers together.
@@ -84,6 +94,11 @@
         self.by_account.get(account).copied().unwrap_or_default()
     }
 
+    /// Returns the usage of every account with runs.
+    pub fn accounts(&self) -> impl Iterator<Item = (&AccountName, &ResourceVector)> {
+        self.by_account.iter()
+    }
+
     /// Returns what the runs of an account use in a pool; without an account, those of jobs
     /// that have none.
     #[must_use]
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 //! actions that it returns.
 
 pub mod account;
+pub mod account_status;
 pub mod actions;
 pub mod admit;
 pub mod advice;
@@ -14,6 +15,7 @@
 pub mod choose;
 pub mod config;
 pub mod dirty;
+pub mod ending;
 pub mod engine;
 pub mod entries;
 pub mod fleet;
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -42,6 +42,10 @@
 /// The first part starts at the lowest rank, the second where the previous pass stopped.
 const MAX_MISSES: usize = 16;
 
+/// Number of jobs at their account's limit that a part of a pass tries besides. They are no
+/// sign of a full pool, and cost only a look at the account.
+const MAX_LIMITED: usize = 512;
+
 /// Class of jobs with long-running tasks.
 const CLASS_LONG_RUNNING: u32 = 0;
 /// Class of jobs that can still meet their objective.
@@ -72,7 +76,7 @@
     }
 
     /// Places the waiting jobs of a pool after a position, until [`MAX_MISSES`] consecutive
-    /// ones had no fitting task. Returns the position of the last job tried, none if it was
+    /// ones had no fitting task, or [`MAX_LIMITED`] were at their account's limit. Returns the position of the last job tried, none if it was
     /// the last of the pool.
     fn place_after(
         &mut self,
@@ -80,11 +84,16 @@
         mut position: Option<WaitingPosition>,
         now: u64,
     ) -> Option<WaitingPosition> {
-        let mut misses = 0;
-        while misses < MAX_MISSES {
+        let (mut misses, mut limited) = (0, 0);
+        while misses < MAX_MISSES && limited < MAX_LIMITED {
             let next = self.waiting.next(pool, position.as_ref())?;
-            if self.place_job(&next.1, now) {
+            let checks = self.limits.failed_checks;
+            if self.is_exhausted(&next.1, now) {
+                limited += 1;
+            } else if self.place_job(&next.1, now) {
                 misses = 0;
+            } else if self.limits.failed_checks > checks {
+                limited += 1;
             } else {
                 misses += 1;
             }
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -2,7 +2,7 @@
 //!
 //! A job is stored as two items: its body, written once at acceptance, and its
 //! progress, written again whenever a run is placed or ends. Of a finished job only
-//! a small progress record is left, without a body.
+//! a small progress record is left, without a body, once none of its runs may be alive.
 //!
 //! A shard is a set of jobs with their workers and VMs. It has one owner at a time,
 //! an entry VM that schedules it, and an epoch that increases with each ownership. The
@@ -229,10 +229,53 @@
     pub state: JobState,
     /// When the record was written, in milliseconds since the Unix epoch.
     pub written_ms: u64,
-    /// Numbers of the finished occurrences, ascending; empty once the job is finished.
+    /// Numbers of the finished occurrences, ascending; empty like `open`.
     pub finished: Vec<u32>,
-    /// Occurrences in progress, by ascending number; empty once the job is finished.
+    /// Occurrences in progress, by ascending number; empty once the job is finished and none
+    /// of its runs may be alive.
     pub open: Vec<OccurrenceRecord>,
+    /// Client account of a finished job, whose body is removed. It is encoded as a
+    /// [`ProgressExtension`].
+    #[serde(skip)]
+    pub account: Option<AccountName>,
+}
+
+/// Fields of a progress record that are encoded after it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ProgressExtension {
+    /// Client account that submitted the job.
+    pub account: Option<String>,
+}
+
+/// Encodes a progress record; the account only if the job is finished.
+///
+/// # Errors
+///
+/// Fails if the encoder fails.
+pub fn encode_progress(record: &ProgressRecord) -> Result<Vec<u8>, EncodeError> {
+    let account = record.account.as_ref().filter(|_| record.state.is_final());
+    let Some(account) = account else {
+        return encode(record);
+    };
+    let extension = ProgressExtension {
+        account: Some(account.to_string()),
+    };
+    encode_with(record, &extension)
+}
+
+/// Decodes a progress record that is stored under `key`.
+///
+/// # Errors
+///
+/// Fails if `bytes` is not an encoded progress record.
+pub fn decode_progress(key: &str, bytes: &[u8]) -> Result<ProgressRecord, RecordError> {
+    let (record, extension): (ProgressRecord, Option<ProgressExtension>) = decode_with(key, bytes)?;
+    let account = extension.and_then(|extension| extension.account);
+    Ok(ProgressRecord {
+        account: account.map(Into::into),
+        ..record
+    })
 }
 
 /// Progress of a maintenance wave.
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -19,6 +19,7 @@
 use crate::jobs::record::WaveRecord;
 use crate::jobs::record::encode;
 use crate::jobs::record::encode_body;
+use crate::jobs::record::encode_progress;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
 use crate::jobs::worker::RunFootprint;
@@ -309,8 +310,12 @@
         let age_ms = time.unix.saturating_sub(record.written_ms);
         let ended_ms = time.boot.saturating_sub(age_ms);
         self.ended_order.push_back((ended_ms, id.clone()));
-        let state = record.state;
-        self.ended.insert(id, EndedJob { state, ended_ms });
+        let ended = EndedJob {
+            state: record.state,
+            ended_ms,
+            account: record.account.clone(),
+        };
+        self.ended.insert(id, ended);
     }
 
     /// Restores a job in progress from its stored records.
@@ -327,6 +332,7 @@
         self.jobs.insert(id.clone(), job);
         self.waiting.insert(&id);
         self.count_restored_runs(&id);
+        self.finalize_job(&id, time.boot);
     }
 
     /// Adds the inherited runs to their workers, once the workers' entries are known.
@@ -341,7 +347,10 @@
         }
         for (task, worker, born_ms, run, footprint) in runs {
             match self.workers.get_mut(&worker) {
-                Some(view) if view.entry.born_ms == born_ms || born_ms == 0 => {
+                Some(view) if view.entry.born_ms <= born_ms || born_ms == 0 => {
+                    // The former owner may have learnt of the incarnation from the worker,
+                    // whose entry in the store is written later.
+                    view.entry.born_ms = view.entry.born_ms.max(born_ms);
                     view.add_run(task, run, footprint);
                 }
                 Some(_) => self.requeue_run(&task, &worker, run, now),
@@ -375,15 +384,24 @@
 }
 
 /// Adds what must be stored of a job to a batch: the body of an accepted job once, its
-/// progress if it has any, and the removal of a finished job's body.
+/// progress if it has any, and the removal of a finished job's body once none of its runs
+/// may be alive.
 fn add_job_writes(
     batch: &mut WriteBatch,
     keys: ShardKeys,
-    job: &JobEntry,
+    job: &mut JobEntry,
     unix_ms: u64,
 ) -> Result<(), EncodeError> {
     let body_key = format!("{}{}", keys.bodies(), job.id);
-    if job.state.is_final() {
+    if job.state.is_final() && job.ended_version == 0 {
+        job.ended_version = job.version;
+    }
+    if job.is_closed() {
+        if job.closed_version != job.version {
+            // Makes this record differ from earlier ones, which may hold runs.
+            job.bump_version();
+            job.closed_version = job.version;
+        }
         if job.body_stored {
             batch.removals.push(body_key);
         }
@@ -393,7 +411,7 @@
     let is_new = !job.body_stored && job.live_runs().next().is_none();
     if !is_new || job.state.is_final() {
         let key = format!("{}{}", keys.progress(), job.id);
-        batch.push(key, encode(&job.progress(unix_ms))?);
+        batch.push(key, encode_progress(&job.progress(unix_ms))?);
     }
     batch.versions.push((job.id.clone(), job.version));
     Ok(())
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -48,6 +48,18 @@
     metrics::describe_counter!(PEER_BYTES, "Bytes between entry VMs, by direction.");
     metrics::describe_counter!(PEER_MESSAGES, "Messages between entry VMs, by direction.");
     metrics::describe_gauge!(CONFIG_VERSION, "Configuration version in force.");
+    metrics::describe_gauge!(
+        "chicory_account_cpu_millicores",
+        "CPU in use by client account, at the owner."
+    );
+    metrics::describe_gauge!(
+        "chicory_account_waiting_jobs",
+        "Jobs without a run by client account, at the owner."
+    );
+    metrics::describe_counter!(
+        "chicory_account_limit_waits_total",
+        "Placements that waited for the limit of a client account."
+    );
     metrics::describe_gauge!(FLEET_SEQUENCE, "Sequence of the fleet record in force.");
 }
 
--- a/src/service/jobs/execute.rs
+++ b/src/service/jobs/execute.rs
@@ -13,12 +13,16 @@
 use crate::jobs::actions::CallToken;
 use crate::jobs::actions::CallerAnswer;
 use crate::jobs::actions::WaiterId;
+use crate::jobs::callers::CallerScope;
 use crate::jobs::orders::CallResult;
 use crate::jobs::record::ShardKeys;
+use crate::jobs::record::decode_body;
+use crate::jobs::record::decode_progress;
 use crate::ports::FleetCall;
 use crate::ports::StoreCall;
 use crate::ports::StoreReply;
 use crate::ports::client::PortClient;
+use crate::ports::store::StoreItem;
 use crate::service::jobs::claim::OwnerValidity;
 use crate::service::jobs::messages::OwnerEvent;
 use crate::service::jobs::messages::RelayReply;
@@ -37,6 +41,8 @@
 pub struct AnswerWaiter {
     /// Identifier of the job; empty for a request about a queue.
     pub job: String,
+    /// Which jobs the caller has access to.
+    pub scope: CallerScope,
     /// Channel for the answer.
     pub sender: oneshot::Sender<RelayReply>,
 }
@@ -151,7 +157,8 @@
     }
 }
 
-/// Answers that there is no such job if the store has no record of it either; answers
+/// Answers that there is no such job if the store has no record of it either, or one of a
+/// job of another account; answers
 /// that this entry VM is not the owner otherwise, or if the store cannot be read.
 ///
 /// An owner that was suspended or isolated does not know the jobs that its
@@ -164,6 +171,7 @@
         let call = StoreCall::Get { key };
         match link.call(&call, LOOKUP_LIMIT).await {
             Ok(StoreReply::Item(None)) => {}
+            Ok(StoreReply::Item(Some(item))) if is_foreign_item(&item, &waiter) => break,
             result => {
                 log::info!(event = "unknown_job_unconfirmed", job = waiter.job.as_str(), stored:? = result.is_ok(); "");
                 reply = RelayReply::NotOwner;
@@ -175,6 +183,25 @@
     let _ = waiter.sender.send(reply);
 }
 
+/// Returns whether a stored record is that of a job of an account that the caller has no
+/// access to; such a job is unknown to it. A job in progress has its account in its body
+/// only, a finished one in its progress record.
+fn is_foreign_item(item: &StoreItem, waiter: &AnswerWaiter) -> bool {
+    let is_body = item.key.starts_with(&ShardKeys::default().bodies());
+    let account = if is_body {
+        decode_body(&item.key, &item.value).map(|body| body.account)
+    } else {
+        decode_progress(&item.key, &item.value).map(|record| record.account)
+    };
+    match account {
+        Ok(account) => !waiter.scope.covers(account.as_ref()),
+        Err(error) => {
+            log::error!(event = "job_record_unreadable", error:% = error; "");
+            false
+        }
+    }
+}
+
 /// Returns whether an order may be sent at `now`: starts only while the ownership is
 /// guaranteed, others also for [`RENEWAL_GRACE_MS`] after that.
 fn may_send(token: &CallToken, now: u64, valid_until_ms: u64) -> bool {
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -199,6 +199,7 @@
         RelayReply::Unknown => answer(410, "", Bytes::new()),
         RelayReply::NoQueue => answer(404, "", Bytes::new()),
         RelayReply::Invalid => answer(400, "", Bytes::new()),
+        RelayReply::Conflict => answer(409, "", Bytes::new()),
         RelayReply::Refused { retry_ms } => refused(429, retry_ms),
         RelayReply::NotOwner => refused(503, NO_OWNER_RETRY_MS),
         RelayReply::Lost => answer(504, "", Bytes::new()),
--- a/src/service/jobs/load.rs
+++ b/src/service/jobs/load.rs
@@ -6,11 +6,11 @@
 use crate::clock::unix_ms;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
-use crate::jobs::record::ProgressRecord;
 use crate::jobs::record::ShardKeys;
 use crate::jobs::record::WaveRecord;
 use crate::jobs::record::decode;
 use crate::jobs::record::decode_body;
+use crate::jobs::record::decode_progress;
 use crate::ports::store::StoreItem;
 use crate::service::jobs::store::StoreError;
 use crate::service::jobs::store::StoreLink;
@@ -89,7 +89,7 @@
     let mut progress = HashMap::new();
     for item in content.progress {
         let id = item.key.rsplit('/').next().unwrap_or_default().to_owned();
-        match decode::<ProgressRecord>(&item.key, &item.value) {
+        match decode_progress(&item.key, &item.value) {
             Ok(record) => {
                 progress.insert(id, record);
             }
--- a/src/service/jobs/messages.rs
+++ b/src/service/jobs/messages.rs
@@ -128,6 +128,9 @@
     NotOwner,
     /// The ownership ended before the answer; the request may have been carried out.
     Lost,
+    /// The identifier is that of a job of another account; nothing was done. Last, since
+    /// entry VMs of earlier versions do not know it: their caller gets a 504.
+    Conflict,
 }
 
 impl From<CallerAnswer> for RelayReply {
@@ -141,6 +144,7 @@
             CallerAnswer::NoQueue => Self::NoQueue,
             CallerAnswer::Invalid => Self::Invalid,
             CallerAnswer::Refused { retry_ms } => Self::Refused { retry_ms },
+            CallerAnswer::Conflict => Self::Conflict,
         }
     }
 }
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::boot_ms;
 use crate::clock::unix_ms;
+use crate::jobs::account::AccountName;
 use crate::jobs::callers::Submission;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
@@ -199,8 +200,11 @@
         let time = now();
         match event {
             OwnerEvent::Relay(request, answer) => {
+                let account = request.account.map(AccountName::from);
+                let scope = self.engine.caller_scope(&request.queue, account.clone());
                 let waiter = self.executor.add_waiter(AnswerWaiter {
                     job: request.job.clone(),
+                    scope: scope.clone(),
                     sender: answer,
                 });
                 let id = request.job.as_str().into();
@@ -211,12 +215,12 @@
                             queue: request.queue,
                             pool: request.pool,
                             spec,
-                            account: request.account.map(Into::into),
+                            account,
                         };
                         self.engine.submit(submission, waiter, time);
                     }
-                    RelayOperation::Query => self.engine.query(&id, waiter),
-                    RelayOperation::Cancel => self.engine.cancel(&id, waiter, time.boot),
+                    RelayOperation::Query => self.engine.query(&id, &scope, waiter),
+                    RelayOperation::Cancel => self.engine.cancel(&id, &scope, waiter, time.boot),
                     RelayOperation::Pending => self.engine.pending(&request.queue, waiter),
                 }
             }
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -25,6 +25,7 @@
 use chicorygauge::jobs::record::ShardKeys;
 use chicorygauge::jobs::record::decode;
 use chicorygauge::jobs::record::decode_body;
+use chicorygauge::jobs::record::decode_progress;
 use chicorygauge::jobs::types::JobSpec;
 use chicorygauge::jobs::types::ResourceVector;
 use chicorygauge::jobs::types::RunEnd;
@@ -156,8 +157,16 @@
     sequence: u64,
     random: u64,
     next_worker: u64,
+    /// Accounts of the submitted jobs that have one.
+    pub accounts: BTreeMap<String, String>,
+    /// CPU limits of accounts with the times from which they were in force.
+    pub limits: Vec<(u64, String, u64)>,
 }
 
+/// How long a start may be on its way, in milliseconds: starts reserved under a higher limit
+/// may be carried out this long after a lower one is in force.
+const LATE_START_MS: u64 = 8000;
+
 /// Returns a configuration with one queue, its pool and a standby pool.
 #[must_use]
 pub fn config() -> JobConfig {
@@ -246,6 +255,8 @@
             sequence: 0,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
             next_worker: 0,
+            accounts: BTreeMap::new(),
+            limits: Vec::new(),
         };
         for number in 0..workers {
             world.add_worker(POOL, &format!("m-{number:02}"));
@@ -309,7 +320,7 @@
             holder: format!("entry-{epoch}"),
             ..self.engine.settings.clone()
         };
-        let mut engine = JobEngine::new(settings, epoch, Arc::new(config()), self.now);
+        let mut engine = JobEngine::new(settings, epoch, self.engine.config.clone(), self.now);
         engine.inherited_leases_expiry_ms = self.now + 5000;
         engine.fleet.enabled = self.engine.fleet.enabled;
         let time = self.time();
@@ -327,8 +338,8 @@
             let Some(id) = key.strip_prefix(&keys.progress()) else {
                 continue;
             };
-            let record: ProgressRecord = decode(key, value).expect("a progress record");
-            if record.state.is_final() {
+            let record = decode_progress(key, value).expect("a progress record");
+            if record.state.is_final() && !engine.jobs.contains_key(id) {
                 engine.restore_ended(id.into(), &record, time);
             }
         }
@@ -387,14 +398,32 @@
 
     /// Submits a job; the answer is stored in `answers` under `waiter`.
     pub fn submit(&mut self, id: &str, spec: &JobSpec, waiter: u64) {
+        self.submit_as(id, spec, "orders", None, waiter);
+    }
+
+    /// Submits a job of an account to a queue.
+    pub fn submit_as(
+        &mut self,
+        id: &str,
+        spec: &JobSpec,
+        queue: &str,
+        account: Option<&str>,
+        waiter: u64,
+    ) {
+        if let Some(account) = account {
+            let accounts = &mut self.accounts;
+            accounts
+                .entry(id.to_owned())
+                .or_insert_with(|| account.to_owned());
+        }
         self.specs.insert(id.to_owned(), spec.clone());
         self.submitted.entry(id.to_owned()).or_insert(self.now);
         let submission = Submission {
             id: id.into(),
-            queue: "orders".to_owned(),
+            queue: queue.to_owned(),
             pool: POOL.to_owned(),
             spec: spec.clone(),
-            account: None,
+            account: account.map(Into::into),
         };
         let time = self.time();
         self.engine.submit(submission, waiter, time);
@@ -403,10 +432,73 @@
 
     /// Cancels a job; the answer is stored in `answers` under `waiter`.
     pub fn cancel(&mut self, id: &str, waiter: u64) {
-        self.engine.cancel(&id.into(), waiter, self.now);
+        self.cancel_as(id, "orders", None, waiter);
+    }
+
+    /// Cancels a job on behalf of an account.
+    pub fn cancel_as(&mut self, id: &str, queue: &str, account: Option<&str>, waiter: u64) {
+        let scope = self.engine.caller_scope(queue, account.map(Into::into));
+        self.engine.cancel(&id.into(), &scope, waiter, self.now);
         self.step();
     }
 
+    /// Returns the CPU that the runs of an account use at the workers that are up.
+    #[must_use]
+    pub fn account_cpu(&self, account: &str) -> u64 {
+        let up = self.workers.values().filter(|worker| worker.up);
+        let tasks = up.flat_map(|worker| worker.runs.keys());
+        let needs = tasks.filter_map(|task| {
+            let name = TaskId::parse(task)?;
+            let own = self.accounts.get(&*name.job)?;
+            let step = &self.specs[&*name.job].steps[name.step as usize];
+            (own == account).then_some(step.need.cpu)
+        });
+        needs.sum()
+    }
+
+    /// Checks that the scheduler's ledger equals the sums over all runs that may be alive,
+    /// and that no account runs more at the workers than the ledger counts.
+    fn check_ledger(&self) {
+        if self.accounts.is_empty() && self.engine.config.accounts.is_none() {
+            return;
+        }
+        let expected = self.engine.live_usage();
+        assert_eq!(self.engine.ledger, expected, "t={}", self.now);
+        let names: BTreeSet<&String> = self.accounts.values().collect();
+        for name in names {
+            let (runs, counted) = (self.account_cpu(name), self.engine.ledger.usage(name).cpu);
+            assert!(
+                runs <= counted,
+                "{name} runs {runs} millicores, {counted} are counted, t={}",
+                self.now
+            );
+        }
+    }
+
+    /// Checks at the start of a run that its account stays within its limit and one task.
+    fn check_limit(&self, job: &str, need: u64) {
+        let Some(account) = self.accounts.get(job) else {
+            return;
+        };
+        let rows = self.limits.iter().filter(|(_, name, _)| name == account);
+        let rows: Vec<_> = rows.collect();
+        let in_force = rows.iter().enumerate().filter(|(at, _)| {
+            let replaced_ms = rows.get(at + 1).map(|(since_ms, ..)| *since_ms);
+            replaced_ms.is_none_or(|replaced_ms| replaced_ms + LATE_START_MS >= self.now)
+        });
+        let limits: Vec<u64> = in_force.map(|(_, (.., cpu))| *cpu).collect();
+        let limit = limits.iter().max().copied().unwrap_or(0);
+        if limits.contains(&0) || limit == 0 {
+            return;
+        }
+        let used = self.account_cpu(account);
+        assert!(
+            used <= limit + need,
+            "{account} uses {used} millicores of {limit}, t={}",
+            self.now
+        );
+    }
+
     /// Advances the simulated clock by `for_ms`, one millisecond at a time.
     pub fn run(&mut self, for_ms: u64) {
         let end = self.now + for_ms;
@@ -443,8 +535,9 @@
 
     /// Lets the scheduler place tasks, starts a commit if one is due, and executes the
     /// scheduler's actions.
-    fn step(&mut self) {
+    pub fn step(&mut self) {
         let time = self.time();
+        self.check_ledger();
         self.engine.run_placement(time);
         let due = self
             .engine
@@ -737,8 +830,10 @@
                     .cpu
             })
             .sum();
+        let capacity = worker.entry.capacity.cpu;
+        self.check_limit(&name.job, step.need.cpu);
         assert!(
-            used <= worker.entry.capacity.cpu,
+            used <= capacity,
             "{id} exceeds its capacity: {used} millicores"
         );
     }
