--- a/tests/jobs_accounts.rs
+++ b/tests/jobs_accounts.rs
@@ -12,12 +12,17 @@
 use chicorygauge::jobs::actions::CallerAnswer;
 use chicorygauge::jobs::config::PoolConfig;
 use chicorygauge::jobs::config::QueueConfig;
+use chicorygauge::jobs::record::ProgressRecord;
 use chicorygauge::jobs::record::ShardKeys;
+use chicorygauge::jobs::record::decode;
 use chicorygauge::jobs::record::decode_progress;
+use chicorygauge::jobs::record::encode;
+use chicorygauge::jobs::record::encode_progress;
 use chicorygauge::jobs::types::JobSpec;
 use chicorygauge::jobs::types::JobState;
 use chicorygauge::jobs::types::StepSpec;
 use chicorygauge::ports::worker::WorkerOrder;
+use chicorygauge::service::jobs::messages::RelayReply;
 use world::POOL;
 use world::World;
 use world::WorldFaults;
@@ -215,6 +220,72 @@
     assert!(!world.engine.jobs.contains_key(JOB));
 }
 
+/// Guards against a finished job whose body stays stored because no run of it is left that
+/// would end.
+#[test]
+fn restored_final_job_with_body_is_closed() {
+    let mut world = world_with_accounts(4, 7);
+    submit(&mut world, JOB, &job(&[step(1, 1000, LONG_MS)]), "north");
+    world.run(100);
+    let keys = ShardKeys::default();
+    let record = ProgressRecord {
+        state: JobState::Failed,
+        written_ms: world.time().unix,
+        finished: Vec::new(),
+        open: Vec::new(),
+        account: None,
+    };
+    let bytes = encode_progress(&record).expect("a record");
+    world
+        .stored
+        .insert(format!("{}{JOB}", keys.progress()), bytes);
+    world.take_over();
+    world.run(200);
+    assert!(
+        !world
+            .stored
+            .contains_key(&format!("{}{JOB}", keys.bodies()))
+    );
+    assert!(!world.engine.jobs.contains_key(JOB));
+    world.query_as(JOB, "orders", Some("north"), 2);
+    let failed = CallerAnswer::State(JobState::Failed);
+    assert_eq!(world.answers.get(&2), Some(&failed));
+}
+
+/// Guards against records that an entry VM of the previous version cannot read, which
+/// decodes the record alone, and against refusing its records.
+#[test]
+fn progress_record_is_read_by_both_versions() {
+    let record = ProgressRecord {
+        state: JobState::Cancelled,
+        written_ms: 7,
+        finished: Vec::new(),
+        open: Vec::new(),
+        account: Some("north".into()),
+    };
+    let former = ProgressRecord {
+        account: None,
+        ..record.clone()
+    };
+    let bytes = encode_progress(&record).expect("a record");
+    assert_eq!(decode_progress("key", &bytes).expect("a record"), record);
+    assert_eq!(
+        decode::<ProgressRecord>("key", &bytes).expect("a record"),
+        former
+    );
+    let bytes = encode(&former).expect("a record");
+    assert_eq!(decode_progress("key", &bytes).expect("a record"), former);
+}
+
+/// Guards against an answer of the owner that the front does not pass on as it is.
+#[test]
+fn conflict_is_relayed() {
+    let reply = RelayReply::from(CallerAnswer::Conflict);
+    let bytes = rmp_serde::to_vec(&reply).expect("a reply");
+    let decoded: RelayReply = rmp_serde::from_slice(&bytes).expect("a reply");
+    assert_eq!(decoded, RelayReply::Conflict);
+}
+
 /// Guards against starts above a lowered limit, running work that is stopped, and tasks that
 /// do not start at once under a higher limit or none.
 #[test]
@@ -349,7 +420,7 @@
     });
     let spec = job(&[step(1, 1000, 400)]);
     submit(&mut world, JOB, &spec, "north");
-    for round in 0..4 {
+    for round in 0..6 {
         world.run(200);
         for (queue, account) in [("orders", Some("south")), ("open", None)] {
             world.query_as(JOB, queue, account, 2);
