--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 //! actions that it returns.
 
 pub mod account;
+pub mod account_status;
 pub mod actions;
 pub mod admit;
 pub mod advice;
@@ -15,6 +16,7 @@
 pub mod config;
 pub mod confirmation;
 pub mod dirty;
+pub mod ending;
 pub mod engine;
 pub mod entries;
 pub mod fleet;
