Admission: accept jobs by gain and cost, size classes, times to retry

Admission compared a job's projected duration at the whole backlog with its objective, without regard to what the job displaces. It now keeps a table of each pool's waiting work and accepts a job if its expected utility exceeds what the jobs behind it lose.

--- a/src/jobs/admit.rs
+++ b/src/jobs/admit.rs
@@ -1,73 +1,253 @@
-//! Admission control: compares a job's projected completion time with its objective.
+//! Admission control: accepts a job if it gains its caller more than it costs others.
 //!
-//! A job that would certainly finish late only takes capacity from others, and its
-//! caller benefits from an immediate refusal. No job is refused while the pool has
-//! free capacity and a backlog of less than 1 ms of its capacity.
+//! The gain is the utility of the job times the probability that it completes in time,
+//! the cost the expected utility that waiting jobs behind it lose by its work (see
+//! [`price`](crate::jobs::price)). A refused caller benefits from an immediate answer. No
+//! job is refused while the pool has free capacity and a backlog of less than 1 ms of its
+//! capacity.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use crate::jobs::callers::Submission;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::load::PoolLoad;
-use crate::jobs::types::JobSpec;
+use crate::jobs::price::JobAssessment;
+use crate::jobs::price::LATE_FACTOR;
+use crate::jobs::price::PriceTable;
+use crate::jobs::price::WaitingRow;
+use crate::jobs::price_input::starting_cpu;
+use crate::jobs::returns::PATIENCE_MS;
+use crate::jobs::returns::RefusedJobs;
+use crate::jobs::returns::ReturnRequest;
+use crate::jobs::returns::ReturnSchedule;
+use crate::jobs::size_guard::SizeGuard;
+use crate::metrics::REFUSED_JOBS;
 
-/// A submission is refused if its projected duration exceeds its objective by this
-/// factor; estimates are off by up to half in either direction.
-const REFUSE_FACTOR: f64 = 2.5;
+/// What admission knows beside the loads of the pools.
+#[derive(Clone, Debug, Default)]
+pub struct AdmissionState {
+    /// Moving average of the work of each queue's jobs, in millicore-milliseconds.
+    pub mean_job_work: HashMap<String, f64>,
+    /// When the loads and tables were last recomputed.
+    pub loads_updated_ms: u64,
+    /// Waiting work by pool, as of `loads_updated_ms`.
+    pub tables: BTreeMap<String, PriceTable>,
+    /// Submissions by size class.
+    pub sizes: SizeGuard,
+    /// Booked returns by pool.
+    pub returns: BTreeMap<String, ReturnSchedule>,
+    /// Jobs that were refused.
+    pub refused: RefusedJobs,
+}
 
-/// Minimum and maximum retry delay sent to callers, in milliseconds. Callers give up
-/// after seconds, so a longer delay would be useless to them.
-const RETRY_MS: (u64, u64) = (300, 3000);
+/// Why a submission is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// It would complete after its utility is lost.
+    Late,
+    /// It would cost others more than it gains.
+    Displaces,
+    /// Its account exceeds its rate, and the pool has no free capacity.
+    BeyondRate,
+}
+
+impl RefusalReason {
+    /// Returns the name in log lines and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Late => "late",
+            Self::Displaces => "displaces",
+            Self::BeyondRate => "beyond_rate",
+        }
+    }
+}
+
+/// A submission as admission judges it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct JobDemand {
+    /// The job as if it were sent now for the first time.
+    pub fresh: WaitingRow,
+    /// The job with the time left from its first send; differs if it was refused before.
+    pub row: WaitingRow,
+    /// Millicores that it needs at its start.
+    pub cpu: f64,
+    /// Whether it was refused before.
+    pub is_retry: bool,
+    /// Whether its account exceeds its rate.
+    pub beyond_rate: bool,
+    /// Whether its size class is served too rarely.
+    pub underserved: bool,
+}
+
+/// Returns whether a pool has free capacity and almost no backlog.
+#[must_use]
+pub fn is_calm(load: &PoolLoad) -> bool {
+    load.capacity <= 0.0 || load.free > 0.0 && load.backlog < load.capacity
+}
+
+/// Decides on a submission to a pool that is not calm.
+///
+/// A retry is accepted if it or a new submission of the same job would be, unless its
+/// utility is lost.
+///
+/// # Errors
+///
+/// Fails with the reason of a refusal and the assessment from the first send on.
+pub fn decide(
+    table: &PriceTable,
+    demand: &JobDemand,
+    now: u64,
+) -> Result<JobAssessment, (RefusalReason, JobAssessment)> {
+    let assessment = table.assess(&demand.row, demand.cpu, now);
+    if assessment.projected_ms > demand.row.late_ms {
+        return Err((RefusalReason::Late, assessment));
+    }
+    if table.has_room(demand.cpu) {
+        return Ok(assessment);
+    }
+    if demand.beyond_rate {
+        return Err((RefusalReason::BeyondRate, assessment));
+    }
+    let pays = |assessment: &JobAssessment| {
+        let ties = demand.is_retry && assessment.gain > 0.0;
+        assessment.gain > assessment.cost || ties && assessment.gain >= assessment.cost
+    };
+    if pays(&assessment) || demand.underserved {
+        return Ok(assessment);
+    }
+    if demand.is_retry {
+        let fresh = table.assess(&demand.fresh, demand.cpu, now);
+        if pays(&fresh) {
+            return Ok(fresh);
+        }
+    }
+    Err((RefusalReason::Displaces, assessment))
+}
 
 impl JobEngine {
-    /// Accepts or refuses a submission and records an accepted job's work as load.
+    /// Accepts or refuses a submission and records an accepted job's work as load. Returns
+    /// when an accepted job was first sent.
     ///
     /// Jobs that are long-running or recurring are always accepted.
     ///
     /// # Errors
     ///
     /// Fails with the delay before the caller should retry, in milliseconds.
-    pub(crate) fn admit(&mut self, submission: &Submission, now: u64) -> Result<(), u64> {
+    pub(crate) fn admit(&mut self, submission: &Submission, now: u64) -> Result<u64, u64> {
         let queue = self.config.queue(&submission.queue);
         let pool = queue.map_or(submission.pool.clone(), |queue| queue.pool.clone());
         let (slack, target_ms) = queue.map_or((1.0, 0), |queue| (queue.slack, queue.target_ms));
         let spec = &submission.spec;
         if spec.has_long_running_step() || spec.schedule.is_some() {
-            return Ok(());
+            return Ok(now);
         }
-        let load = self.pool_load(&pool);
         let objective_ms = spec.critical_path_ms() as f64 * slack.max(1.0) + target_ms as f64;
-        let verdict = check_objective(&load, spec, objective_ms);
-        if let Err(retry_ms) = verdict {
+        let work = spec.work();
+        let first_ms = self.admission.refused.first_send_ms(&submission.id, now);
+        if first_ms.is_none() {
+            // Refused jobs count too: the mean is that of what callers submit.
+            self.record_work(&submission.queue, work);
+            self.admission.sizes.record_offer(&submission.queue, work);
+        }
+        let demand = self.demand(submission, objective_ms, first_ms, now);
+        let load = self.pool_load(&pool);
+        if !is_calm(&load)
+            && let Some(table) = self.admission.tables.get(&pool)
+            && let Err((reason, assessment)) = decide(table, &demand, now)
+        {
+            let retry_ms = self.book_return(&pool, submission, &demand, (reason, assessment), now);
             log::info!(
-                event = "job_refused", job = &*submission.id, reason = "late",
+                event = "job_refused", job = &*submission.id, reason = reason.as_str(),
                 pool = pool.as_str(), capacity = load.capacity as u64, backlog = load.backlog as u64,
-                objective_ms = objective_ms as u64, retry_ms = retry_ms; ""
+                objective_ms = objective_ms as u64, retry_ms = retry_ms, gain = assessment.gain,
+                cost = assessment.cost, projected_ms = assessment.projected_ms as u64; ""
             );
-            return verdict;
+            let labels = [("pool", pool), ("reason", reason.as_str().to_owned())];
+            metrics::counter!(REFUSED_JOBS, &labels).increment(1);
+            return Err(retry_ms);
         }
-        let work = submission.spec.work();
-        self.record_work(&submission.queue, work);
         self.record_arrival(&pool, work, now);
+        self.admission
+            .sizes
+            .record_accepted(&submission.queue, work);
         if let Some(load) = self.loads.get_mut(&pool) {
             load.backlog += work as f64;
         }
-        verdict
+        if let Some(table) = self.admission.tables.get_mut(&pool) {
+            table.insert(&demand.row, demand.cpu, now);
+        }
+        self.admission.refused.remove(&submission.id);
+        Ok(first_ms.unwrap_or(now))
     }
-}
 
-/// Checks a job's projected duration at the current load of its pool.
-///
-/// # Errors
-///
-/// Fails with the delay before the caller should retry, in milliseconds.
-pub fn check_objective(load: &PoolLoad, spec: &JobSpec, objective_ms: f64) -> Result<(), u64> {
-    if load.capacity <= 0.0 || load.free > 0.0 && load.backlog < load.capacity {
-        return Ok(());
+    /// Returns a submission as admission judges it.
+    fn demand(
+        &self,
+        submission: &Submission,
+        objective_ms: f64,
+        first_ms: Option<u64>,
+        now: u64,
+    ) -> JobDemand {
+        let (queue, spec) = (&submission.queue, &submission.spec);
+        let (work, critical_ms) = (spec.work(), spec.critical_path_ms() as f64);
+        let age_ms = first_ms.map_or(0, |first_ms| now.saturating_sub(first_ms)) as f64;
+        let row = |age_ms: f64| WaitingRow {
+            rank: self.rank_of_work(queue, spec, work, critical_ms + age_ms <= objective_ms),
+            work: work as f64,
+            critical_ms,
+            slack_ms: objective_ms - age_ms,
+            late_ms: objective_ms * LATE_FACTOR - age_ms,
+            utility: self.utility_of(queue, work),
+            jobs: 1,
+        };
+        JobDemand {
+            fresh: row(0.0),
+            row: row(age_ms),
+            cpu: starting_cpu(spec),
+            is_retry: first_ms.is_some(),
+            beyond_rate: submission.beyond_rate,
+            underserved: self.admission.sizes.is_underserved(queue, work),
+        }
     }
-    let wait_ms = load.backlog / load.capacity;
-    let projected_ms = wait_ms + spec.critical_path_ms() as f64;
-    if projected_ms <= objective_ms * REFUSE_FACTOR {
-        return Ok(());
+
+    /// Records a refusal and returns the delay before the caller should retry, in
+    /// milliseconds.
+    fn book_return(
+        &mut self,
+        pool: &str,
+        submission: &Submission,
+        demand: &JobDemand,
+        (reason, assessment): (RefusalReason, JobAssessment),
+        now: u64,
+    ) -> u64 {
+        let Some(table) = self.admission.tables.get(pool) else {
+            return PATIENCE_MS;
+        };
+        self.admission.refused.record(&submission.id, now);
+        let row = &demand.row;
+        let free_ms = table.backlog_ms(now);
+        let timely_ms = row.slack_ms - row.critical_ms;
+        let room_ms = match reason {
+            RefusalReason::Late => assessment.projected_ms - row.slack_ms,
+            // A retry within the objective may find that those behind it are done.
+            RefusalReason::Displaces => free_ms.min(timely_ms),
+            RefusalReason::BeyondRate => free_ms,
+        };
+        let first_ms = self.admission.refused.first_send_ms(&submission.id, now);
+        let age_ms = now.saturating_sub(first_ms.unwrap_or(now));
+        let request = ReturnRequest {
+            work: row.work,
+            utility: row.utility,
+            room_ms,
+            timely_ms,
+            useful_ms: row.late_ms - row.critical_ms,
+            free_ms,
+            patience_ms: PATIENCE_MS.saturating_sub(age_ms) as f64,
+        };
+        let capacity = table.supply.capacity;
+        let returns = self.admission.returns.entry(pool.to_owned()).or_default();
+        returns.book(&request, capacity, now)
     }
-    let excess_ms = projected_ms - objective_ms;
-    Err((excess_ms as u64).clamp(RETRY_MS.0, RETRY_MS.1))
 }
--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -29,6 +29,9 @@
     pub spec: JobSpec,
     /// Client account of the caller; none if the queue needs no API key.
     pub account: Option<AccountName>,
+    /// Whether the account exceeds its rate; the job is then accepted only into free
+    /// capacity.
+    pub beyond_rate: bool,
 }
 
 impl JobEngine {
@@ -56,18 +59,19 @@
             let retry_ms = STORE_RETRY_MS;
             return self.answer(waiter, CallerAnswer::Refused { retry_ms });
         }
-        if let Err(retry_ms) = self.admit(&submission, time.boot) {
-            return self.answer(waiter, CallerAnswer::Refused { retry_ms });
-        }
+        let first_ms = match self.admit(&submission, time.boot) {
+            Ok(first_ms) => first_ms,
+            Err(retry_ms) => return self.answer(waiter, CallerAnswer::Refused { retry_ms }),
+        };
         let queue = self.config.queue(&submission.queue);
         let body = BodyRecord {
             queue: submission.queue,
             pool: queue.map_or(submission.pool, |queue| queue.pool.clone()),
-            submitted_ms: time.unix,
+            submitted_ms: time.unix - time.boot.saturating_sub(first_ms),
             spec: submission.spec,
             account: submission.account,
         };
-        let mut job = JobEntry::new(id.clone(), body, time.boot);
+        let mut job = JobEntry::new(id.clone(), body, first_ms);
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
         self.jobs.insert(id.clone(), job);
         self.waiting.insert(&id);
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -19,6 +19,7 @@
 use crate::jobs::actions::CallToken;
 use crate::jobs::actions::CallerAnswer;
 use crate::jobs::actions::WaiterId;
+use crate::jobs::admit::AdmissionState;
 use crate::jobs::candidates::PoolCandidates;
 use crate::jobs::config::JobConfig;
 use crate::jobs::config::QueueConfig;
@@ -163,18 +164,16 @@
     pub(crate) candidates: PoolCandidates,
     /// Workers with ends that are not known to be stored.
     pub(crate) ending_workers: BTreeSet<String>,
-    /// Moving average of the work of each queue's jobs, in millicore-milliseconds.
-    pub(crate) mean_job_work: HashMap<String, f64>,
     /// When the pace of each worker's fillers was last changed.
     pub(crate) pace_changed_ms: HashMap<String, u64>,
     /// Recently accepted work by pool: time and millicore-milliseconds.
     pub(crate) arrivals: HashMap<String, VecDeque<(u64, u64)>>,
     /// Decaying maximum of each pool's demand in VMs, and the time of its last update.
     pub(crate) decayed_demand: HashMap<String, (f64, u64)>,
-    /// Load by pool, as of `loads_updated_ms`.
+    /// Load by pool, as of the last update.
     pub(crate) loads: BTreeMap<String, PoolLoad>,
-    /// When the loads were last recomputed.
-    pub(crate) loads_updated_ms: u64,
+    /// What admission knows beside the loads.
+    pub(crate) admission: AdmissionState,
     /// Position of each queue in the configuration.
     pub(crate) queue_index: HashMap<String, usize>,
     /// When runs were last checked for stuck ones and for their pace.
@@ -217,12 +216,11 @@
             waiting: WaitingJobs::default(),
             candidates: PoolCandidates::default(),
             ending_workers: BTreeSet::new(),
-            mean_job_work: HashMap::new(),
             pace_changed_ms: HashMap::new(),
             arrivals: HashMap::new(),
             decayed_demand: HashMap::new(),
             loads: BTreeMap::new(),
-            loads_updated_ms: 0,
+            admission: AdmissionState::default(),
             queue_index: HashMap::new(),
             runs_checked_ms: 0,
             unplaceable: HashMap::new(),
--- a/src/jobs/load.rs
+++ b/src/jobs/load.rs
@@ -6,8 +6,10 @@
 use std::collections::BTreeMap;
 
 use crate::jobs::engine::JobEngine;
-use crate::jobs::place::remaining_work;
+use crate::jobs::fleet::MachineOrder;
+use crate::jobs::price_input::PriceInput;
 use crate::jobs::types::StepSpec;
+use crate::metrics::ROOM_PRICE;
 use crate::ports::fleet::MachineRow;
 use crate::ports::fleet::MachineState;
 
@@ -33,6 +35,8 @@
     pub min_workers: usize,
     /// VMs that serve the pool or will do so soon.
     pub present: usize,
+    /// CPU of the VMs that are being moved to the pool, in millicores.
+    pub arriving: f64,
 }
 
 /// Returns the number of workers that a step needs to keep its limit per worker, and one
@@ -57,10 +61,10 @@
     /// Recomputes the loads if an update is due; returns whether it was.
     pub(crate) fn update_loads(&mut self, now: u64) -> bool {
         let period_ms = (self.jobs.len() as f64 * UPDATE_MS_PER_JOB) as u64;
-        if now < self.loads_updated_ms + period_ms {
+        if now < self.admission.loads_updated_ms + period_ms {
             return false;
         }
-        self.loads_updated_ms = now;
+        self.admission.loads_updated_ms = now;
         let mut loads: BTreeMap<String, PoolLoad> = BTreeMap::new();
         for pool in self.config.pools.iter().filter(|pool| !pool.standby) {
             loads.insert(pool.name.clone(), PoolLoad::default());
@@ -75,12 +79,19 @@
                 load.free += view.free().cpu as f64;
             }
         }
+        let mut inputs: BTreeMap<String, PriceInput> = BTreeMap::new();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
-            let Some(load) = loads.get_mut(self.pool_of(job)) else {
+            let pool = self.pool_of(job);
+            let Some(load) = loads.get_mut(pool) else {
                 continue;
             };
             if !job.body.spec.has_long_running_step() {
-                load.backlog += remaining_work(job).0 as f64;
+                if !inputs.contains_key(pool) {
+                    inputs.insert(pool.to_owned(), PriceInput::default());
+                }
+                if let Some(input) = inputs.get_mut(pool) {
+                    load.backlog += self.add_price_row(input, job, now);
+                }
                 continue;
             }
             for step in &job.body.spec.steps {
@@ -97,10 +108,44 @@
                 load.present += 1;
             }
         }
+        self.add_arriving(&mut loads);
+        self.update_tables(&loads, inputs, now);
         self.loads = loads;
         true
     }
 
+    /// Adds the CPU of the VMs that are being moved to each pool; that of a VM is taken to
+    /// be that of the pool's largest worker.
+    fn add_arriving(&self, loads: &mut BTreeMap<String, PoolLoad>) {
+        for row in self.fleet.rows.values() {
+            let order = self.fleet.orders.get(&row.machine);
+            let pool = match order.map(|order| &order.order) {
+                Some(MachineOrder::Move(pool)) => pool,
+                _ if row.state == MachineState::Moving => &row.pool,
+                _ => continue,
+            };
+            if let Some(load) = loads.get_mut(pool) {
+                load.arriving += load.largest_worker;
+            }
+        }
+    }
+
+    /// Rebuilds the tables of waiting work, of which each pool has one.
+    fn update_tables(
+        &mut self,
+        loads: &BTreeMap<String, PoolLoad>,
+        mut inputs: BTreeMap<String, PriceInput>,
+        now: u64,
+    ) {
+        self.admission.tables.clear();
+        for (pool, load) in loads {
+            let input = inputs.remove(pool).unwrap_or_default();
+            let table = input.table(load, self.settings.move_ms, now);
+            metrics::gauge!(ROOM_PRICE, "pool" => pool.clone()).set(table.price(now));
+            self.admission.tables.insert(pool.clone(), table);
+        }
+    }
+
     /// Returns whether a VM serves its pool or will do so soon.
     fn serves_pool(&self, row: &MachineRow, now: u64) -> bool {
         match row.state {
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -10,6 +10,7 @@
 use crate::jobs::task::TaskRun;
 use crate::jobs::task::TaskState;
 use crate::jobs::types::JobId;
+use crate::jobs::types::JobSpec;
 use crate::jobs::types::ResourceVector;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
@@ -93,26 +94,35 @@
     }
 
     fn rank(&self, job: &JobEntry, now: u64) -> JobRank {
-        let queue = self.queue_of(job);
-        let priority = queue.map_or(0, |queue| queue.priority);
-        if job.body.spec.has_long_running_step() {
+        let (work, critical_path_ms) = remaining_work(job);
+        let due_ms = job.submitted_ms + self.objective_ms(job);
+        let timely = now + critical_path_ms <= due_ms;
+        self.rank_of_work(&job.body.queue, &job.body.spec, work, timely)
+    }
+
+    /// Returns the rank of a job of a queue with `work` left, in millicore-milliseconds.
+    pub(crate) fn rank_of_work(
+        &self,
+        queue: &str,
+        spec: &JobSpec,
+        work: u64,
+        timely: bool,
+    ) -> JobRank {
+        let at = self.queue_index.get(queue);
+        let config = at.and_then(|at| self.config.queues.get(*at));
+        let priority = config.map_or(0, |config| config.priority);
+        if spec.has_long_running_step() {
             return JobRank {
                 class: CLASS_LONG_RUNNING,
                 priority,
                 work_per_value: 0.0,
             };
         }
-        let (work, critical_path_ms) = remaining_work(job);
-        let total = job.body.spec.work().max(1) as f64;
-        let due_ms = job.submitted_ms + self.objective_ms(job);
-        let class = if now + critical_path_ms <= due_ms {
-            CLASS_TIMELY
-        } else {
-            CLASS_LATE
-        };
+        let total = spec.work().max(1) as f64;
+        let class = if timely { CLASS_TIMELY } else { CLASS_LATE };
         // Part of a job's value does not depend on its size, so small jobs have more
         // value per work. Only the remaining work counts, not what is already spent.
-        let mean = self.mean_work(&job.body.queue).max(1.0);
+        let mean = self.mean_work(queue).max(1.0);
         let value = 0.3 + 0.7 * (total / mean).min(5.0);
         JobRank {
             class,
@@ -134,7 +144,11 @@
 
     /// Returns the moving average of the work of a queue's jobs, in millicore-milliseconds.
     fn mean_work(&self, queue: &str) -> f64 {
-        self.mean_job_work.get(queue).copied().unwrap_or(1.0)
+        self.admission
+            .mean_job_work
+            .get(queue)
+            .copied()
+            .unwrap_or(1.0)
     }
 
     /// Adds the work of a new job, in millicore-milliseconds, to its queue's average.
@@ -142,6 +156,7 @@
         /// Weight of a new job in the average, which covers about the last 20 jobs.
         const MEAN_WEIGHT: f64 = 0.05;
         let mean = self
+            .admission
             .mean_job_work
             .entry(queue.to_owned())
             .or_insert(work as f64);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -23,6 +23,10 @@
 pub const PEER_BYTES: &str = "chicory_peer_bytes_total";
 /// Messages between entry VMs, by direction.
 pub const PEER_MESSAGES: &str = "chicory_peer_messages_total";
+/// Submissions refused by the scheduler, by pool and reason.
+pub const REFUSED_JOBS: &str = "chicory_jobs_refused_total";
+/// Utility that the waiting jobs of a pool lose by a core-second of further work.
+pub const ROOM_PRICE: &str = "chicory_pool_room_price";
 /// Configuration version in force.
 pub const CONFIG_VERSION: &str = "chicory_config_version";
 /// Sequence of the fleet record in force.
@@ -47,6 +51,11 @@
     metrics::describe_counter!(PLATFORM_CALLS, "Calls to the platform by step and result.");
     metrics::describe_counter!(PEER_BYTES, "Bytes between entry VMs, by direction.");
     metrics::describe_counter!(PEER_MESSAGES, "Messages between entry VMs, by direction.");
+    metrics::describe_counter!(REFUSED_JOBS, "Refused submissions, by pool and reason.");
+    metrics::describe_gauge!(
+        ROOM_PRICE,
+        "Utility lost by a core-second of further work, by pool."
+    );
     metrics::describe_gauge!(CONFIG_VERSION, "Configuration version in force.");
     metrics::describe_gauge!(FLEET_SEQUENCE, "Sequence of the fleet record in force.");
 }
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -395,6 +395,7 @@
             pool: POOL.to_owned(),
             spec: spec.clone(),
             account: None,
+            beyond_rate: false,
         };
         let time = self.time();
         self.engine.submit(submission, waiter, time);
