--- a/src/jobs/admit.rs
+++ b/src/jobs/admit.rs
@@ -147,7 +147,7 @@
         let work = spec.work();
         let first_ms = self.admission.refused.first_send_ms(&submission.id, now);
         if first_ms.is_none() {
-            // Refused jobs count too: the mean is that of what callers submit.
+            // Refused jobs count too: the means are those of what callers submit.
             self.record_work(&submission.queue, work);
             self.admission.sizes.record_offer(&submission.queue, work);
         }
--- a/src/jobs/price_input.rs
+++ b/src/jobs/price_input.rs
@@ -97,7 +97,7 @@
 
     /// Returns the utility of a job of a queue with the given total work.
     pub(crate) fn utility_of(&self, queue: &str, work: u64) -> f64 {
-        let mean = self.admission.mean_job_work.get(queue);
-        job_utility(work, mean.copied().unwrap_or(work as f64))
+        let mean = self.admission.sizes.mean_work(queue);
+        job_utility(work, mean.unwrap_or(work as f64))
     }
 }
--- a/src/jobs/returns.rs
+++ b/src/jobs/returns.rs
@@ -69,19 +69,19 @@
         self.booked = self.booked.split_off(&(now / SECOND_MS));
         let limit = (capacity * RETURN_SHARE).max(1.0) * SECOND_MS as f64;
         let seconds = |ms: f64| ms.max(0.0) / SECOND_MS as f64;
-        let patience = (seconds(request.patience_ms) as u64).max(1);
-        let first = (seconds(request.room_ms).ceil() as u64).max(1);
+        let longest = PATIENCE_MS / SECOND_MS;
+        let first = (seconds(request.room_ms).ceil() as u64).clamp(1, longest);
+        let patience = seconds(request.patience_ms) as u64;
         let last = (seconds(request.useful_ms) as u64).min(patience);
-        let density = request.utility / request.work.max(1.0);
-        let share = self.delay_share(density);
-        let (first, last, target) = if first <= last {
+        let share = self.delay_share(request.utility / request.work.max(1.0));
+        let (first, target) = if first <= last {
             let timely = (seconds(request.timely_ms) as u64).clamp(first, last);
             let target = first + ((timely - first) as f64 * share).round() as u64;
-            (first, last, target)
+            (first, target)
         } else {
             // Its utility is lost before capacity is expected, so only the load counts.
-            let free = (seconds(request.free_ms).ceil() as u64).clamp(1, patience);
-            (free, patience, free)
+            let free = (seconds(request.free_ms).ceil() as u64).clamp(1, longest);
+            (free, free)
         };
         let second = |delay: u64| now / SECOND_MS + delay;
         let used = |delay: u64| self.booked.get(&second(delay)).copied().unwrap_or(0.0);
@@ -89,9 +89,11 @@
             let used = used(*delay);
             used <= 0.0 || used + request.work <= limit
         };
-        let later = (target..=last).find(fits);
-        let chosen = later.or_else(|| (first..target).rev().find(fits));
-        let least = (first..=last).min_by(|one, other| used(*one).total_cmp(&used(*other)));
+        // Where the useful times are booked up, a later one without use for the job is
+        // better than a second burst.
+        let useful = (target..=last).chain((first..target).rev());
+        let chosen = useful.chain(target.max(last + 1)..=longest).find(fits);
+        let least = (first..=longest).min_by(|one, other| used(*one).total_cmp(&used(*other)));
         let delay = chosen.or(least).unwrap_or(first);
         self.add_work(second(delay), request.work, limit);
         delay * SECOND_MS
@@ -112,9 +114,14 @@
         }
     }
 
-    /// Adds work to a second; what exceeds its limit is added to the following ones.
+    /// Adds a job's work to a second. Work that exceeds a second's limit by itself is added
+    /// to the following ones too, which it keeps the pool from serving.
     fn add_work(&mut self, second: u64, work: f64, limit: f64) {
         let mut rest = work;
+        if work <= limit {
+            *self.booked.entry(second).or_default() += work;
+            return;
+        }
         for at in second..=second + PATIENCE_MS / SECOND_MS {
             let used = self.booked.entry(at).or_default();
             let part = rest.min((limit - *used).max(0.0));
--- a/src/jobs/size_guard.rs
+++ b/src/jobs/size_guard.rs
@@ -47,6 +47,8 @@
     offered: [f64; 3],
     /// Accepted submissions by class.
     accepted: [f64; 3],
+    /// Work of the submissions in `offered`, in millicore-milliseconds.
+    work: f64,
 }
 
 impl QueueSizes {
@@ -62,8 +64,11 @@
         self.since_limits = 0;
         let mut sorted: Vec<u64> = self.recent.iter().copied().collect();
         sorted.sort_unstable();
-        let at = |tenths: usize| sorted.get(sorted.len() * tenths / 10).copied();
         // The limit itself belongs to the lower class: jobs of one size form one class.
+        let at = |tenths: usize| {
+            let below = sorted.len() * tenths / 10;
+            sorted.get(below.saturating_sub(1)).copied()
+        };
         self.limits = at(7).zip(at(9));
     }
 }
@@ -87,10 +92,21 @@
             sizes.update_limits();
         }
         let counts = sizes.offered.iter_mut().chain(&mut sizes.accepted);
+        let counts = counts.chain(std::iter::once(&mut sizes.work));
         counts.for_each(|count| *count *= 1.0 - 1.0 / COUNTED_JOBS);
+        sizes.work += work as f64;
         sizes.offered[sizes.class(work) as usize] += 1.0;
     }
 
+    /// Returns the mean work of a queue's recent submissions, in millicore-milliseconds;
+    /// none before the first one.
+    #[must_use]
+    pub fn mean_work(&self, queue: &str) -> Option<f64> {
+        let sizes = self.queues.get(queue)?;
+        let count: f64 = sizes.offered.iter().sum();
+        (count > 0.0).then(|| sizes.work / count)
+    }
+
     /// Counts an accepted submission, also if it is a retry.
     pub fn record_accepted(&mut self, queue: &str, work: u64) {
         if let Some(sizes) = self.queues.get_mut(queue) {
