--- a/tests/jobs_admission.rs
+++ b/tests/jobs_admission.rs
@@ -8,6 +8,7 @@
 mod world;
 
 use chicorygauge::jobs::actions::CallerAnswer;
+use chicorygauge::jobs::types::JobId;
 use load::AdmissionRule;
 use load::JobOutcome;
 use load::LoadJob;
@@ -205,3 +206,30 @@
         "{duration_ms}"
     );
 }
+
+/// Large jobs that were expected to be in time and were not must count as not served, so
+/// that the next one is preferred.
+#[test]
+fn late_outcomes_make_large_jobs_preferred() {
+    let mut world = started_world(1);
+    let small = job(&[step(2, 2_000, 100)]);
+    let large = job(&[step(4, 4_000, 400)]);
+    // Their tasks run for 2.5 s; the objective is 1.24 s.
+    let slow = job(&[step(4, 4_000, 2500)]);
+    let mut first = None;
+    for number in 0..120u64 {
+        let id = format!("{number:016x}");
+        let is_large = number % 10 == 9;
+        world.submit(&id, if is_large { &large } else { &small }, number);
+        if is_large {
+            world.specs.insert(id.clone(), slow.clone());
+            let preferred = world.engine.jobs[&JobId::from(id.as_str())].preferred;
+            first = first.or(Some(preferred));
+        }
+        world.run(50);
+    }
+    world.run(4000);
+    world.submit("00000000000000aa0", &large, 1000);
+    assert_eq!(first, Some(false));
+    assert!(world.engine.jobs[&JobId::from("00000000000000aa0")].preferred);
+}
