--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -48,6 +48,12 @@
     pub ended_version: u64,
     /// When the job was submitted, on the boot clock in milliseconds.
     pub submitted_ms: u64,
+    /// Whether it is placed before smaller jobs, as its size class is served too rarely.
+    /// Not stored.
+    pub preferred: bool,
+    /// Probability with which it counts as in time in its size class; none if it does not
+    /// count or its outcome is known. Not stored.
+    pub expected_timely: Option<f64>,
 }
 
 impl JobEntry {
@@ -67,6 +73,8 @@
             closed_version: 0,
             ended_version: 0,
             submitted_ms: now,
+            preferred: false,
+            expected_timely: None,
         }
     }
 
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -216,6 +216,7 @@
                             pool: request.pool,
                             spec,
                             account,
+                            beyond_rate: false,
                         };
                         self.engine.submit(submission, waiter, time);
                     }
--- a/tests/jobs_accounts.rs
+++ b/tests/jobs_accounts.rs
@@ -465,6 +465,7 @@
             pool: POOL.to_owned(),
             spec,
             account: Some("north".into()),
+            beyond_rate: false,
         },
         3,
         world.time(),
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -425,6 +425,7 @@
             pool: POOL.to_owned(),
             spec: spec.clone(),
             account: account.map(Into::into),
+            beyond_rate: false,
         };
         let time = self.time();
         self.engine.submit(submission, waiter, time);
