--- a/tests/accounts_ledger.rs
+++ b/tests/accounts_ledger.rs
@@ -378,8 +378,8 @@
         model
     }
 
-    /// Returns what is wrong in a state that was reached by an action; none if nothing is.
-    fn violation(&self, action: &str) -> Option<String> {
+    /// Returns what is wrong in a state that follows `before`; none if nothing is.
+    fn violation(&self, before: &Self) -> Option<String> {
         let ledger = self.ledger();
         for (index, account) in ACCOUNTS.iter().enumerate() {
             let (may_run, counted) = (self.may_run(index), ledger.usage(account).cpu);
@@ -388,7 +388,9 @@
                     "{account}: {may_run} may run, {counted} are counted"
                 ));
             }
-            if action == "reserve" && counted > self.limit().cpu {
+            let runs = |model: &Self| model.counted.iter().filter(|key| key.0 == index).count();
+            let is_reserved = runs(self) > runs(before);
+            if is_reserved && counted > self.limit().cpu {
                 return Some(format!("{account}: {counted} are reserved"));
             }
         }
@@ -406,7 +408,7 @@
         for (model, path) in layer {
             for (action, next) in model.next(fault) {
                 // What is wrong may depend on the action, so a known state is checked too.
-                if let Some(violation) = next.violation(action) {
+                if let Some(violation) = next.violation(&model) {
                     return Err(format!("{violation}: {path:?}, {action}"));
                 }
                 if seen.contains(&next) {
