--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -33,6 +33,7 @@
 pub mod place;
 pub mod quarantine;
 pub mod record;
+pub mod restore;
 pub mod stable_map;
 pub mod task;
 pub mod types;
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -8,13 +8,10 @@
 use crate::jobs::actions::CallerAnswer;
 use crate::jobs::actions::WaiterId;
 use crate::jobs::callers::STORE_RETRY_MS;
-use crate::jobs::engine::EndedJob;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
 use crate::jobs::job::JobEntry;
-use crate::jobs::record::BodyRecord;
 use crate::jobs::record::EncodeError;
-use crate::jobs::record::ProgressRecord;
 use crate::jobs::record::ShardKeys;
 use crate::jobs::record::WaveRecord;
 use crate::jobs::record::encode;
@@ -22,7 +19,6 @@
 use crate::jobs::record::encode_progress;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
-use crate::jobs::worker::RunFootprint;
 use crate::ports::store::StoreWrite;
 
 /// Maximum number of entries of a commit besides the chain key and its condition; the
@@ -304,83 +300,6 @@
             self.send_hold(&worker, now);
         }
     }
-
-    /// Restores a finished job from its stored record.
-    pub fn restore_ended(&mut self, id: JobId, record: &ProgressRecord, time: TimePair) {
-        let age_ms = time.unix.saturating_sub(record.written_ms);
-        let ended_ms = time.boot.saturating_sub(age_ms);
-        self.ended_order.push_back((ended_ms, id.clone()));
-        let ended = EndedJob {
-            state: record.state,
-            ended_ms,
-            account: record.account.clone(),
-        };
-        self.ended.insert(id, ended);
-    }
-
-    /// Restores a job in progress from its stored records.
-    pub fn restore_job(
-        &mut self,
-        id: JobId,
-        body: BodyRecord,
-        progress: Option<ProgressRecord>,
-        time: TimePair,
-    ) {
-        let age_ms = time.unix.saturating_sub(body.submitted_ms);
-        let mut job = JobEntry::restore(id.clone(), body, progress, time.boot, age_ms);
-        job.open_due(time.boot, time.unix + self.settings.early_start_ms);
-        self.jobs.insert(id.clone(), job);
-        self.waiting.insert(&id);
-        self.count_restored_runs(&id);
-        self.finalize_job(&id, time.boot);
-    }
-
-    /// Adds the inherited runs to their workers, once the workers' entries are known.
-    pub fn add_inherited_runs(&mut self, now: u64) {
-        let mut runs = Vec::new();
-        for job in self.jobs.values() {
-            for (task, run) in job.live_runs() {
-                let footprint = job.step_spec(&task).map(RunFootprint::from);
-                let footprint = footprint.unwrap_or_default();
-                runs.push((task, run.worker.clone(), run.born_ms, run.run, footprint));
-            }
-        }
-        for (task, worker, born_ms, run, footprint) in runs {
-            match self.workers.get_mut(&worker) {
-                Some(view) if view.entry.born_ms <= born_ms || born_ms == 0 => {
-                    // The former owner may have learnt of the incarnation from the worker,
-                    // whose entry in the store is written later.
-                    view.entry.born_ms = view.entry.born_ms.max(born_ms);
-                    view.add_run(task, run, footprint);
-                }
-                Some(_) => self.requeue_run(&task, &worker, run, now),
-                // A worker without an entry cannot be called: the run may be alive until
-                // the worker's lease has expired.
-                None => self.orphaned_runs.push((task, worker, run)),
-            }
-        }
-    }
-
-    /// Requeues inherited runs at workers without an entry once the worker's lease has
-    /// certainly expired.
-    pub(crate) fn expire_orphaned_runs(&mut self, now: u64) {
-        let (unresponsive, inherited_leases_expiry_ms) =
-            (&self.unresponsive, self.inherited_leases_expiry_ms);
-        let expires_ms = |worker: &str| {
-            let lease = unresponsive.lease(worker);
-            lease.map_or(inherited_leases_expiry_ms, |lease| {
-                lease.expires_ms.min(inherited_leases_expiry_ms)
-            })
-        };
-        let expired = self
-            .orphaned_runs
-            .extract_if(.., |(_, worker, _)| now > expires_ms(worker));
-        let expired: Vec<_> = expired.collect();
-        for (task, worker, run) in expired {
-            log::info!(event = "run_lost", task:% = task, run = run, worker = worker.as_str(), reason = "no_entry"; "");
-            self.requeue_run(&task, &worker, run, now);
-        }
-    }
 }
 
 /// Adds what must be stored of a job to a batch: the body of an accepted job once, its
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -12,7 +12,6 @@
 
 use crate::clock::boot_ms;
 use crate::clock::unix_ms;
-use crate::jobs::account::AccountName;
 use crate::jobs::callers::Submission;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
@@ -200,7 +199,7 @@
         let time = now();
         match event {
             OwnerEvent::Relay(request, answer) => {
-                let account = request.account.map(AccountName::from);
+                let account = request.account.map(Into::into);
                 let scope = self.engine.caller_scope(&request.queue, account.clone());
                 let waiter = self.executor.add_waiter(AnswerWaiter {
                     job: request.job.clone(),
