--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -36,6 +36,7 @@
 pub mod price_input;
 pub mod quarantine;
 pub mod record;
+pub mod restore;
 pub mod returns;
 pub mod size_guard;
 pub mod stable_map;
