--- a/src/jobs/admit.rs
+++ b/src/jobs/admit.rs
@@ -225,7 +225,7 @@
     ) -> f64 {
         let row = &demand.row;
         let table = self.admission.tables.get(pool);
-        let arrivals = self.arrivals.get(pool).into_iter().flatten().rev();
+        let arrivals = self.lending.arrivals.get(pool).into_iter().flatten().rev();
         let recent = arrivals.take_while(|(at, _)| at + OVERTAKING_WINDOW_MS >= now);
         let smaller = recent.filter(|(_, work)| (*work as f64) < row.work && !demand.underserved);
         let rate = smaller.map(|(_, work)| *work as f64).sum::<f64>() / OVERTAKING_WINDOW_MS as f64;
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -28,6 +28,7 @@
 use crate::jobs::fleet::FleetState;
 use crate::jobs::job::JobEntry;
 use crate::jobs::ledger::AccountLedger;
+use crate::jobs::lend::LendingState;
 use crate::jobs::limits::LimitState;
 use crate::jobs::load::PoolLoad;
 use crate::jobs::stable_map::StableMap;
@@ -71,9 +72,10 @@
     /// Duration of a VM's maintenance, in milliseconds.
     pub maintenance_ms: u64,
     /// Time after the end of a former holder's permit until its VM may be ordered, in
-    /// milliseconds. It covers the minimum time that the platform prescribes between
-    /// orders of two holders for one VM.
+    /// milliseconds; at least the platform's minimum time between two holders' orders.
     pub permit_wait_ms: u64,
+    /// Whether VMs that no pool needs for long enough are moved to the standby pool.
+    pub rest_idle_vms: bool,
     /// Name under which this owner orders moves and maintenance of VMs.
     pub holder: String,
 }
@@ -92,6 +94,7 @@
             move_ms: 1500,
             maintenance_ms: 2000,
             permit_wait_ms: 4000,
+            rest_idle_vms: false,
             holder: String::new(),
         }
     }
@@ -173,10 +176,8 @@
     pub(crate) ending_workers: BTreeSet<String>,
     /// When the pace of each worker's fillers was last changed.
     pub(crate) pace_changed_ms: HashMap<String, u64>,
-    /// Recently accepted work by pool: time and millicore-milliseconds.
-    pub(crate) arrivals: HashMap<String, VecDeque<(u64, u64)>>,
-    /// Decaying maximum of each pool's demand in VMs, and the time of its last update.
-    pub(crate) decayed_demand: HashMap<String, (f64, u64)>,
+    /// What moves of VMs between pools are planned from.
+    pub(crate) lending: LendingState,
     /// Load by pool, as of the last update.
     pub(crate) loads: BTreeMap<String, PoolLoad>,
     /// What admission knows beside the loads.
@@ -226,8 +227,7 @@
             candidates: PoolCandidates::default(),
             ending_workers: BTreeSet::new(),
             pace_changed_ms: HashMap::new(),
-            arrivals: HashMap::new(),
-            decayed_demand: HashMap::new(),
+            lending: LendingState::default(),
             loads: BTreeMap::new(),
             admission: AdmissionState::default(),
             queue_index: HashMap::new(),
--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -1,14 +1,24 @@
 //! Moves of VMs between pools, decided from each pool's demand and supply.
 //!
 //! Load peaks alternate between queues: each in turn submits several times its mean.
-//! A pool's demand is its arriving work, or the tasks that could run now if that is more.
-//! Work of later steps does not count: no VM could run it yet. Missing VMs are taken from the
-//! standby pool first, then from idle VMs of pools that have more than their target.
+//! A pool's demand is its arriving work, or the tasks that could run now if that is more, and
+//! the work that is expected in its next turn if its peaks have a clear period. Work of later
+//! steps does not count: no VM could run it yet. Missing VMs are taken from the standby pool
+//! first, then from idle VMs of pools that have more than their target; for an expected turn
+//! only from pools that will not need them soon themselves.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
 
 use crate::jobs::engine::JobEngine;
 use crate::jobs::fleet::MachineOrder;
+use crate::jobs::load::PoolLoad;
+use crate::jobs::moves::AvailableVms;
+use crate::jobs::moves::choose_moves;
+use crate::jobs::outlook::PoolOutlook;
+use crate::jobs::rest::RestTracker;
+use crate::jobs::turns::TurnTracker;
 use crate::ports::fleet::MachineRow;
 use crate::ports::fleet::MachineState;
 
@@ -47,6 +57,21 @@
     pub present: usize,
 }
 
+/// What moves are planned from, by pool.
+#[derive(Clone, Debug, Default)]
+pub struct LendingState {
+    /// Recently accepted work: time and millicore-milliseconds.
+    pub(crate) arrivals: HashMap<String, VecDeque<(u64, u64)>>,
+    /// Decaying maximum of the demand in VMs, and the time of its last update.
+    pub(crate) decayed_demand: HashMap<String, (f64, u64)>,
+    /// Periodic peaks of the arrivals.
+    pub(crate) turns: HashMap<String, TurnTracker>,
+    /// Expected need.
+    pub(crate) outlooks: BTreeMap<String, PoolOutlook>,
+    /// Need of all pools over time.
+    pub(crate) rest: RestTracker,
+}
+
 /// Returns how many of `total` VMs each pool should have.
 ///
 /// If there are enough, each pool gets its `wanted` number. Otherwise each gets its
@@ -72,17 +97,28 @@
     targets.collect()
 }
 
+/// Returns the number of VMs for work of `cpu` millicores in a pool.
+pub(crate) fn vms_for(cpu: f64, load: &PoolLoad) -> usize {
+    if load.largest_worker > 0.0 {
+        (cpu / load.largest_worker / TARGET_UTILIZATION).ceil() as usize
+    } else {
+        0
+    }
+}
+
 impl JobEngine {
     /// Adds accepted work, in millicore-milliseconds, to the arrivals of a pool.
     pub(crate) fn record_arrival(&mut self, pool: &str, work: u64, now: u64) {
-        let arrivals = self.arrivals.entry(pool.to_owned()).or_default();
+        let arrivals = self.lending.arrivals.entry(pool.to_owned()).or_default();
         arrivals.push_back((now, work));
+        let tracker = self.lending.turns.entry(pool.to_owned()).or_default();
+        tracker.record(work, now);
     }
 
     /// Predicts a pool's arrival rate at the time when a VM moved now starts to serve, in
     /// millicores (millicore-milliseconds per millisecond).
     fn arrival_rate(&mut self, pool: &str, now: u64) -> f64 {
-        let Some(arrivals) = self.arrivals.get_mut(pool) else {
+        let Some(arrivals) = self.lending.arrivals.get_mut(pool) else {
             return 0.0;
         };
         while arrivals
@@ -109,12 +145,10 @@
         for (pool, load) in loads {
             let rate = self.arrival_rate(&pool, now);
             let cpu = load.runnable.max(rate) + load.long_running;
-            let wanted = if load.largest_worker > 0.0 {
-                (cpu / load.largest_worker / TARGET_UTILIZATION).ceil()
-            } else {
-                0.0
-            };
-            let wanted = self.decay_demand(&pool, wanted as usize, now);
+            let undecayed = vms_for(cpu, &load);
+            let current = self.decay_demand(&pool, undecayed, now);
+            let outlook = self.pool_outlook(&pool, &load, undecayed, current, now);
+            let wanted = current.max(outlook.forecast.unwrap_or(0));
             let min = load.min_workers.max(MIN_POOL_VMS);
             let demand = PoolDemand {
                 wanted: wanted.max(min),
@@ -123,8 +157,9 @@
             };
             log::debug!(
                 event = "pool_demand", pool = pool.as_str(), rate = rate as u64, runnable = load.runnable as u64,
-                long_running = load.long_running as u64, wanted = demand.wanted, present = demand.present; ""
+                long_running = load.long_running as u64, wanted = demand.wanted, current = current, present = demand.present; ""
             );
+            self.lending.outlooks.insert(pool.clone(), outlook);
             demands.insert(pool, demand);
         }
         demands
@@ -133,10 +168,17 @@
     /// Lets a pool's demand rise at once and decay slowly: work arrives in bursts, and a VM
     /// that leaves and returns is missing for the duration of two moves.
     fn decay_demand(&mut self, pool: &str, wanted: usize, now: u64) -> usize {
-        let (before, at) = self.decayed_demand.get(pool).copied().unwrap_or((0.0, now));
+        let (before, at) = self
+            .lending
+            .decayed_demand
+            .get(pool)
+            .copied()
+            .unwrap_or((0.0, now));
         let decayed = before * (-(now.saturating_sub(at) as f64) / DEMAND_DECAY_MS).exp();
         let wanted = decayed.max(wanted as f64);
-        self.decayed_demand.insert(pool.to_owned(), (wanted, now));
+        self.lending
+            .decayed_demand
+            .insert(pool.to_owned(), (wanted, now));
         wanted.ceil() as usize
     }
 
@@ -152,35 +194,35 @@
         let standby = self.config.pools.iter().find(|pool| pool.standby);
         let standby = standby.map_or(String::new(), |pool| pool.name.clone());
         let demands = self.pool_demands(now);
-        let mut free = self.standby_machines(&standby);
+        let free = self.standby_machines(&standby);
         let present: usize = demands.values().map(|demand| demand.present).sum();
         let targets = distribute_vms(&demands, present + free.len());
-        let shortage = |pool: &String| targets[pool].saturating_sub(demands[pool].present);
-        let mut shortages: Vec<(usize, String)> = demands
-            .keys()
-            .map(|pool| (shortage(pool), pool.clone()))
-            .collect();
-        shortages.sort_by(|one, other| other.cmp(one));
         let mut surpluses: BTreeMap<String, usize> = BTreeMap::new();
         for (pool, demand) in &demands {
             let target = targets.get(pool).copied().unwrap_or(0);
             surpluses.insert(pool.clone(), demand.present.saturating_sub(target));
         }
-        let mut idle = self.idle_machines(&surpluses, now);
-        let mut moves: Vec<(String, String)> = Vec::new();
-        for (shortage, pool) in shortages {
-            for _ in 0..shortage {
-                let machine = free
-                    .pop()
-                    .or_else(|| take_surplus(&pool, &mut surpluses, &mut idle));
-                let Some(machine) = machine else {
-                    break;
-                };
-                moves.push((machine, pool.clone()));
+        let idle = self.idle_machines(&surpluses, now);
+        let available = AvailableVms {
+            standby: free,
+            standby_last: self.settings.rest_idle_vms,
+            surpluses,
+            serving: self.serving_machines(),
+            idle,
+        };
+        let mut moves = choose_moves(&demands, &targets, &self.lending.outlooks, available);
+        if self.settings.rest_idle_vms && !standby.is_empty() {
+            let unneeded = self.update_rest(&demands, now);
+            if moves.is_empty() {
+                moves = self.choose_rest(unneeded, &demands, &targets, &standby, now);
             }
         }
-        for (machine, pool) in moves {
-            self.begin_order(&machine, MachineOrder::Move(pool), now);
+        for planned in moves {
+            log::info!(
+                event = "vm_move_planned", vm = planned.machine.as_str(),
+                pool = planned.pool.as_str(), reason = planned.reason.as_str(); ""
+            );
+            self.begin_order(&planned.machine, MachineOrder::Move(planned.pool), now);
         }
     }
 
@@ -191,7 +233,18 @@
         rows.map(|row| row.machine.clone()).collect()
     }
 
-    fn is_movable(&self, row: &MachineRow) -> bool {
+    /// Returns the number of VMs of each pool that serve and have no order.
+    pub(crate) fn serving_machines(&self) -> BTreeMap<String, usize> {
+        let mut serving: BTreeMap<String, usize> = BTreeMap::new();
+        for row in self.fleet.rows.values() {
+            if self.is_movable(row) && self.workers.contains_key(&row.worker) {
+                *serving.entry(row.pool.clone()).or_default() += 1;
+            }
+        }
+        serving
+    }
+
+    pub(crate) fn is_movable(&self, row: &MachineRow) -> bool {
         row.state == MachineState::Up && !self.fleet.orders.contains_key(&row.machine)
     }
 
@@ -213,22 +266,13 @@
     }
 
     fn is_idle(&self, row: &MachineRow, now: u64) -> bool {
-        let view = self.workers.get(&row.worker);
-        view.is_some_and(|view| view.runs.is_empty() && now > view.last_busy_ms + MIN_IDLE_MS)
+        self.is_idle_for(row, MIN_IDLE_MS, now)
     }
-}
 
-/// Takes an idle VM of the pool with the largest surplus; `pool` itself is excluded.
-fn take_surplus(
-    pool: &str,
-    surpluses: &mut BTreeMap<String, usize>,
-    idle: &mut BTreeMap<String, Vec<String>>,
-) -> Option<String> {
-    let others = surpluses
-        .iter_mut()
-        .filter(|(from, surplus)| *from != pool && **surplus > 0);
-    let able = others.filter(|(from, _)| idle.get(*from).is_some_and(|vms| !vms.is_empty()));
-    let (from, surplus) = able.max_by_key(|(_, surplus)| **surplus)?;
-    *surplus -= 1;
-    idle.get_mut(from)?.pop()
+    /// Returns whether nothing runs on a VM and nothing was placed there for longer than
+    /// `idle_ms`.
+    pub(crate) fn is_idle_for(&self, row: &MachineRow, idle_ms: u64, now: u64) -> bool {
+        let view = self.workers.get(&row.worker);
+        view.is_some_and(|view| view.runs.is_empty() && now > view.last_busy_ms + idle_ms)
+    }
 }
--- a/tests/jobs_accounts.rs
+++ b/tests/jobs_accounts.rs
@@ -7,6 +7,7 @@
 #[path = "support/accounts.rs"]
 mod accounts;
 #[path = "support/world.rs"]
+#[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
 use chicorygauge::jobs::actions::CallerAnswer;
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -227,12 +227,22 @@
     /// Returns a simulation with `workers` workers of 32 cores each in the pool.
     #[must_use]
     pub fn new(workers: usize, seed: u64) -> Self {
+        let mut world = Self::with_config(config(), seed);
+        for number in 0..workers {
+            world.add_worker(POOL, &format!("m-{number:02}"));
+        }
+        world
+    }
+
+    /// Returns a simulation without workers.
+    #[must_use]
+    pub fn with_config(config: JobConfig, seed: u64) -> Self {
         let settings = SchedulerSettings {
             holder: "entry".to_owned(),
             ..SchedulerSettings::default()
         };
-        let mut world = Self {
-            engine: JobEngine::new(settings, 1, Arc::new(config()), 1000),
+        Self {
+            engine: JobEngine::new(settings, 1, Arc::new(config), 1000),
             now: 1000,
             workers: BTreeMap::new(),
             faults: WorldFaults::default(),
@@ -258,11 +268,7 @@
             next_worker: 0,
             accounts: BTreeMap::new(),
             limits: Vec::new(),
-        };
-        for number in 0..workers {
-            world.add_worker(POOL, &format!("m-{number:02}"));
         }
-        world
     }
 
     /// Adds a worker on a VM and returns its id.
@@ -399,7 +405,7 @@
 
     /// Submits a job; the answer is stored in `answers` under `waiter`.
     pub fn submit(&mut self, id: &str, spec: &JobSpec, waiter: u64) {
-        self.submit_as(id, spec, "orders", None, waiter);
+        self.submit_job(("orders", POOL), id, spec, None, waiter);
     }
 
     /// Submits a job of an account to a queue.
@@ -417,12 +423,34 @@
                 .entry(id.to_owned())
                 .or_insert_with(|| account.to_owned());
         }
+        self.submit_job((queue, POOL), id, spec, account, waiter);
+    }
+
+    /// Submits a job to a queue (first name) and its pool (second name).
+    pub fn submit_to(
+        &mut self,
+        queue_and_pool: (&str, &str),
+        id: &str,
+        spec: &JobSpec,
+        waiter: u64,
+    ) {
+        self.submit_job(queue_and_pool, id, spec, None, waiter);
+    }
+
+    fn submit_job(
+        &mut self,
+        (queue, pool): (&str, &str),
+        id: &str,
+        spec: &JobSpec,
+        account: Option<&str>,
+        waiter: u64,
+    ) {
         self.specs.insert(id.to_owned(), spec.clone());
         self.submitted.entry(id.to_owned()).or_insert(self.now);
         let submission = Submission {
             id: id.into(),
             queue: queue.to_owned(),
-            pool: POOL.to_owned(),
+            pool: pool.to_owned(),
             spec: spec.clone(),
             account: account.map(Into::into),
             beyond_rate: false,
