Pools: VMs that no pool needs rest in standby

Cause: no VM ever returned to standby. Change: VMs beyond 1.25 times the highest use of the last 20 s, and a reserve of 16, rest once work has been in progress for 8 s; as many leave standby as that allows.

--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -43,7 +43,7 @@
 const DEMAND_DECAY_MS: f64 = 1500.0;
 
 /// Minimum number of VMs that stay in a pool.
-const MIN_POOL_VMS: usize = 2;
+pub(crate) const MIN_POOL_VMS: usize = 2;
 
 /// Demand and supply of a pool, in VMs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -194,8 +194,10 @@
         let standby = self.config.pools.iter().find(|pool| pool.standby);
         let standby = standby.map_or(String::new(), |pool| pool.name.clone());
         let demands = self.pool_demands(now);
-        let free = self.standby_machines(&standby);
+        let mut free = self.standby_machines(&standby);
         let present: usize = demands.values().map(|demand| demand.present).sum();
+        let max_present = self.update_rest(now).unwrap_or(usize::MAX);
+        free.truncate(max_present.saturating_sub(present));
         let targets = distribute_vms(&demands, present + free.len());
         let mut surpluses: BTreeMap<String, usize> = BTreeMap::new();
         for (pool, demand) in &demands {
@@ -211,11 +213,10 @@
             idle,
         };
         let mut moves = choose_moves(&demands, &targets, &self.lending.outlooks, available);
-        if self.settings.rest_idle_vms && !standby.is_empty() {
-            let unneeded = self.update_rest(&demands, now);
-            if moves.is_empty() {
-                moves = self.choose_rest(unneeded, &demands, &targets, &standby, now);
-            }
+        let unneeded = present.saturating_sub(max_present);
+        if unneeded > 0 && !standby.is_empty() {
+            let resting = self.choose_rest(unneeded, &moves, &standby, now);
+            moves.extend(resting);
         }
         for planned in moves {
             log::info!(
--- a/src/jobs/rest.rs
+++ b/src/jobs/rest.rs
@@ -1,184 +1,173 @@
-//! VMs that no pool needs for long enough are moved to the standby pool, which costs
-//! nothing.
+//! VMs that no pool needs are moved to the standby pool, which costs nothing.
 //!
-//! A move costs about as much as a VM in a pool for two seconds, so that a VM that is
-//! needed again at once costs more than it saves. VMs rest only above the highest need in
-//! a whole period or in the last 20 seconds, and above a reserve for a burst.
+//! A VM in standby is as far from a pool's peak as an idle VM of another pool: both need one
+//! move. So VMs rest above a multiple of what all pools together have used lately, and only
+//! as many leave standby as that multiple allows. Demand by arrivals is not used here: it
+//! peaks at several times the use, and VMs would go out and back with each peak.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
 use crate::jobs::engine::JobEngine;
 use crate::jobs::fleet::MachineOrder;
-use crate::jobs::lend::PoolDemand;
+use crate::jobs::lend::MIN_POOL_VMS;
 use crate::jobs::lend::vms_for;
 use crate::jobs::moves::MoveReason;
 use crate::jobs::moves::PlannedMove;
 use crate::jobs::turns::STEP_MS;
 
-/// Time over which the highest need of all pools is remembered, in milliseconds; a period
-/// of turns of the usual length.
+/// Time over which the highest use is remembered, in milliseconds: the turns of all pools.
 const REMEMBERED_MS: u64 = 20_000;
 
-/// Margin above the remembered need without a clear period, in percent.
-const MARGIN_PERCENT: usize = 15;
+/// Time with work in progress before VMs rest, in milliseconds: longer than the turn of one
+/// pool.
+const LEARNING_MS: u64 = 8000;
 
-/// Time for which VMs must have been unneeded, in milliseconds: it exceeds the cost of the
-/// two moves, out and back, of 3.4 seconds of a VM in a pool.
-const UNNEEDED_MS: u64 = 4000;
+/// Multiple of the highest use that stays out of standby: the next turn may need a quarter
+/// more than the highest one so far.
+const USE_FACTOR: f64 = 1.25;
 
-/// Factor by which a burst exceeds the peak of a pool.
-const BURST_FACTOR: f64 = 2.2;
+/// Multiple of a pool's own use that its idle VMs are kept for.
+const POOL_FACTOR: f64 = 1.3;
+
+/// VMs that stay out of standby besides, for pools that use none.
+const RESERVE_VMS: usize = 16;
+
+/// Time for which a VM must have been idle, in milliseconds.
+const REST_IDLE_MS: u64 = 1000;
 
 /// Maximum number of VMs on their way to standby at the same time, so that few are missing
 /// if load rises while they move.
-const MAX_MOVING: usize = 4;
+const MAX_MOVING: usize = 24;
 
-/// Need of all pools at a time, in VMs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct FleetNeed {
-    /// VMs that the pools want now.
-    pub wanted: usize,
-    /// Highest need within the next period; none if the period of a pool is not clear.
-    pub forecast: Option<usize>,
-    /// Highest need of a single pool in the last minute.
-    pub largest_peak: usize,
-    /// VMs in all pools but standby, without those on their way to it.
-    pub present: usize,
-}
-
-/// Need of all pools over time. Times are in milliseconds.
+/// Use of all pools over time. Times are in milliseconds.
 #[derive(Clone, Debug, Default)]
 pub struct RestTracker {
-    first_ms: Option<u64>,
-    largest_peak: usize,
-    wanted: VecDeque<(u64, usize)>,
-    unneeded: VecDeque<(u64, usize)>,
+    /// When work was first in progress; none before.
+    first_work_ms: Option<u64>,
+    uses: VecDeque<(u64, usize)>,
 }
 
 impl RestTracker {
-    /// Records the need and returns how many VMs are not needed for long enough to rest.
-    pub fn update(&mut self, need: FleetNeed, now: u64) -> usize {
-        let first_ms = *self.first_ms.get_or_insert(now);
-        push_recent(&mut self.wanted, need.wanted, REMEMBERED_MS, now);
-        let wanted = self.wanted.iter().map(|(_, wanted)| *wanted).max();
-        let wanted = wanted.unwrap_or(need.wanted);
-        // Where the period is clear, it repeats what was wanted in the last one; the forecast
-        // itself has no part for backlog and trend.
-        let required = match need.forecast {
-            Some(forecast) => forecast.max(wanted),
-            None => (wanted * (100 + MARGIN_PERCENT)).div_ceil(100),
-        };
-        self.largest_peak = self.largest_peak.max(need.largest_peak);
-        let reserve = (self.largest_peak as f64 * BURST_FACTOR).ceil() as usize;
-        let unneeded = need.present.saturating_sub(required.max(reserve));
-        push_recent(&mut self.unneeded, unneeded, UNNEEDED_MS, now);
-        // Before the first work, the reserve is unknown.
-        if now < first_ms + REMEMBERED_MS || self.largest_peak == 0 {
-            return 0;
+    /// Records the VMs in use and returns how many VMs stay out of standby; none while the
+    /// use is not known for long enough. `expected` is the use that is forecast for the next
+    /// period.
+    pub fn update(
+        &mut self,
+        used: usize,
+        expected: usize,
+        has_work: bool,
+        now: u64,
+    ) -> Option<usize> {
+        if has_work {
+            self.first_work_ms.get_or_insert(now);
+        }
+        self.uses.push_back((now, used));
+        while self
+            .uses
+            .front()
+            .is_some_and(|(at, _)| at + REMEMBERED_MS < now)
+        {
+            self.uses.pop_front();
+        }
+        let first_ms = self.first_work_ms?;
+        if now < first_ms + LEARNING_MS {
+            return None;
         }
-        let unneeded = self.unneeded.iter().map(|(_, vms)| *vms).min();
-        unneeded.unwrap_or(0)
+        let highest = self.uses.iter().map(|(_, used)| *used).max()?;
+        let kept = (highest.max(expected) as f64 * USE_FACTOR) as usize;
+        Some(kept + RESERVE_VMS)
     }
 }
 
-/// Appends a value and removes those older than `window_ms`.
-fn push_recent(values: &mut VecDeque<(u64, usize)>, value: usize, window_ms: u64, now: u64) {
-    values.push_back((now, value));
-    while values.front().is_some_and(|(at, _)| at + window_ms < now) {
-        values.pop_front();
+impl JobEngine {
+    /// Records the use of all pools and returns how many VMs may be out of standby; none for
+    /// no limit.
+    pub(crate) fn update_rest(&mut self, now: u64) -> Option<usize> {
+        if !self.settings.rest_idle_vms {
+            return None;
+        }
+        let loads = self.loads.values().filter(|load| load.largest_worker > 0.0);
+        let used = loads.map(|load| (load.runnable + load.long_running) / load.largest_worker);
+        let used = used.sum::<f64>().ceil() as usize;
+        let has_work = self.loads.values().any(|load| load.runnable > 0.0);
+        let expected = self.expected_use(now);
+        self.lending.rest.update(used, expected, has_work, now)
     }
-}
 
-impl JobEngine {
-    /// Chooses up to `unneeded` VMs that move to the standby pool.
+    /// Returns the highest expected use of all pools within their longest period, in VMs; 0
+    /// without a clear period.
+    fn expected_use(&self, now: u64) -> usize {
+        let trackers = self.lending.turns.values();
+        let periods = trackers.filter_map(|tracker| tracker.pattern());
+        let Some(period_ms) = periods.map(|pattern| pattern.period_ms()).max() else {
+            return 0;
+        };
+        let times = (now..=now + period_ms).step_by(STEP_MS as usize);
+        let sums = times.map(|at| {
+            let vms = self.loads.iter().map(|(pool, load)| {
+                let tracker = self.lending.turns.get(pool);
+                let rate = tracker.and_then(|tracker| tracker.forecast(at));
+                vms_for(rate.unwrap_or(0.0) + load.long_running, load)
+            });
+            vms.sum()
+        });
+        sums.max().unwrap_or(0)
+    }
+
+    /// Chooses up to `unneeded` VMs that move to the standby pool, besides the moves that
+    /// are planned already.
     pub(crate) fn choose_rest(
         &self,
         unneeded: usize,
-        demands: &BTreeMap<String, PoolDemand>,
-        targets: &BTreeMap<String, usize>,
+        planned: &[PlannedMove],
         standby: &str,
         now: u64,
     ) -> Vec<PlannedMove> {
         let moving = self.fleet.orders.values();
         let moving = moving.filter(|order| order.order == MachineOrder::Move(standby.to_owned()));
-        let mut left = unneeded.min(MAX_MOVING.saturating_sub(moving.count()));
-        let serving = self.serving_machines();
-        let mut spare: BTreeMap<&String, usize> = BTreeMap::new();
-        for (pool, demand) in demands {
-            let target = targets.get(pool).copied().unwrap_or(0);
-            let outlook = self.lending.outlooks.get(pool).copied().unwrap_or_default();
-            let serving = serving.get(pool).copied().unwrap_or(0);
-            let above_target = demand.present.saturating_sub(target);
-            spare.insert(pool, above_target.min(serving.saturating_sub(outlook.kept)));
-        }
-        let mut moves = Vec::new();
-        for row in self.fleet.rows.values().rev() {
-            let Some(spare) = spare.get_mut(&row.pool).filter(|spare| **spare > 0) else {
-                continue;
-            };
-            if left == 0 {
-                break;
-            }
-            if self.is_movable(row) && self.is_idle_for(row, UNNEEDED_MS, now) {
-                *spare -= 1;
-                left -= 1;
-                moves.push(PlannedMove {
-                    machine: row.machine.clone(),
-                    pool: standby.to_owned(),
-                    reason: MoveReason::Rest,
-                });
-            }
-        }
-        moves
-    }
-
-    /// Records the need of all pools and returns how many VMs may rest.
-    pub(crate) fn update_rest(
-        &mut self,
-        demands: &BTreeMap<String, PoolDemand>,
-        now: u64,
-    ) -> usize {
-        let need = self.fleet_need(demands, now);
-        self.lending.rest.update(need, now)
-    }
-
-    fn fleet_need(&self, demands: &BTreeMap<String, PoolDemand>, now: u64) -> FleetNeed {
-        let mut need = FleetNeed {
-            wanted: demands.values().map(|demand| demand.wanted).sum(),
-            present: demands.values().map(|demand| demand.present).sum(),
-            ..FleetNeed::default()
-        };
-        let mut period_ms = Some(0);
-        for (pool, load) in &self.loads {
-            let Some(tracker) = self.lending.turns.get(pool) else {
-                continue;
-            };
-            let peak = tracker.highest_rate(u64::MAX, now);
-            need.largest_peak = need.largest_peak.max(vms_for(peak, load));
-            let pattern = tracker.pattern();
-            // Pools without work need no period.
-            if peak > 0.0 {
-                let own = pattern.map(|pattern| pattern.period_ms());
-                period_ms = period_ms.zip(own).map(|(one, other)| one.max(other));
-            }
-        }
-        need.forecast = period_ms.map(|period_ms| {
-            let times = (now..=now + period_ms).step_by(STEP_MS as usize);
-            let sums = times.map(|at| self.forecast_sum(demands, at));
-            sums.max().unwrap_or(0)
+        let left = unneeded.min(MAX_MOVING.saturating_sub(moving.count()));
+        let mut spare = self.spare_machines(planned);
+        let idle = self.fleet.rows.values().rev().filter(|row| {
+            let is_planned = planned.iter().any(|planned| planned.machine == row.machine);
+            !is_planned && self.is_movable(row) && self.is_idle_for(row, REST_IDLE_MS, now)
+        });
+        let resting = idle.filter(|row| {
+            let spare = spare.get_mut(&row.pool).filter(|spare| **spare > 0);
+            spare.map(|spare| *spare -= 1).is_some()
+        });
+        let moves = resting.take(left).map(|row| PlannedMove {
+            machine: row.machine.clone(),
+            pool: standby.to_owned(),
+            reason: MoveReason::Rest,
         });
-        need
+        moves.collect()
     }
 
-    /// Returns the expected need of all pools at a time, in VMs.
-    fn forecast_sum(&self, demands: &BTreeMap<String, PoolDemand>, at: u64) -> usize {
-        let vms = self.loads.iter().map(|(pool, load)| {
-            let tracker = self.lending.turns.get(pool);
-            let rate = tracker.and_then(|tracker| tracker.forecast(at));
-            let min = demands.get(pool).map_or(0, |demand| demand.min);
-            vms_for(rate.unwrap_or(0.0) + load.long_running, load).max(min)
-        });
-        vms.sum()
+    /// Returns how many VMs each pool has above its use and what its outlook keeps.
+    fn spare_machines(&self, planned: &[PlannedMove]) -> BTreeMap<String, usize> {
+        let serving = self.serving_machines();
+        let mut spare = BTreeMap::new();
+        for (pool, load) in self
+            .loads
+            .iter()
+            .filter(|(_, load)| load.largest_worker > 0.0)
+        {
+            let used = (load.runnable + load.long_running) / load.largest_worker;
+            let needed = (used * POOL_FACTOR).ceil() as usize + MIN_POOL_VMS;
+            let outlook = self.lending.outlooks.get(pool).copied().unwrap_or_default();
+            let taken = planned.iter().filter(|planned| {
+                let row = self.fleet.rows.get(&planned.machine);
+                row.is_some_and(|row| row.pool == *pool)
+            });
+            let serving = serving
+                .get(pool)
+                .copied()
+                .unwrap_or(0)
+                .saturating_sub(taken.count());
+            let kept = needed.max(outlook.kept).max(load.min_workers);
+            spare.insert(pool.clone(), serving.saturating_sub(kept));
+        }
+        spare
     }
 }
