Scheduler: order of accounts in a full pool, and submission rates

Jobs of one account could fill a pool and delay those of all others. Where the configuration has accounts, a placement pass now serves the account with the smallest weighted part of the pool first; jobs beyond an account's rate of submissions come last and are refused unless they can start at once. Without accounts the order is unchanged: all jobs are in one lane.

--- a/benches/scheduler/simulation.rs
+++ b/benches/scheduler/simulation.rs
@@ -263,6 +263,7 @@
                     schedule: None,
                 },
                 account: None,
+                beyond_rate: false,
             };
             self.waiter += 1;
             let (time, waiter) = (self.time(), self.waiter);
--- a/src/jobs/admit.rs
+++ b/src/jobs/admit.rs
@@ -7,6 +7,8 @@
 use crate::jobs::callers::Submission;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::load::PoolLoad;
+use crate::jobs::place::step_need;
+use crate::jobs::rate::BUCKET_MS;
 use crate::jobs::types::JobSpec;
 
 /// A submission is refused if its projected duration exceeds its objective by this
@@ -17,6 +19,10 @@
 /// after seconds, so a longer delay would be useless to them.
 const RETRY_MS: (u64, u64) = (300, 3000);
 
+/// Retry delay sent for a job beyond the rate of its account, in milliseconds; the account's
+/// bucket is full again after this time.
+const RATE_RETRY_MS: u64 = BUCKET_MS;
+
 impl JobEngine {
     /// Accepts or refuses a submission and records an accepted job's work as load.
     ///
@@ -34,6 +40,14 @@
             return Ok(());
         }
         let load = self.pool_load(&pool);
+        if submission.beyond_rate && !self.can_start_now(&pool, &load, spec) {
+            log::info!(
+                event = "job_refused", job = &*submission.id, reason = "beyond_rate",
+                pool = pool.as_str(), capacity = load.capacity as u64, backlog = load.backlog as u64,
+                retry_ms = RATE_RETRY_MS; ""
+            );
+            return Err(RATE_RETRY_MS);
+        }
         let objective_ms = spec.critical_path_ms() as f64 * slack.max(1.0) + target_ms as f64;
         let verdict = check_objective(&load, spec, objective_ms);
         if let Err(retry_ms) = verdict {
@@ -52,6 +66,13 @@
         }
         verdict
     }
+
+    /// Returns whether a pool has free capacity for the widest step of a job and no other
+    /// job waits for it.
+    fn can_start_now(&self, pool: &str, load: &PoolLoad, spec: &JobSpec) -> bool {
+        let widest = spec.steps.iter().map(|step| step_need(step).cpu).max();
+        load.free >= widest.unwrap_or_default() as f64 && !self.waiting.is_pool_waiting(pool)
+    }
 }
 
 /// Checks a job's projected duration at the current load of its pool.
--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -29,13 +29,15 @@
     pub spec: JobSpec,
     /// Client account of the caller; none if the queue needs no API key.
     pub account: Option<AccountName>,
+    /// Whether the job is beyond the rate of its account; set by the scheduler.
+    pub beyond_rate: bool,
 }
 
 impl JobEngine {
     /// Handles a submission; it is accepted only once the job is stored.
     ///
     /// A repeated submission of the same job gets the same answer.
-    pub fn submit(&mut self, submission: Submission, waiter: WaiterId, time: TimePair) {
+    pub fn submit(&mut self, mut submission: Submission, waiter: WaiterId, time: TimePair) {
         let id = submission.id.clone();
         if self.ended.contains_key(&id) {
             return self.answer(waiter, CallerAnswer::Accepted);
@@ -56,7 +58,9 @@
             let retry_ms = STORE_RETRY_MS;
             return self.answer(waiter, CallerAnswer::Refused { retry_ms });
         }
+        submission.beyond_rate = self.take_rate(&submission, time.boot);
         if let Err(retry_ms) = self.admit(&submission, time.boot) {
+            self.give_back_rate(&submission);
             return self.answer(waiter, CallerAnswer::Refused { retry_ms });
         }
         let queue = self.config.queue(&submission.queue);
@@ -68,6 +72,7 @@
             account: submission.account,
         };
         let mut job = JobEntry::new(id.clone(), body, time.boot);
+        job.beyond_rate = submission.beyond_rate;
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
         self.jobs.insert(id.clone(), job);
         self.waiting.insert(&id);
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -15,6 +15,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use crate::jobs::account_state::AccountState;
 use crate::jobs::actions::Action;
 use crate::jobs::actions::CallToken;
 use crate::jobs::actions::CallerAnswer;
@@ -164,6 +165,8 @@
     pub(crate) limit_logged_ms: u64,
     /// Jobs with tasks that may need placement.
     pub(crate) waiting: WaitingJobs,
+    /// Submission rates of the accounts and what their order in the pools depends on.
+    pub(crate) accounts: AccountState,
     /// Workers that placement may choose.
     pub(crate) candidates: PoolCandidates,
     /// Workers with ends that are not known to be stored.
@@ -222,6 +225,7 @@
             ledger: AccountLedger::default(),
             limit_logged_ms: 0,
             waiting: WaitingJobs::default(),
+            accounts: AccountState::default(),
             candidates: PoolCandidates::default(),
             ending_workers: BTreeSet::new(),
             mean_job_work: HashMap::new(),
@@ -238,6 +242,7 @@
             stop_retries: Vec::new(),
         };
         engine.index_queues();
+        engine.index_accounts();
         engine
     }
 
@@ -257,6 +262,7 @@
             log::info!(event = "scheduler_config", version = config.version, before = self.config.version; "");
             self.config = config;
             self.index_queues();
+            self.index_accounts();
             self.waiting.mark_all_due();
         }
     }
@@ -402,6 +408,7 @@
                 self.waiting.mark_due(&view.entry.pool);
             }
         }
+        self.mark_share(&task.job);
         self.waiting.insert(&task.job);
     }
 }
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -42,6 +42,9 @@
     pub write_attempted: bool,
     /// When the job was submitted, on the boot clock in milliseconds.
     pub submitted_ms: u64,
+    /// Whether the job was submitted beyond the rate of its account. Not stored: after a
+    /// takeover it counts as within the rate.
+    pub beyond_rate: bool,
 }
 
 impl JobEntry {
@@ -59,6 +62,7 @@
             body_stored: false,
             write_attempted: false,
             submitted_ms: now,
+            beyond_rate: false,
         }
     }
 
--- a/src/jobs/limits.rs
+++ b/src/jobs/limits.rs
@@ -38,7 +38,7 @@
         let Some(account) = self.jobs.get(id).and_then(|job| job.body.account.as_ref()) else {
             return true;
         };
-        let Some(config) = self.config.account(account) else {
+        let Some(config) = self.account_config(account) else {
             return true;
         };
         let (limit, usage) = (config.limit, self.ledger.usage(account));
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 //! actions that it returns.
 
 pub mod account;
+pub mod account_state;
 pub mod actions;
 pub mod admit;
 pub mod advice;
@@ -20,6 +21,7 @@
 pub mod gang;
 pub mod holds;
 pub mod job;
+pub mod lanes;
 pub mod ledger;
 pub mod lend;
 pub mod limits;
@@ -29,8 +31,11 @@
 pub mod pace;
 pub mod permits;
 pub mod place;
+pub mod place_shares;
 pub mod quarantine;
+pub mod rate;
 pub mod record;
+pub mod share;
 pub mod stable_map;
 pub mod task;
 pub mod types;
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -1,4 +1,5 @@
-//! Placement of waiting tasks on workers, in the order of their jobs' ranks.
+//! Placement of waiting tasks on workers, in the order of their jobs' ranks. Where the
+//! configuration has accounts, `place_shares` decides whose jobs are next.
 //!
 //! Long-running jobs come first, then jobs that can still meet their objective, then
 //! late ones. Within each class, jobs are ordered by the priority of their queue, then
@@ -8,6 +9,7 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
 use crate::jobs::limits::StartKind;
+use crate::jobs::share::JobLane;
 use crate::jobs::task::TaskRun;
 use crate::jobs::task::TaskState;
 use crate::jobs::types::JobId;
@@ -56,22 +58,30 @@
             let job = self.jobs.get(&id).filter(|job| !job.state.is_final());
             if let Some(job) = job {
                 let (rank, pool) = (self.rank(job, now), self.pool_of(job).to_owned());
-                self.waiting.set_rank(&id, &pool, rank);
+                let (lane, need) = self.lane(job);
+                self.waiting.set_rank(&id, &pool, &lane, rank, need);
             }
         }
         for pool in self.waiting.take_due_pools() {
             self.unplaceable.remove(&pool);
-            let Some(last) = self.place_after(&pool, None, now) else {
-                self.waiting.set_reached(&pool, None);
-                continue;
-            };
-            let resume = self.waiting.resume_position(&pool, last);
-            let reached = self.place_after(&pool, Some(resume), now);
-            self.waiting.set_reached(&pool, reached);
+            self.place_common(&pool, now);
+            if self.config.accounts.is_some() {
+                self.place_by_share(&pool, now);
+            }
         }
     }
 
-    /// Places the waiting jobs of a pool after a position, until [`MAX_MISSES`] consecutive
+    /// Places the jobs of a pool's common lane.
+    fn place_common(&mut self, pool: &str, now: u64) {
+        let Some(last) = self.place_after(pool, None, now) else {
+            return self.waiting.set_reached(pool, None);
+        };
+        let resume = self.waiting.resume_position(pool, last);
+        let reached = self.place_after(pool, Some(resume), now);
+        self.waiting.set_reached(pool, reached);
+    }
+
+    /// Places the waiting jobs of a pool's common lane after a position, until [`MAX_MISSES`] consecutive
     /// ones had no fitting task. Returns the position of the last job tried, none if it was
     /// the last of the pool.
     fn place_after(
@@ -82,7 +92,9 @@
     ) -> Option<WaitingPosition> {
         let mut misses = 0;
         while misses < MAX_MISSES {
-            let next = self.waiting.next(pool, position.as_ref())?;
+            let next = self
+                .waiting
+                .next(pool, &JobLane::Common, position.as_ref())?;
             if self.place_job(&next.1, now) {
                 misses = 0;
             } else {
@@ -151,7 +163,7 @@
 
     /// Places the tasks of a job's open steps; the job stops waiting if none of them does.
     /// Returns false if tasks are waiting and none was placed.
-    fn place_job(&mut self, id: &JobId, now: u64) -> bool {
+    pub(crate) fn place_job(&mut self, id: &JobId, now: u64) -> bool {
         let Some(job) = self.jobs.get(id) else {
             self.waiting.remove(id);
             return true;
--- /dev/null
+++ b/src/jobs/place_shares.rs
@@ -0,0 +1,213 @@
+//! Placement of the waiting jobs of client accounts, in the order of the accounts' shares.
+//!
+//! A pass serves the account with the lowest weighted share first and computes its share
+//! anew after each job. An account whose jobs fit nowhere, or which is at its limit, is left
+//! after a few jobs; it blocks no other one. The pass is bounded: it tries at most
+//! [`MAX_PASS_MISSES`] jobs without a fitting task in the order of shares, and
+//! [`MAX_ROTATION_MISSES`] more after the account where the previous pass stopped, and looks
+//! at [`MAX_PASS_SKIPS`] accounts of which no task can fit in each of both parts. All other
+//! tries place a task. It ends as soon as no task of any account can fit.
+
+use crate::jobs::account::AccountName;
+use crate::jobs::engine::JobEngine;
+use crate::jobs::job::JobEntry;
+use crate::jobs::ledger::allows_task;
+use crate::jobs::share::JobLane;
+use crate::jobs::share::weighted_share;
+use crate::jobs::types::JobId;
+use crate::jobs::types::ResourceVector;
+
+/// Maximum number of jobs without a fitting task in the part of a pass that follows the
+/// shares; several accounts with jobs that fit nowhere leave some for the others.
+const MAX_PASS_MISSES: usize = 64;
+
+/// The same in the part of a pass that continues where the previous one stopped.
+const MAX_ROTATION_MISSES: usize = 16;
+
+/// Maximum number of accounts without a task that can fit that each part of a pass looks at.
+const MAX_PASS_SKIPS: usize = 256;
+
+/// Time between two computations of the pools' capacity, in milliseconds. Only the ratio of
+/// CPU to memory in a pool matters for the order, and it changes as VMs move.
+const CAPACITY_MS: u64 = 250;
+
+/// What a part of a pass may still try.
+#[derive(Clone, Copy, Debug)]
+struct PassBudget {
+    misses: usize,
+    skips: usize,
+}
+
+impl PassBudget {
+    fn new(misses: usize) -> Self {
+        Self {
+            misses,
+            skips: MAX_PASS_SKIPS,
+        }
+    }
+
+    fn is_left(&self) -> bool {
+        self.misses > 0 && self.skips > 0
+    }
+}
+
+impl JobEngine {
+    /// Returns the lane of a job, and a lower bound of what a task of it needs.
+    pub(crate) fn lane(&self, job: &JobEntry) -> (JobLane, ResourceVector) {
+        if self.config.accounts.is_none() {
+            return (JobLane::Common, ResourceVector::default());
+        }
+        let spec = &job.body.spec;
+        let account = job.body.account.as_ref();
+        let lane = match account {
+            Some(account) if job.beyond_rate => JobLane::BeyondRate(account.clone()),
+            _ if spec.has_long_running_step() => JobLane::Common,
+            _ => JobLane::Account(account.cloned()),
+        };
+        let needs = spec.steps.iter().map(|step| step.reserved());
+        let least = needs.reduce(|one, other| ResourceVector {
+            cpu: one.cpu.min(other.cpu),
+            memory_mb: one.memory_mb.min(other.memory_mb),
+            gpu: one.gpu.min(other.gpu),
+        });
+        (lane, least.unwrap_or_default())
+    }
+
+    /// Makes the next pass compute the share of a job's account, whose usage has changed.
+    pub(crate) fn mark_share(&mut self, id: &JobId) {
+        if self.config.accounts.is_none() {
+            return;
+        }
+        if let Some(job) = self.jobs.get(id) {
+            let (pool, account) = (self.pool_of(job).to_owned(), job.body.account.clone());
+            self.waiting.mark_shares(Some(&pool), account.as_ref());
+        }
+    }
+
+    /// Places the waiting jobs of a pool's accounts by share.
+    pub(crate) fn place_by_share(&mut self, pool: &str, now: u64) {
+        self.update_capacities(now);
+        for lane in self.waiting.begin_pass(pool) {
+            self.update_share(pool, &lane);
+        }
+        let mut budget = PassBudget::new(MAX_PASS_MISSES);
+        let mut after = None;
+        while let Some(next) = self.waiting.next_lane(pool, after.as_ref()) {
+            if self.is_full(pool, None) {
+                return;
+            }
+            if !budget.is_left() {
+                return self.place_in_rotation(pool, now);
+            }
+            if self.try_lane(pool, &next.1, &mut budget, now) {
+                // With a single lane there is no order.
+                if self.waiting.lanes(pool) > 1 {
+                    self.update_account(pool, next.1.account());
+                }
+            } else {
+                after = Some(next);
+            }
+        }
+    }
+
+    /// Continues a pass that has used up its tries after the account where the previous pass
+    /// stopped, so that each account gets its turn.
+    fn place_in_rotation(&mut self, pool: &str, now: u64) {
+        let mut budget = PassBudget::new(MAX_ROTATION_MISSES);
+        let mut lane = self.waiting.rotation(pool);
+        for _ in 0..self.waiting.lanes(pool) {
+            let following = self.waiting.following_lane(pool, &lane);
+            let Some(following) = following.filter(|_| budget.is_left()) else {
+                break;
+            };
+            lane = following;
+            if self.try_lane(pool, &lane, &mut budget, now) {
+                self.update_account(pool, lane.account());
+            }
+        }
+        self.waiting.set_rotation(pool, lane);
+    }
+
+    /// Tries the next jobs of a lane until a task is placed, which is returned.
+    fn try_lane(&mut self, pool: &str, lane: &JobLane, budget: &mut PassBudget, now: u64) -> bool {
+        if self.is_full(pool, Some(lane)) {
+            budget.skips -= 1;
+            return false;
+        }
+        while budget.misses > 0
+            && let Some(id) = self.waiting.next_try(pool, lane)
+        {
+            let placed = self.place_job(&id, now);
+            self.waiting.record_try(pool, lane, placed);
+            if placed {
+                return true;
+            }
+            budget.misses -= 1;
+            if self.is_full(pool, Some(lane)) || self.is_at_limit(pool, lane) {
+                return false;
+            }
+        }
+        // Left without a job to try.
+        budget.skips = budget.skips.saturating_sub(1);
+        false
+    }
+
+    /// Returns whether no task of a lane can fit, as one that needs no more found no worker
+    /// in this pass; without a lane, no task of any account.
+    fn is_full(&self, pool: &str, lane: Option<&JobLane>) -> bool {
+        let least = self.waiting.least_need(pool, lane);
+        let unplaceable = self.unplaceable.get(pool);
+        least.zip(unplaceable).is_some_and(|(need, unplaceable)| {
+            need.cpu >= unplaceable.0 && need.memory_mb >= unplaceable.1
+        })
+    }
+
+    /// Returns whether the limit of a lane's account allows none of its tasks.
+    fn is_at_limit(&self, pool: &str, lane: &JobLane) -> bool {
+        let Some(account) = lane.account() else {
+            return false;
+        };
+        let config = self.account_config(account);
+        let least = self.waiting.least_need(pool, Some(lane));
+        config.zip(least).is_some_and(|(config, need)| {
+            !allows_task(&config.limit, &self.ledger.usage(account), &need)
+        })
+    }
+
+    /// Computes the shares of an account in a pool.
+    fn update_account(&mut self, pool: &str, account: Option<&AccountName>) {
+        for lane in JobLane::of_account(account) {
+            self.update_share(pool, &lane);
+        }
+    }
+
+    fn update_share(&mut self, pool: &str, lane: &JobLane) {
+        let account = lane.account();
+        let config = account.and_then(|account| self.account_config(account));
+        // Jobs of an account that is no longer configured have the weight of those without.
+        let weight = config.map_or(self.accounts.mean_weight, |config| config.weight);
+        let capacity = self.accounts.capacity.get(pool).copied();
+        let usage = self.ledger.pool_usage(pool, account);
+        let share = weighted_share(&usage, &capacity.unwrap_or_default(), weight);
+        self.waiting.set_share(pool, lane, lane.position(share));
+    }
+
+    /// Computes the pools' capacities if that is due, and then all shares.
+    fn update_capacities(&mut self, now: u64) {
+        let updated_ms = self.accounts.capacity_ms;
+        if updated_ms.is_some_and(|updated_ms| now < updated_ms + CAPACITY_MS) {
+            return;
+        }
+        self.accounts.capacity_ms = Some(now);
+        self.accounts.capacity.clear();
+        for view in self
+            .workers
+            .values()
+            .filter(|view| view.is_schedulable(now))
+        {
+            let capacity = self.accounts.capacity.entry(view.entry.pool.clone());
+            capacity.or_default().add(&view.entry.capacity);
+        }
+        self.waiting.mark_shares(None, None);
+    }
+}
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -324,6 +324,7 @@
         let age_ms = time.unix.saturating_sub(body.submitted_ms);
         let mut job = JobEntry::restore(id.clone(), body, progress, time.boot, age_ms);
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
+        self.restore_rate(&job, time.boot);
         self.jobs.insert(id.clone(), job);
         self.waiting.insert(&id);
         self.count_restored_runs(&id);
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -212,6 +212,7 @@
                             pool: request.pool,
                             spec,
                             account: request.account.map(Into::into),
+                            beyond_rate: false,
                         };
                         self.engine.submit(submission, waiter, time);
                     }
--- a/tests/jobs_waiting.rs
+++ b/tests/jobs_waiting.rs
@@ -6,9 +6,11 @@
 mod world;
 
 use chicorygauge::jobs::record::BodyRecord;
+use chicorygauge::jobs::share::JobLane;
 use chicorygauge::jobs::types::JobId;
 use chicorygauge::jobs::types::JobSchedule;
 use chicorygauge::jobs::types::JobSpec;
+use chicorygauge::jobs::types::ResourceVector;
 use chicorygauge::jobs::waiting::JobRank;
 use chicorygauge::jobs::waiting::WaitingJobs;
 use world::POOL;
@@ -47,11 +49,17 @@
 fn waiting_order_by_rank() {
     let mut waiting = WaitingJobs::default();
     for (number, work) in [3.0, 1.0, 2.0].into_iter().enumerate() {
-        waiting.set_rank(&job_id(number), POOL, rank(work));
+        waiting.set_rank(
+            &job_id(number),
+            POOL,
+            &JobLane::Common,
+            rank(work),
+            ResourceVector::default(),
+        );
     }
     let mut order = Vec::new();
     let mut place = None;
-    while let Some(next) = waiting.next(POOL, place.as_ref()) {
+    while let Some(next) = waiting.next(POOL, &JobLane::Common, place.as_ref()) {
         order.push(next.1.clone());
         place = Some(next);
     }
@@ -62,21 +70,39 @@
 #[test]
 fn waiting_inserted_twice_once_listed() {
     let mut waiting = WaitingJobs::default();
-    waiting.set_rank(&job_id(1), POOL, rank(1.0));
+    waiting.set_rank(
+        &job_id(1),
+        POOL,
+        &JobLane::Common,
+        rank(1.0),
+        ResourceVector::default(),
+    );
     waiting.insert(&job_id(1));
     assert_eq!(waiting.len(), 1);
-    waiting.set_rank(&job_id(1), POOL, rank(2.0));
+    waiting.set_rank(
+        &job_id(1),
+        POOL,
+        &JobLane::Common,
+        rank(2.0),
+        ResourceVector::default(),
+    );
     assert_eq!(waiting.len(), 1);
     waiting.remove(&job_id(1));
     assert!(waiting.is_empty());
-    assert_eq!(waiting.next(POOL, None), None);
+    assert_eq!(waiting.next(POOL, &JobLane::Common, None), None);
 }
 
 /// A pool in which nothing has changed must not be looked at again.
 #[test]
 fn waiting_pool_due_once() {
     let mut waiting = WaitingJobs::default();
-    waiting.set_rank(&job_id(1), POOL, rank(1.0));
+    waiting.set_rank(
+        &job_id(1),
+        POOL,
+        &JobLane::Common,
+        rank(1.0),
+        ResourceVector::default(),
+    );
     assert_eq!(waiting.take_due_pools(), [POOL]);
     assert!(waiting.take_due_pools().is_empty());
     waiting.mark_due(POOL);
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -309,7 +309,7 @@
             holder: format!("entry-{epoch}"),
             ..self.engine.settings.clone()
         };
-        let mut engine = JobEngine::new(settings, epoch, Arc::new(config()), self.now);
+        let mut engine = JobEngine::new(settings, epoch, Arc::clone(&self.engine.config), self.now);
         engine.inherited_leases_expiry_ms = self.now + 5000;
         engine.fleet.enabled = self.engine.fleet.enabled;
         let time = self.time();
@@ -387,6 +387,11 @@
 
     /// Submits a job; the answer is stored in `answers` under `waiter`.
     pub fn submit(&mut self, id: &str, spec: &JobSpec, waiter: u64) {
+        self.submit_as(id, spec, None, waiter);
+    }
+
+    /// Submits a job of an account, like [`Self::submit`].
+    pub fn submit_as(&mut self, id: &str, spec: &JobSpec, account: Option<&str>, waiter: u64) {
         self.specs.insert(id.to_owned(), spec.clone());
         self.submitted.entry(id.to_owned()).or_insert(self.now);
         let submission = Submission {
@@ -394,7 +399,8 @@
             queue: "orders".to_owned(),
             pool: POOL.to_owned(),
             spec: spec.clone(),
-            account: None,
+            account: account.map(Into::into),
+            beyond_rate: false,
         };
         let time = self.time();
         self.engine.submit(submission, waiter, time);
