--- a/tests/jobs_waiting.rs
+++ b/tests/jobs_waiting.rs
@@ -5,8 +5,11 @@
 #[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
+use std::collections::BTreeSet;
+
 use chicorygauge::jobs::record::BodyRecord;
 use chicorygauge::jobs::share::JobLane;
+use chicorygauge::jobs::share::weighted_share;
 use chicorygauge::jobs::types::JobId;
 use chicorygauge::jobs::types::JobSchedule;
 use chicorygauge::jobs::types::JobSpec;
@@ -109,6 +112,143 @@
     assert_eq!(waiting.take_due_pools(), [POOL]);
 }
 
+fn lane(account: &str) -> JobLane {
+    JobLane::Account(Some(account.into()))
+}
+
+fn need(cpu: u64) -> ResourceVector {
+    ResourceVector {
+        cpu,
+        memory_mb: 100,
+        gpu: 0,
+    }
+}
+
+/// Adds jobs numbered from `first` on to a lane, ranked by number.
+fn add_to_lane(waiting: &mut WaitingJobs, lane: &JobLane, first: usize, count: usize) {
+    for number in first..first + count {
+        waiting.set_rank(&job_id(number), POOL, lane, rank(number as f64), need(1000));
+    }
+}
+
+/// Returns the jobs of a lane that one pass tries if none has a fitting task.
+fn tries_of_pass(waiting: &mut WaitingJobs, lane: &JobLane) -> Vec<JobId> {
+    let _outdated = waiting.begin_pass(POOL);
+    let mut tried = Vec::new();
+    while let Some(id) = waiting.next_try(POOL, lane) {
+        waiting.record_try(POOL, lane, false);
+        tried.push(id);
+    }
+    tried
+}
+
+/// Load pattern: an account has hundreds of jobs that fit nowhere. A pass must leave it after a
+/// few, and later passes must reach its last job too.
+#[test]
+fn lane_misses_bounded_and_resumed() {
+    let mut waiting = WaitingJobs::default();
+    add_to_lane(&mut waiting, &lane("a"), 0, 100);
+    let mut reached = BTreeSet::new();
+    for _ in 0..25 {
+        let tried = tries_of_pass(&mut waiting, &lane("a"));
+        assert!(tried.len() <= 8, "{tried:?}");
+        assert_eq!(tried[0], job_id(0), "the lowest rank comes first");
+        reached.extend(tried);
+    }
+    assert_eq!(reached.len(), 100);
+}
+
+/// Load pattern: as above while all ranks are computed anew between the passes. The jobs behind
+/// must still be reached.
+#[test]
+fn lane_resumed_after_ranks_expire() {
+    let mut waiting = WaitingJobs::default();
+    let mut reached = BTreeSet::new();
+    for _ in 0..25 {
+        waiting.expire_ranks();
+        assert!(waiting.take_unranked(0).len() <= 100);
+        add_to_lane(&mut waiting, &lane("a"), 0, 100);
+        assert_eq!(waiting.take_due_pools(), [POOL]);
+        reached.extend(tries_of_pass(&mut waiting, &lane("a")));
+    }
+    assert_eq!(reached.len(), 100);
+}
+
+/// Load pattern: one account's jobs fit nowhere, those of another are tried after them. The
+/// misses of one lane must not count in the other.
+#[test]
+fn lane_misses_of_one_leave_others() {
+    let mut waiting = WaitingJobs::default();
+    add_to_lane(&mut waiting, &lane("a"), 0, 50);
+    add_to_lane(&mut waiting, &lane("b"), 50, 2);
+    assert_eq!(tries_of_pass(&mut waiting, &lane("a")).len(), 8);
+    assert_eq!(waiting.next_try(POOL, &lane("b")), Some(job_id(50)));
+    assert_eq!(waiting.next_try(POOL, &lane("b")), Some(job_id(51)));
+    assert_eq!(waiting.next_try(POOL, &lane("b")), None);
+}
+
+/// Load pattern: a thousand accounts come and go. Lanes without jobs must not stay in memory or
+/// in the order that passes go through.
+#[test]
+fn lane_without_jobs_removed() {
+    let mut waiting = WaitingJobs::default();
+    for number in 0..1000 {
+        let lane = lane(&format!("t{number}"));
+        add_to_lane(&mut waiting, &lane, number, 1);
+        waiting.set_share(POOL, &lane, lane.position(0.0));
+    }
+    for number in 0..500 {
+        waiting.remove(&job_id(number));
+    }
+    assert_eq!(waiting.lanes(POOL), 500);
+    waiting.expire_ranks();
+    assert_eq!(waiting.take_unranked(0).len(), 500);
+    add_to_lane(&mut waiting, &lane("t999"), 999, 1);
+    assert_eq!(waiting.take_due_pools(), [POOL]);
+    assert_eq!(waiting.lanes(POOL), 1);
+    let first = waiting.next_lane(POOL, None).map(|(_, lane)| lane);
+    assert_eq!(first, Some(lane("t999")));
+    waiting.remove(&job_id(999));
+    assert_eq!(waiting.next_lane(POOL, None), None);
+}
+
+/// Load pattern: accounts with different weights and tasks that need mainly CPU or mainly
+/// memory. An order by CPU alone would let one take all memory.
+#[test]
+fn lanes_by_dominant_resource_and_weight() {
+    let capacity = ResourceVector {
+        cpu: 100_000,
+        memory_mb: 100_000,
+        gpu: 0,
+    };
+    let usage = |cpu, memory_mb| ResourceVector {
+        cpu,
+        memory_mb,
+        gpu: 0,
+    };
+    let mut waiting = WaitingJobs::default();
+    let rows = [
+        ("memory", usage(1_000, 50_000), 1.0),
+        ("cpu", usage(40_000, 1_000), 1.0),
+        ("heavy", usage(60_000, 60_000), 4.0),
+    ];
+    for (number, (name, usage, weight)) in rows.iter().enumerate() {
+        add_to_lane(&mut waiting, &lane(name), number, 1);
+        let share = weighted_share(usage, &capacity, *weight);
+        waiting.set_share(POOL, &lane(name), lane(name).position(share));
+    }
+    let beyond = JobLane::BeyondRate("cpu".into());
+    add_to_lane(&mut waiting, &beyond, 9, 1);
+    waiting.set_share(POOL, &beyond, beyond.position(0.0));
+    let mut order = Vec::new();
+    let mut after = None;
+    while let Some(next) = waiting.next_lane(POOL, after.as_ref()) {
+        order.push(next.1.clone());
+        after = Some(next);
+    }
+    assert_eq!(order, [lane("heavy"), lane("cpu"), lane("memory"), beyond]);
+}
+
 /// Load pattern: a queue's peak leaves hundreds of jobs that fit nowhere. A job that fits
 /// beside what is running must start soon, although all of them rank before it.
 #[test]
