--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -60,6 +60,17 @@
     pub(crate) cleared: bool,
 }
 
+impl LaneOrder {
+    /// Returns a lane with one job.
+    pub(crate) fn new(position: WaitingPosition, least_need: ResourceVector) -> Self {
+        Self {
+            jobs: BTreeSet::from([position]),
+            least_need: Some(least_need),
+            ..Self::default()
+        }
+    }
+}
+
 impl PoolOrder {
     /// Removes all jobs; the lanes keep where the previous pass stopped.
     pub(crate) fn clear(&mut self) {
--- a/src/jobs/place_shares.rs
+++ b/src/jobs/place_shares.rs
@@ -8,6 +8,8 @@
 //! at [`MAX_PASS_SKIPS`] accounts of which no task can fit in each of both parts. All other
 //! tries place a task. It ends as soon as no task of any account can fit.
 
+use std::collections::HashMap;
+
 use crate::jobs::account::AccountName;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
@@ -78,7 +80,11 @@
         if self.config.accounts.is_none() {
             return;
         }
-        if let Some(job) = self.jobs.get(id) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        // Usually nothing waits.
+        if self.waiting.has_accounts(self.pool_of(job)) {
             let (pool, account) = (self.pool_of(job).to_owned(), job.body.account.clone());
             self.waiting.mark_shares(Some(&pool), account.as_ref());
         }
@@ -177,7 +183,9 @@
     /// Computes the shares of an account in a pool.
     fn update_account(&mut self, pool: &str, account: Option<&AccountName>) {
         for lane in JobLane::of_account(account) {
-            self.update_share(pool, &lane);
+            if self.waiting.has_lane(pool, &lane) {
+                self.update_share(pool, &lane);
+            }
         }
     }
 
@@ -192,22 +200,30 @@
         self.waiting.set_share(pool, lane, lane.position(share));
     }
 
-    /// Computes the pools' capacities if that is due, and then all shares.
+    /// Computes the pools' capacities if that is due, and all shares if they have changed.
     fn update_capacities(&mut self, now: u64) {
         let updated_ms = self.accounts.capacity_ms;
         if updated_ms.is_some_and(|updated_ms| now < updated_ms + CAPACITY_MS) {
             return;
         }
         self.accounts.capacity_ms = Some(now);
-        self.accounts.capacity.clear();
+        let mut capacities: HashMap<String, ResourceVector> = HashMap::new();
         for view in self
             .workers
             .values()
             .filter(|view| view.is_schedulable(now))
         {
-            let capacity = self.accounts.capacity.entry(view.entry.pool.clone());
-            capacity.or_default().add(&view.entry.capacity);
+            match capacities.get_mut(&view.entry.pool) {
+                Some(sum) => sum.add(&view.entry.capacity),
+                None => {
+                    capacities.insert(view.entry.pool.clone(), view.entry.capacity);
+                }
+            }
+        }
+        // Without a former time, weights may have changed.
+        if updated_ms.is_none() || capacities != self.accounts.capacity {
+            self.accounts.capacity = capacities;
+            self.waiting.mark_shares(None, None);
         }
-        self.waiting.mark_shares(None, None);
     }
 }
--- a/src/jobs/waiting.rs
+++ b/src/jobs/waiting.rs
@@ -109,16 +109,17 @@
         self.ranked.insert(id.clone(), ranked);
         let order = self.pools.entry(pool.to_owned()).or_default();
         order.due = true;
-        if !order.lanes.contains_key(lane) {
-            order.lanes.insert(lane.clone(), LaneOrder::default());
+        let position = (rank, id.clone());
+        if let Some(lane) = order.lanes.get_mut(lane) {
+            lane.jobs.insert(position);
+            lane.least_need = Some(lower_bound(lane.least_need, least_need));
+        } else {
+            let added = LaneOrder::new(position, least_need);
+            order.lanes.insert(lane.clone(), added);
             if *lane != JobLane::Common {
                 order.outdated.insert(lane.clone());
             }
         }
-        if let Some(lane) = order.lanes.get_mut(lane) {
-            lane.jobs.insert((rank, id.clone()));
-            lane.least_need = Some(lower_bound(lane.least_need, least_need));
-        }
         if *lane != JobLane::Common {
             order.least_need = Some(lower_bound(order.least_need, least_need));
         }
@@ -273,6 +274,21 @@
         }
     }
 
+    /// Returns whether jobs of accounts wait in a pool.
+    #[must_use]
+    pub fn has_accounts(&self, pool: &str) -> bool {
+        let order = self.pools.get(pool);
+        let last = order.and_then(|order| order.lanes.last_key_value());
+        last.is_some_and(|(lane, _)| *lane != JobLane::Common)
+    }
+
+    /// Returns whether a lane of a pool has waiting jobs.
+    #[must_use]
+    pub fn has_lane(&self, pool: &str, lane: &JobLane) -> bool {
+        let order = self.pools.get(pool);
+        order.is_some_and(|order| order.lanes.contains_key(lane))
+    }
+
     /// Returns the number of lanes of a pool, including the common one.
     #[must_use]
     pub fn lanes(&self, pool: &str) -> usize {
