Shares: no order for a pool in which only one account waits

Each run end makes its job wait for a moment, so most passes see one lane; they computed its share each time.

--- a/src/jobs/place_shares.rs
+++ b/src/jobs/place_shares.rs
@@ -92,11 +92,21 @@
 
     /// Places the waiting jobs of a pool's accounts by share.
     pub(crate) fn place_by_share(&mut self, pool: &str, now: u64) {
+        self.waiting.begin_pass(pool);
+        let mut budget = PassBudget::new(MAX_PASS_MISSES);
+        if let Some(lane) = self.waiting.only_lane(pool) {
+            // No order is needed. This is the usual case of a pool with free capacity, where
+            // only the job waits that has just been submitted or of which a run has ended.
+            while self.try_lane(pool, &lane, &mut budget, now) {}
+            if self.waiting.has_lane(pool, &lane) {
+                self.waiting.mark_shares(Some(pool), lane.account());
+            }
+            return;
+        }
         self.update_capacities(now);
-        for lane in self.waiting.begin_pass(pool) {
+        for lane in self.waiting.take_outdated(pool) {
             self.update_share(pool, &lane);
         }
-        let mut budget = PassBudget::new(MAX_PASS_MISSES);
         let mut after = None;
         while let Some(next) = self.waiting.next_lane(pool, after.as_ref()) {
             if self.is_full(pool, None) {
@@ -106,10 +116,7 @@
                 return self.place_in_rotation(pool, now);
             }
             if self.try_lane(pool, &next.1, &mut budget, now) {
-                // With a single lane there is no order.
-                if self.waiting.lanes(pool) > 1 {
-                    self.update_account(pool, next.1.account());
-                }
+                self.update_account(pool, next.1.account());
             } else {
                 after = Some(next);
             }
--- a/src/jobs/waiting.rs
+++ b/src/jobs/waiting.rs
@@ -198,14 +198,26 @@
         }
     }
 
-    /// Begins a pass over the lanes of a pool's accounts. Returns the lanes whose share must
-    /// be computed first.
-    pub fn begin_pass(&mut self, pool: &str) -> BTreeSet<JobLane> {
-        let Some(order) = self.pools.get_mut(pool) else {
-            return BTreeSet::new();
-        };
-        order.pass += 1;
-        std::mem::take(&mut order.outdated)
+    /// Begins a pass over the lanes of a pool's accounts.
+    pub fn begin_pass(&mut self, pool: &str) {
+        if let Some(order) = self.pools.get_mut(pool) {
+            order.pass += 1;
+        }
+    }
+
+    /// Returns the lanes of a pool whose share must be computed; none is left afterwards.
+    pub fn take_outdated(&mut self, pool: &str) -> BTreeSet<JobLane> {
+        let order = self.pools.get_mut(pool);
+        order.map_or_else(BTreeSet::new, |order| std::mem::take(&mut order.outdated))
+    }
+
+    /// Returns the lane of a pool in which jobs wait if there is only one, of an account.
+    #[must_use]
+    pub fn only_lane(&self, pool: &str) -> Option<JobLane> {
+        let lanes = &self.pools.get(pool)?.lanes;
+        let mut waiting = lanes.keys().filter(|lane| **lane != JobLane::Common);
+        let first = waiting.next()?;
+        waiting.next().is_none().then(|| first.clone())
     }
 
     /// Makes the next pass compute the shares of an account in a pool; without a pool, of all
--- a/tests/jobs_waiting.rs
+++ b/tests/jobs_waiting.rs
@@ -133,7 +133,7 @@
 
 /// Returns the jobs of a lane that one pass tries if none has a fitting task.
 fn tries_of_pass(waiting: &mut WaitingJobs, lane: &JobLane) -> Vec<JobId> {
-    let _outdated = waiting.begin_pass(POOL);
+    waiting.begin_pass(POOL);
     let mut tried = Vec::new();
     while let Some(id) = waiting.next_try(POOL, lane) {
         waiting.record_try(POOL, lane, false);
