--- a/tests/jobs_shares.rs
+++ b/tests/jobs_shares.rs
@@ -194,6 +194,28 @@
     assert!((2.7..=3.3).contains(&ratio), "{starts:?}");
 }
 
+/// Load pattern: an account and jobs without one keep a pool full. The latter must get the
+/// mean weight together, 200, beside 300.
+#[test]
+fn anonymous_jobs_share_with_mean_weight() {
+    let mut world = World::new(4, 1);
+    set_accounts(&mut world, 2, &[("a", 300.0, 0), ("idle", 100.0, 0)]);
+    world.run(100);
+    // Small tasks, so that the proportion is not rounded to whole jobs.
+    let spec = job(&[step(1, 2000, 400)]);
+    let mut since_ms = 0;
+    for round in 0..40 {
+        if round == 10 {
+            since_ms = world.now;
+        }
+        send(&mut world, &[load("a", 400.0, &spec)], 50, true);
+        send(&mut world, &[load("anonymous", 400.0, &spec)], 50, false);
+    }
+    let starts = starts_since(&world, since_ms);
+    let ratio = starts["a"] as f64 / starts["anonymous"] as f64;
+    assert!((1.35..=1.65).contains(&ratio), "{starts:?}");
+}
+
 /// Load pattern: as above, with large tasks of one account beside small ones of the other,
 /// which the order by rank would all place first.
 #[test]
