--- a/src/jobs/account_state.rs
+++ b/src/jobs/account_rates.rs
@@ -1,11 +1,8 @@
-//! What the scheduler keeps about client accounts beside their usage: the index of the
-//! configured ones, their submission rates, and the capacity that shares refer to.
+//! Submission rates of the client accounts, and what their shares of a pool refer to: the
+//! mean weight and the pools' capacity.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 
-use crate::jobs::account::AccountConfig;
-use crate::jobs::account::AccountName;
 use crate::jobs::callers::Submission;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
@@ -13,20 +10,14 @@
 use crate::jobs::share::mean_weight;
 use crate::jobs::types::ResourceVector;
 
-/// Maximum number of accounts with a metric of their own.
-const MAX_METRIC_ACCOUNTS: usize = 100;
-
-/// Label of the metrics of all other accounts.
-const OTHER_ACCOUNTS: &str = "other";
-
 /// Minimum time between two log lines about jobs beyond their rate, in milliseconds.
 const RATE_LOG_MS: u64 = 1000;
 
-/// What the scheduler keeps about accounts.
+/// What rates and shares of the accounts are determined from.
 #[derive(Clone, Debug, Default)]
 pub struct AccountState {
-    /// Position of each account in the configuration.
-    index: HashMap<String, usize>,
+    /// Whether the configuration in force has accounts.
+    configured: bool,
     /// Mean weight of the configured accounts.
     pub(crate) mean_weight: f64,
     /// Resources of the schedulable workers of each pool, as of `capacity_ms`.
@@ -38,49 +29,26 @@
     beyond_rate: u64,
     /// When jobs beyond their rate were last logged.
     rate_logged_ms: u64,
-    /// Accounts with a metric of their own.
-    metric_accounts: HashSet<AccountName>,
-}
-
-impl AccountState {
-    /// Returns the label of an account's metrics.
-    fn metric_label(&mut self, account: &AccountName) -> String {
-        let known = self.metric_accounts.contains(account);
-        if !known && self.metric_accounts.len() >= MAX_METRIC_ACCOUNTS {
-            return OTHER_ACCOUNTS.to_owned();
-        }
-        if !known {
-            self.metric_accounts.insert(account.clone());
-        }
-        account.to_string()
-    }
 }
 
 impl JobEngine {
-    /// Applies the accounts of the current configuration.
-    pub(crate) fn index_accounts(&mut self) {
-        let had_accounts = !self.accounts.index.is_empty();
+    /// Applies the accounts of the current configuration, which are indexed, to rates and
+    /// shares.
+    pub(crate) fn apply_weights(&mut self) {
         let accounts = self.config.accounts.as_deref().unwrap_or_default();
-        let names = accounts.iter().enumerate();
-        self.accounts.index = names
-            .map(|(at, account)| (account.name.clone(), at))
-            .collect();
         self.accounts.mean_weight = mean_weight(accounts);
-        let index = &self.accounts.index;
-        self.accounts.rates.retain(|name| index.contains_key(name));
+        let mut rates = std::mem::take(&mut self.accounts.rates);
+        rates.retain(|name| self.account_config(name).is_some());
+        self.accounts.rates = rates;
         self.accounts.capacity_ms = None;
-        if had_accounts || self.config.accounts.is_some() {
+        let is_configured = self.config.accounts.is_some();
+        let was_configured = std::mem::replace(&mut self.accounts.configured, is_configured);
+        if was_configured || is_configured {
             // The jobs' lanes depend on whether there are accounts.
             self.waiting.expire_ranks();
         }
     }
 
-    /// Returns the configuration of an account.
-    pub(crate) fn account_config(&self, name: &str) -> Option<&AccountConfig> {
-        let at = *self.accounts.index.get(name)?;
-        self.config.accounts.as_ref()?.get(at)
-    }
-
     /// Takes a token of the account's rate; returns whether the job is beyond the rate. Jobs
     /// without an account, or whose account is not configured, have no rate.
     pub(crate) fn take_rate(&mut self, submission: &Submission, now: u64) -> bool {
@@ -93,8 +61,8 @@
         if self.accounts.rates.take(account, weight, now) {
             return false;
         }
+        let label = self.account_label(account);
         let state = &mut self.accounts;
-        let label = state.metric_label(account);
         metrics::counter!("chicory_jobs_beyond_rate_total", "account" => label).increment(1);
         state.beyond_rate += 1;
         if now >= state.rate_logged_ms + RATE_LOG_MS {
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -15,11 +15,13 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use crate::jobs::account_state::AccountState;
+use crate::jobs::account::AccountName;
+use crate::jobs::account_rates::AccountState;
 use crate::jobs::actions::Action;
 use crate::jobs::actions::CallToken;
 use crate::jobs::actions::CallerAnswer;
 use crate::jobs::actions::WaiterId;
+use crate::jobs::admit::AdmissionState;
 use crate::jobs::candidates::PoolCandidates;
 use crate::jobs::config::JobConfig;
 use crate::jobs::config::QueueConfig;
@@ -27,15 +29,15 @@
 use crate::jobs::fleet::FleetState;
 use crate::jobs::job::JobEntry;
 use crate::jobs::ledger::AccountLedger;
+use crate::jobs::lend::LendingState;
+use crate::jobs::limits::LimitState;
 use crate::jobs::load::PoolLoad;
 use crate::jobs::stable_map::StableMap;
-use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
 use crate::jobs::unresponsive::UnresponsiveWorkers;
 use crate::jobs::waiting::WaitingJobs;
-use crate::jobs::worker::RunFootprint;
 use crate::jobs::worker::WorkerView;
 use crate::ports::WorkerCall;
 use crate::ports::worker::WorkerOrder;
@@ -71,9 +73,10 @@
     /// Duration of a VM's maintenance, in milliseconds.
     pub maintenance_ms: u64,
     /// Time after the end of a former holder's permit until its VM may be ordered, in
-    /// milliseconds. It covers the minimum time that the platform prescribes between
-    /// orders of two holders for one VM.
+    /// milliseconds; at least the platform's minimum time between two holders' orders.
     pub permit_wait_ms: u64,
+    /// Whether VMs that no pool needs for long enough are moved to the standby pool.
+    pub rest_idle_vms: bool,
     /// Name under which this owner orders moves and maintenance of VMs.
     pub holder: String,
 }
@@ -92,6 +95,7 @@
             move_ms: 1500,
             maintenance_ms: 2000,
             permit_wait_ms: 4000,
+            rest_idle_vms: false,
             holder: String::new(),
         }
     }
@@ -101,12 +105,14 @@
 const RUN_CHECK_MS: u64 = 300;
 
 /// A finished job, of which only the state is kept.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndedJob {
     /// Final state.
     pub state: JobState,
     /// When it ended, on the boot clock in milliseconds.
     pub ended_ms: u64,
+    /// Client account that submitted it.
+    pub account: Option<AccountName>,
 }
 
 /// The same instant on both clocks.
@@ -161,8 +167,8 @@
     pub(crate) actions: Vec<Action>,
     /// Resources in use by client account.
     pub ledger: AccountLedger,
-    /// When an account at its limit was last logged.
-    pub(crate) limit_logged_ms: u64,
+    /// Bookkeeping of the accounts' limits.
+    pub(crate) limits: LimitState,
     /// Jobs with tasks that may need placement.
     pub(crate) waiting: WaitingJobs,
     /// Submission rates of the accounts and what their order in the pools depends on.
@@ -171,18 +177,14 @@
     pub(crate) candidates: PoolCandidates,
     /// Workers with ends that are not known to be stored.
     pub(crate) ending_workers: BTreeSet<String>,
-    /// Moving average of the work of each queue's jobs, in millicore-milliseconds.
-    pub(crate) mean_job_work: HashMap<String, f64>,
     /// When the pace of each worker's fillers was last changed.
     pub(crate) pace_changed_ms: HashMap<String, u64>,
-    /// Recently accepted work by pool: time and millicore-milliseconds.
-    pub(crate) arrivals: HashMap<String, VecDeque<(u64, u64)>>,
-    /// Decaying maximum of each pool's demand in VMs, and the time of its last update.
-    pub(crate) decayed_demand: HashMap<String, (f64, u64)>,
-    /// Load by pool, as of `loads_updated_ms`.
+    /// What moves of VMs between pools are planned from.
+    pub(crate) lending: LendingState,
+    /// Load by pool, as of the last update.
     pub(crate) loads: BTreeMap<String, PoolLoad>,
-    /// When the loads were last recomputed.
-    pub(crate) loads_updated_ms: u64,
+    /// What admission knows beside the loads.
+    pub(crate) admission: AdmissionState,
     /// Position of each queue in the configuration.
     pub(crate) queue_index: HashMap<String, usize>,
     /// When runs were last checked for stuck ones and for their pace.
@@ -223,17 +225,15 @@
             advice_calls: 0,
             actions: Vec::new(),
             ledger: AccountLedger::default(),
-            limit_logged_ms: 0,
+            limits: LimitState::default(),
             waiting: WaitingJobs::default(),
             accounts: AccountState::default(),
             candidates: PoolCandidates::default(),
             ending_workers: BTreeSet::new(),
-            mean_job_work: HashMap::new(),
             pace_changed_ms: HashMap::new(),
-            arrivals: HashMap::new(),
-            decayed_demand: HashMap::new(),
+            lending: LendingState::default(),
             loads: BTreeMap::new(),
-            loads_updated_ms: 0,
+            admission: AdmissionState::default(),
             queue_index: HashMap::new(),
             runs_checked_ms: 0,
             unplaceable: HashMap::new(),
@@ -242,7 +242,7 @@
             stop_retries: Vec::new(),
         };
         engine.index_queues();
-        engine.index_accounts();
+        engine.apply_accounts();
         engine
     }
 
@@ -262,7 +262,7 @@
             log::info!(event = "scheduler_config", version = config.version, before = self.config.version; "");
             self.config = config;
             self.index_queues();
-            self.index_accounts();
+            self.apply_accounts();
             self.waiting.mark_all_due();
         }
     }
@@ -317,6 +317,7 @@
         }
         self.expire_ended_jobs(time.boot);
         self.plan_fleet(time.boot);
+        self.update_account_metrics(time.boot);
         self.candidates.clear();
         self.waiting.mark_all_due();
     }
@@ -336,79 +337,4 @@
             }
         }
     }
-
-    /// Forgets finished jobs after their retention and queues their records for removal.
-    fn expire_ended_jobs(&mut self, now: u64) {
-        while let Some((ended_ms, _)) = self.ended_order.front()
-            && ended_ms + self.settings.ended_retention_ms < now
-        {
-            if let Some((_, id)) = self.ended_order.pop_front() {
-                self.ended.remove(&id);
-                self.expired.push_back(id);
-            }
-        }
-    }
-
-    /// Stops the remaining runs of a job in a final state, and replaces the job by its
-    /// state once that is stored and no run is left. Does nothing for other jobs.
-    pub(crate) fn finalize_job(&mut self, id: &JobId, now: u64) {
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        if !job.state.is_final() {
-            return;
-        }
-        let live: Vec<_> = job
-            .live_runs()
-            .map(|(task, run)| (task, run.clone()))
-            .collect();
-        for (task, run) in &live {
-            if matches!(run.phase, RunPhase::Reserved(_)) {
-                // Its start was never sent.
-                self.release_run(task, &run.worker, run.run);
-            } else if !run.phase.is_stopping() {
-                self.stop_run(task, &run.worker, run.run, now);
-            }
-        }
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        if job.stored_version < job.version || job.live_runs().next().is_some() {
-            return;
-        }
-        let state = job.state;
-        self.jobs.remove(id);
-        self.waiting.remove(id);
-        self.ended.insert(
-            id.clone(),
-            EndedJob {
-                state,
-                ended_ms: now,
-            },
-        );
-        self.ended_order.push_back((now, id.clone()));
-    }
-
-    /// Removes a run from its task and frees its capacity at the worker.
-    pub(crate) fn release_run(&mut self, task: &TaskId, worker: &str, run: u32) {
-        self.ledger.end(task, run);
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            let footprint = job
-                .step_spec(task)
-                .map(RunFootprint::from)
-                .unwrap_or_default();
-            if let Some(state) = job.task_mut(task) {
-                state
-                    .placed
-                    .retain(|placed| placed.run != run || placed.worker != worker);
-            }
-            if let Some(view) = self.workers.get_mut(worker) {
-                view.remove_run(task, run, footprint);
-                self.candidates.update(worker, view);
-                self.waiting.mark_due(&view.entry.pool);
-            }
-        }
-        self.mark_share(&task.job);
-        self.waiting.insert(&task.job);
-    }
 }
--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -14,6 +14,18 @@
 /// account, once from its lowest rank on and once where the previous pass stopped.
 const MAX_LANE_MISSES: usize = 4;
 
+/// Result of a try to place tasks of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TryOutcome {
+    /// A task was placed, or none waits any more.
+    Placed,
+    /// The limit of the job's account allows no further task of it, which says nothing about
+    /// the pool.
+    Limited,
+    /// No task fits.
+    Missed,
+}
+
 /// State of a pass in a lane.
 #[derive(Clone, Debug, Default)]
 struct LaneVisit {
@@ -128,10 +140,14 @@
         Some(next.1)
     }
 
-    /// Records whether the last job tried in a lane had a fitting task.
-    pub(crate) fn record_try(&mut self, lane: &JobLane, placed: bool) {
+    /// Records the result of the last try in a lane.
+    pub(crate) fn record_try(&mut self, lane: &JobLane, outcome: TryOutcome) {
         if let Some(lane) = self.lanes.get_mut(lane) {
-            lane.visit.misses = if placed { 0 } else { lane.visit.misses + 1 };
+            match outcome {
+                TryOutcome::Placed => lane.visit.misses = 0,
+                TryOutcome::Limited => {}
+                TryOutcome::Missed => lane.visit.misses += 1,
+            }
         }
     }
 }
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -8,12 +8,13 @@
 
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
+use crate::jobs::lanes::TryOutcome;
 use crate::jobs::limits::StartKind;
 use crate::jobs::share::JobLane;
-use crate::jobs::task::TaskRun;
+use crate::jobs::size_guard::preferred_rank;
 use crate::jobs::task::TaskState;
 use crate::jobs::types::JobId;
-use crate::jobs::types::ResourceVector;
+use crate::jobs::types::JobSpec;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
 use crate::jobs::waiting::JobRank;
@@ -23,16 +24,6 @@
 /// that, a slower run on another rack would end sooner.
 const RACK_LOCAL_WAIT_FACTOR: f64 = 1.0;
 
-/// Progress of a run, in percent, from which on it gets no speculative copy, as a copy
-/// would hardly end sooner.
-const NO_COPY_PERCENT: u32 = 80;
-
-/// Multiple of its estimate after which a run counts as a straggler.
-const STRAGGLER_FACTOR: f64 = 2.0;
-
-/// Added to the straggler limit for the start of a run and its reporting, in milliseconds.
-const STRAGGLER_SLACK_MS: u64 = 400;
-
 /// Delay after the end of a run before its task is placed again, in milliseconds.
 const RETRY_DELAY_MS: u64 = 20;
 
@@ -44,6 +35,10 @@
 /// The first part starts at the lowest rank, the second where the previous pass stopped.
 const MAX_MISSES: usize = 16;
 
+/// Number of jobs at their account's limit that a part of a pass tries besides. They are no
+/// sign of a full pool, and cost only a look at the account.
+pub(crate) const MAX_LIMITED: usize = 512;
+
 /// Class of jobs with long-running tasks.
 const CLASS_LONG_RUNNING: u32 = 0;
 /// Class of jobs that can still meet their objective.
@@ -81,8 +76,9 @@
         self.waiting.set_reached(pool, reached);
     }
 
-    /// Places the waiting jobs of a pool's common lane after a position, until [`MAX_MISSES`] consecutive
-    /// ones had no fitting task. Returns the position of the last job tried, none if it was
+    /// Places the waiting jobs of a pool's common lane after a position, until
+    /// [`MAX_MISSES`] consecutive ones had no fitting task, or [`MAX_LIMITED`] were at their
+    /// account's limit. Returns the position of the last job tried, none if it was
     /// the last of the pool.
     fn place_after(
         &mut self,
@@ -90,42 +86,67 @@
         mut position: Option<WaitingPosition>,
         now: u64,
     ) -> Option<WaitingPosition> {
-        let mut misses = 0;
-        while misses < MAX_MISSES {
+        let (mut misses, mut limited) = (0, 0);
+        while misses < MAX_MISSES && limited < MAX_LIMITED {
             let next = self
                 .waiting
                 .next(pool, &JobLane::Common, position.as_ref())?;
-            if self.place_job(&next.1, now) {
-                misses = 0;
-            } else {
-                misses += 1;
+            match self.try_job(&next.1, now) {
+                TryOutcome::Placed => misses = 0,
+                TryOutcome::Limited => limited += 1,
+                TryOutcome::Missed => misses += 1,
             }
             position = Some(next);
         }
         position
     }
 
+    /// Places the tasks of a job; does not look for workers if its account's limit allows
+    /// none of them.
+    pub(crate) fn try_job(&mut self, id: &JobId, now: u64) -> TryOutcome {
+        let checks = self.limits.failed_checks;
+        if self.is_exhausted(id, now) {
+            TryOutcome::Limited
+        } else if self.place_job(id, now) {
+            TryOutcome::Placed
+        } else if self.limits.failed_checks > checks {
+            TryOutcome::Limited
+        } else {
+            TryOutcome::Missed
+        }
+    }
+
     fn rank(&self, job: &JobEntry, now: u64) -> JobRank {
-        let queue = self.queue_of(job);
-        let priority = queue.map_or(0, |queue| queue.priority);
-        if job.body.spec.has_long_running_step() {
+        let (work, critical_path_ms) = remaining_work(job);
+        let due_ms = job.submitted_ms + self.objective_ms(job);
+        let timely = now + critical_path_ms <= due_ms;
+        let rank = self.rank_of_work(&job.body.queue, &job.body.spec, work, timely);
+        preferred_rank(rank, job.preferred)
+    }
+
+    /// Returns the rank of a job of a queue with `work` left, in millicore-milliseconds.
+    pub(crate) fn rank_of_work(
+        &self,
+        queue: &str,
+        spec: &JobSpec,
+        work: u64,
+        timely: bool,
+    ) -> JobRank {
+        let at = self.queue_index.get(queue);
+        let config = at.and_then(|at| self.config.queues.get(*at));
+        let priority = config.map_or(0, |config| config.priority);
+        if spec.has_long_running_step() {
             return JobRank {
                 class: CLASS_LONG_RUNNING,
                 priority,
                 work_per_value: 0.0,
             };
         }
-        let (work, critical_path_ms) = remaining_work(job);
-        let total = job.body.spec.work().max(1) as f64;
-        let due_ms = job.submitted_ms + self.objective_ms(job);
-        let class = if now + critical_path_ms <= due_ms {
-            CLASS_TIMELY
-        } else {
-            CLASS_LATE
-        };
+        let total = spec.work().max(1) as f64;
+        let class = if timely { CLASS_TIMELY } else { CLASS_LATE };
         // Part of a job's value does not depend on its size, so small jobs have more
         // value per work. Only the remaining work counts, not what is already spent.
-        let mean = self.mean_work(&job.body.queue).max(1.0);
+        let mean = self.mean_work(queue).max(1.0);
         let value = 0.3 + 0.7 * (total / mean).min(5.0);
         JobRank {
             class,
@@ -147,7 +168,11 @@
 
     /// Returns the moving average of the work of a queue's jobs, in millicore-milliseconds.
     fn mean_work(&self, queue: &str) -> f64 {
-        self.mean_job_work.get(queue).copied().unwrap_or(1.0)
+        self.admission
+            .mean_job_work
+            .get(queue)
+            .copied()
+            .unwrap_or(1.0)
     }
 
     /// Adds the work of a new job, in millicore-milliseconds, to its queue's average.
@@ -155,6 +180,7 @@
         /// Weight of a new job in the average, which covers about the last 20 jobs.
         const MEAN_WEIGHT: f64 = 0.05;
         let mean = self
+            .admission
             .mean_job_work
             .entry(queue.to_owned())
             .or_insert(work as f64);
@@ -163,7 +189,7 @@
 
     /// Places the tasks of a job's open steps; the job stops waiting if none of them does.
     /// Returns false if tasks are waiting and none was placed.
-    pub(crate) fn place_job(&mut self, id: &JobId, now: u64) -> bool {
+    fn place_job(&mut self, id: &JobId, now: u64) -> bool {
         let Some(job) = self.jobs.get(id) else {
             self.waiting.remove(id);
             return true;
@@ -304,54 +330,6 @@
             workers = in_pool().count(), schedulable = schedulable, fitting = fitting.count(); ""
         );
     }
-
-    /// Places speculative copies of straggling runs.
-    fn place_speculative_copies(&mut self, first: &TaskId, pool: &str, spec: &StepSpec, now: u64) {
-        let Some(job) = self.jobs.get(&first.job) else {
-            return;
-        };
-        let Some(step) = job
-            .open
-            .get(&first.occurrence)
-            .and_then(|steps| steps.get(first.step as usize))
-        else {
-            return;
-        };
-        let limit_ms = straggler_limit_ms(spec);
-        let is_late = |run: &TaskRun| {
-            let view = self.workers.get(&run.worker);
-            view.is_some_and(|view| view.observed_ms(now) > run.started_ms + limit_ms)
-        };
-        let is_straggling = |task: &TaskState| match task.placed.as_slice() {
-            [run] => !task.done && is_late(run) && run.percent < NO_COPY_PERCENT,
-            _ => false,
-        };
-        let stragglers = step
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(_, task)| is_straggling(task));
-        let stragglers: Vec<u32> = stragglers.map(|(index, _)| index as u32).collect();
-        for index in stragglers {
-            let task = TaskId {
-                index,
-                ..first.clone()
-            };
-            if !self.account_allows(&first.job, spec, StartKind::Copy, now) {
-                return;
-            }
-            if let Some(worker) = self.choose_worker(&task, pool, spec, false, now) {
-                log::info!(event = "speculative_copy_placed", task:% = task, worker = worker.as_str(); "");
-                self.reserve(&task, &worker, spec, now);
-            }
-        }
-    }
-}
-
-/// Returns the time after which a run of a step counts as a straggler, in milliseconds.
-#[must_use]
-pub fn straggler_limit_ms(spec: &StepSpec) -> u64 {
-    (spec.estimate_ms as f64 * STRAGGLER_FACTOR) as u64 + STRAGGLER_SLACK_MS
 }
 
 /// Returns the remaining work of a job in millicore-milliseconds, and its remaining
@@ -382,15 +360,3 @@
     }
     (work, longest)
 }
-
-/// Returns the capacity that all tasks of a step reserve together.
-#[must_use]
-pub fn step_need(spec: &StepSpec) -> ResourceVector {
-    let need = spec.reserved();
-    let tasks = u64::from(spec.tasks);
-    ResourceVector {
-        cpu: need.cpu * tasks,
-        memory_mb: need.memory_mb * tasks,
-        gpu: need.gpu * tasks,
-    }
-}
--- a/src/jobs/place_shares.rs
+++ b/src/jobs/place_shares.rs
@@ -1,19 +1,22 @@
 //! Placement of the waiting jobs of client accounts, in the order of the accounts' shares.
 //!
 //! A pass serves the account with the lowest weighted share first and computes its share
-//! anew after each job. An account whose jobs fit nowhere, or which is at its limit, is left
-//! after a few jobs; it blocks no other one. The pass is bounded: it tries at most
-//! [`MAX_PASS_MISSES`] jobs without a fitting task in the order of shares, and
-//! [`MAX_ROTATION_MISSES`] more after the account where the previous pass stopped, and looks
-//! at [`MAX_PASS_SKIPS`] accounts of which no task can fit in each of both parts. All other
-//! tries place a task. It ends as soon as no task of any account can fit.
+//! anew after each job. An account whose jobs fit nowhere is left after a few jobs, and one
+//! whose limit allows none of its tasks is skipped; neither blocks another one. The pass is
+//! bounded: it tries at most [`MAX_PASS_MISSES`] jobs without a fitting task in the order of
+//! shares, and [`MAX_ROTATION_MISSES`] more after the account where the previous pass
+//! stopped. In each of both parts, it tries [`MAX_LIMITED`] jobs besides that are at their
+//! account's limit, and looks at [`MAX_PASS_SKIPS`] accounts of which no task can start. All
+//! other tries place a task. It ends as soon as no task of any account can fit.
 
 use std::collections::HashMap;
 
 use crate::jobs::account::AccountName;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
+use crate::jobs::lanes::TryOutcome;
 use crate::jobs::ledger::allows_task;
+use crate::jobs::place::MAX_LIMITED;
 use crate::jobs::share::JobLane;
 use crate::jobs::share::weighted_share;
 use crate::jobs::types::JobId;
@@ -26,7 +29,7 @@
 /// The same in the part of a pass that continues where the previous one stopped.
 const MAX_ROTATION_MISSES: usize = 16;
 
-/// Maximum number of accounts without a task that can fit that each part of a pass looks at.
+/// Maximum number of accounts without a task that can start that each part of a pass looks at.
 const MAX_PASS_SKIPS: usize = 256;
 
 /// Time between two computations of the pools' capacity, in milliseconds. Only the ratio of
@@ -37,6 +40,7 @@
 #[derive(Clone, Copy, Debug)]
 struct PassBudget {
     misses: usize,
+    limited: usize,
     skips: usize,
 }
 
@@ -44,6 +48,7 @@
     fn new(misses: usize) -> Self {
         Self {
             misses,
+            limited: MAX_LIMITED,
             skips: MAX_PASS_SKIPS,
         }
     }
@@ -51,6 +56,22 @@
     fn is_left(&self) -> bool {
         self.misses > 0 && self.skips > 0
     }
+
+    /// Charges a try and returns as what it counts: jobs at their account's limit count as
+    /// misses once those that a part tries besides are used up.
+    fn charge(&mut self, outcome: TryOutcome) -> TryOutcome {
+        match outcome {
+            TryOutcome::Placed => outcome,
+            TryOutcome::Limited if self.limited > 0 => {
+                self.limited -= 1;
+                outcome
+            }
+            TryOutcome::Limited | TryOutcome::Missed => {
+                self.misses = self.misses.saturating_sub(1);
+                TryOutcome::Missed
+            }
+        }
+    }
 }
 
 impl JobEngine {
@@ -143,19 +164,18 @@
 
     /// Tries the next jobs of a lane until a task is placed, which is returned.
     fn try_lane(&mut self, pool: &str, lane: &JobLane, budget: &mut PassBudget, now: u64) -> bool {
-        if self.is_full(pool, Some(lane)) {
-            budget.skips -= 1;
+        if self.is_full(pool, Some(lane)) || self.waits_for_limit(pool, lane, now) {
+            budget.skips = budget.skips.saturating_sub(1);
             return false;
         }
         while budget.misses > 0
             && let Some(id) = self.waiting.next_try(pool, lane)
         {
-            let placed = self.place_job(&id, now);
-            self.waiting.record_try(pool, lane, placed);
-            if placed {
+            let outcome = budget.charge(self.try_job(&id, now));
+            self.waiting.record_try(pool, lane, outcome);
+            if outcome == TryOutcome::Placed {
                 return true;
             }
-            budget.misses -= 1;
             if self.is_full(pool, Some(lane)) || self.is_at_limit(pool, lane) {
                 return false;
             }
@@ -187,6 +207,16 @@
         })
     }
 
+    /// Returns whether the limit of a lane's account allows none of its tasks; the pool is
+    /// then due once a run of the account ends.
+    fn waits_for_limit(&mut self, pool: &str, lane: &JobLane, now: u64) -> bool {
+        if !self.is_at_limit(pool, lane) {
+            return false;
+        }
+        let first = self.waiting.next(pool, lane, None);
+        first.is_some_and(|(_, id)| self.is_exhausted(&id, now))
+    }
+
     /// Computes the shares of an account in a pool.
     fn update_account(&mut self, pool: &str, account: Option<&AccountName>) {
         for lane in JobLane::of_account(account) {
--- a/src/jobs/rate.rs
+++ b/src/jobs/rate.rs
@@ -9,7 +9,7 @@
 use crate::jobs::account::AccountName;
 
 /// Time whose tokens a bucket holds, in milliseconds.
-pub const BUCKET_MS: u64 = 1000;
+const BUCKET_MS: u64 = 1000;
 
 /// Tokens of an account.
 #[derive(Clone, Copy, Debug)]
--- a/src/jobs/waiting.rs
+++ b/src/jobs/waiting.rs
@@ -16,6 +16,7 @@
 use crate::jobs::account::AccountName;
 use crate::jobs::lanes::LaneOrder;
 use crate::jobs::lanes::PoolOrder;
+use crate::jobs::lanes::TryOutcome;
 use crate::jobs::lanes::lower_bound;
 use crate::jobs::lanes::next_job;
 use crate::jobs::share::JobLane;
@@ -324,10 +325,10 @@
         self.pools.get_mut(pool)?.next_try(lane)
     }
 
-    /// Records whether the last job tried in a lane had a fitting task.
-    pub fn record_try(&mut self, pool: &str, lane: &JobLane, placed: bool) {
+    /// Records the result of the last try in a lane.
+    pub fn record_try(&mut self, pool: &str, lane: &JobLane, outcome: TryOutcome) {
         if let Some(order) = self.pools.get_mut(pool) {
-            order.record_try(lane, placed);
+            order.record_try(lane, outcome);
         }
     }
 
--- a/src/service/jobs/messages.rs
+++ b/src/service/jobs/messages.rs
@@ -128,6 +128,9 @@
     NotOwner,
     /// The ownership ended before the answer; the request may have been carried out.
     Lost,
+    /// The identifier is that of a job of another account; nothing was done. Last, since
+    /// entry VMs of earlier versions do not know it: their caller gets a 504.
+    Conflict,
 }
 
 impl From<CallerAnswer> for RelayReply {
@@ -141,6 +144,7 @@
             CallerAnswer::NoQueue => Self::NoQueue,
             CallerAnswer::Invalid => Self::Invalid,
             CallerAnswer::Refused { retry_ms } => Self::Refused { retry_ms },
+            CallerAnswer::Conflict => Self::Conflict,
         }
     }
 }
@@ -161,10 +165,22 @@
     pub config: Option<JobConfig>,
     /// Maintenance waves that the sender knows.
     pub waves: Vec<WaveOrder>,
-    /// The part of `config` about client accounts, encoded after the message. None from an
-    /// entry VM of an earlier version, which knows no accounts.
+    /// Fields that are encoded after the message. None from an entry VM of an earlier
+    /// version, which knows no accounts.
     #[serde(skip)]
+    pub extension: Option<ExchangeExtension>,
+}
+
+/// Fields of an exchange message that are encoded after it. It must not gain further ones:
+/// decoders reject a longer list. They belong in another value after it.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ExchangeExtension {
+    /// The part of the message's configuration about client accounts.
     pub accounts: Option<AccountExtension>,
+    /// Time since the sender's configuration was confirmed as current, in milliseconds; none
+    /// if it was not.
+    pub age_ms: Option<u64>,
 }
 
 impl ExchangeMessage {
@@ -174,7 +190,7 @@
     ///
     /// Fails if the encoder fails.
     pub fn encode(&self) -> Result<Vec<u8>, EncodeError> {
-        encode_with(self, &self.accounts)
+        encode_with(self, &self.extension)
     }
 
     /// Decodes a message of another entry VM.
@@ -183,10 +199,10 @@
     ///
     /// Fails if `bytes` is not an encoded message.
     pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
-        let (message, accounts): (Self, Option<Option<AccountExtension>>) =
+        let (message, extension): (Self, Option<Option<ExchangeExtension>>) =
             decode_with("exchange", bytes)?;
         Ok(Self {
-            accounts: accounts.flatten(),
+            extension: extension.flatten(),
             ..message
         })
     }
@@ -276,6 +292,15 @@
 /// shard.
 pub type OwnerInbox = watch::Receiver<Option<mpsc::UnboundedSender<OwnerEvent>>>;
 
+/// A configuration that was rejected, so that it is logged only once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RejectedConfig {
+    /// Its version or, if it cannot be decoded, the revision of its item in the store.
+    pub number: u64,
+    /// Reason, as in the log.
+    pub reason: &'static str,
+}
+
 /// The operator's configuration and waves, as read from the store or from other
 /// entry VMs.
 #[derive(Clone, Debug, Default)]
@@ -284,6 +309,8 @@
     pub config: Option<Arc<JobConfig>>,
     /// Accounts of that configuration by API key; none if calls need no keys.
     pub accounts: Option<Arc<AccountDirectory>>,
+    /// The last configuration that was rejected.
+    pub rejected: Option<RejectedConfig>,
     /// Requested maintenance waves, in the order in which they became known.
     pub waves: Vec<WaveOrder>,
 }
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -57,8 +57,7 @@
     pub chain_revision: u64,
     /// Number of the last commit.
     pub number: u64,
-    /// When the commit in progress was started, in milliseconds on the boot clock; none if
-    /// there is none.
+    /// Start of the commit in progress, if any, in milliseconds on the boot clock.
     pub commit_started_ms: Option<u64>,
 }
 
@@ -111,6 +110,7 @@
                 () = sleep_until(tick) => {
                     self.engine.store_unresponsive = self.is_store_unresponsive();
                     self.engine.tick(now());
+                    crate::metrics::record_pool_vms(self.engine.pool_forecasts());
                     tick = Instant::now() + TICK_PERIOD;
                     releasing = self.is_isolated();
                 }
@@ -199,8 +199,11 @@
         let time = now();
         match event {
             OwnerEvent::Relay(request, answer) => {
+                let account = request.account.map(Into::into);
+                let scope = self.engine.caller_scope(&request.queue, account.clone());
                 let waiter = self.executor.add_waiter(AnswerWaiter {
                     job: request.job.clone(),
+                    scope: scope.clone(),
                     sender: answer,
                 });
                 let id = request.job.as_str().into();
@@ -211,13 +214,13 @@
                             queue: request.queue,
                             pool: request.pool,
                             spec,
-                            account: request.account.map(Into::into),
+                            account,
                             beyond_rate: false,
                         };
                         self.engine.submit(submission, waiter, time);
                     }
-                    RelayOperation::Query => self.engine.query(&id, waiter),
-                    RelayOperation::Cancel => self.engine.cancel(&id, waiter, time.boot),
+                    RelayOperation::Query => self.engine.query(&id, &scope, waiter),
+                    RelayOperation::Cancel => self.engine.cancel(&id, &scope, waiter, time.boot),
                     RelayOperation::Pending => self.engine.pending(&request.queue, waiter),
                 }
             }
