--- a/src/jobs/admit.rs
+++ b/src/jobs/admit.rs
@@ -179,7 +179,8 @@
         let demand = self.demand(submission, objective_ms, first_ms, now);
         let load = self.pool_load(&pool);
         let table = self.admission.tables.get(&pool);
-        let table = table.filter(|_| !is_calm(&load));
+        // A calm pool may lack the capacity for this job, which a job beyond the rate needs.
+        let table = table.filter(|_| submission.beyond_rate || !is_calm(&load));
         let decision = table.map(|table| decide(table, &demand, now)).transpose();
         if let Err((reason, assessment)) = decision {
             let retry_ms = self.book_return(&pool, submission, &demand, (reason, assessment), now);
--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -103,7 +103,7 @@
     /// Handles a submission; it is accepted only once the job is stored.
     ///
     /// A repeated submission of the same job gets the same answer.
-    pub fn submit(&mut self, submission: Submission, waiter: WaiterId, time: TimePair) {
+    pub fn submit(&mut self, mut submission: Submission, waiter: WaiterId, time: TimePair) {
         let id = submission.id.clone();
         let scope = self.caller_scope(&submission.queue, submission.account.clone());
         if is_foreign(&id, self.account_of(&id), &scope) {
@@ -133,9 +133,13 @@
             let retry_ms = STORE_RETRY_MS;
             return self.answer(waiter, CallerAnswer::Refused { retry_ms });
         }
+        submission.beyond_rate = self.take_rate(&submission, time.boot);
         let admitted = match self.admit(&submission, time.boot) {
             Ok(admitted) => admitted,
-            Err(retry_ms) => return self.answer(waiter, CallerAnswer::Refused { retry_ms }),
+            Err(retry_ms) => {
+                self.give_back_rate(&submission);
+                return self.answer(waiter, CallerAnswer::Refused { retry_ms });
+            }
         };
         let queue = self.config.queue(&submission.queue);
         let body = BodyRecord {
@@ -146,6 +150,7 @@
             account: submission.account,
         };
         let mut job = JobEntry::new(id.clone(), body, admitted.first_ms);
+        job.beyond_rate = submission.beyond_rate;
         job.preferred = admitted.preferred;
         job.expected_timely = admitted.expected_timely;
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
--- a/src/jobs/ending.rs
+++ b/src/jobs/ending.rs
@@ -89,6 +89,7 @@
                 self.waiting.mark_due(&view.entry.pool);
             }
         }
+        self.mark_share(&task.job);
         self.waiting.insert(&task.job);
     }
 }
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 
 use crate::jobs::account::AccountName;
+use crate::jobs::account_rates::AccountState;
 use crate::jobs::actions::Action;
 use crate::jobs::actions::CallToken;
 use crate::jobs::actions::CallerAnswer;
@@ -170,6 +171,8 @@
     pub(crate) limits: LimitState,
     /// Jobs with tasks that may need placement.
     pub(crate) waiting: WaitingJobs,
+    /// Submission rates of the accounts and what their order in the pools depends on.
+    pub(crate) accounts: AccountState,
     /// Workers that placement may choose.
     pub(crate) candidates: PoolCandidates,
     /// Workers with ends that are not known to be stored.
@@ -224,6 +227,7 @@
             ledger: AccountLedger::default(),
             limits: LimitState::default(),
             waiting: WaitingJobs::default(),
+            accounts: AccountState::default(),
             candidates: PoolCandidates::default(),
             ending_workers: BTreeSet::new(),
             pace_changed_ms: HashMap::new(),
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -48,6 +48,9 @@
     pub ended_version: u64,
     /// When the job was submitted, on the boot clock in milliseconds.
     pub submitted_ms: u64,
+    /// Whether the job was submitted beyond the rate of its account. Not stored: after a
+    /// takeover it counts as within the rate.
+    pub beyond_rate: bool,
     /// Whether it is placed before smaller jobs, as its size class is served too rarely.
     /// Not stored.
     pub preferred: bool,
@@ -73,6 +76,7 @@
             closed_version: 0,
             ended_version: 0,
             submitted_ms: now,
+            beyond_rate: false,
             preferred: false,
             expected_timely: None,
         }
--- a/src/jobs/limits.rs
+++ b/src/jobs/limits.rs
@@ -73,6 +73,7 @@
             .map(|(at, account)| (account.name.clone(), at))
             .collect();
         self.ledger = self.live_usage();
+        self.apply_weights();
     }
 
     /// Returns the configuration of an account; none if it is not configured.
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -2,8 +2,8 @@
 //! their worker miss a latency target, and runs that make no progress are stopped.
 
 use crate::jobs::actions::CallToken;
+use crate::jobs::copies::straggler_limit_ms;
 use crate::jobs::engine::JobEngine;
-use crate::jobs::place::straggler_limit_ms;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::RunEnd;
 use crate::jobs::types::TaskId;
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -1,4 +1,5 @@
-//! Placement of waiting tasks on workers, in the order of their jobs' ranks.
+//! Placement of waiting tasks on workers, in the order of their jobs' ranks. Where the
+//! configuration has accounts, `place_shares` decides whose jobs are next.
 //!
 //! Long-running jobs come first, then jobs that can still meet their objective, then
 //! late ones. Within each class, jobs are ordered by the priority of their queue, then
@@ -7,13 +8,13 @@
 
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
+use crate::jobs::lanes::TryOutcome;
 use crate::jobs::limits::StartKind;
+use crate::jobs::share::JobLane;
 use crate::jobs::size_guard::preferred_rank;
-use crate::jobs::task::TaskRun;
 use crate::jobs::task::TaskState;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobSpec;
-use crate::jobs::types::ResourceVector;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
 use crate::jobs::waiting::JobRank;
@@ -23,16 +24,6 @@
 /// that, a slower run on another rack would end sooner.
 const RACK_LOCAL_WAIT_FACTOR: f64 = 1.0;
 
-/// Progress of a run, in percent, from which on it gets no speculative copy, as a copy
-/// would hardly end sooner.
-const NO_COPY_PERCENT: u32 = 80;
-
-/// Multiple of its estimate after which a run counts as a straggler.
-const STRAGGLER_FACTOR: f64 = 2.0;
-
-/// Added to the straggler limit for the start of a run and its reporting, in milliseconds.
-const STRAGGLER_SLACK_MS: u64 = 400;
-
 /// Delay after the end of a run before its task is placed again, in milliseconds.
 const RETRY_DELAY_MS: u64 = 20;
 
@@ -46,7 +37,7 @@
 
 /// Number of jobs at their account's limit that a part of a pass tries besides. They are no
 /// sign of a full pool, and cost only a look at the account.
-const MAX_LIMITED: usize = 512;
+pub(crate) const MAX_LIMITED: usize = 512;
 
 /// Class of jobs with long-running tasks.
 const CLASS_LONG_RUNNING: u32 = 0;
@@ -62,23 +53,32 @@
             let job = self.jobs.get(&id).filter(|job| !job.state.is_final());
             if let Some(job) = job {
                 let (rank, pool) = (self.rank(job, now), self.pool_of(job).to_owned());
-                self.waiting.set_rank(&id, &pool, rank);
+                let (lane, need) = self.lane(job);
+                self.waiting.set_rank(&id, &pool, &lane, rank, need);
             }
         }
         for pool in self.waiting.take_due_pools() {
             self.unplaceable.remove(&pool);
-            let Some(last) = self.place_after(&pool, None, now) else {
-                self.waiting.set_reached(&pool, None);
-                continue;
-            };
-            let resume = self.waiting.resume_position(&pool, last);
-            let reached = self.place_after(&pool, Some(resume), now);
-            self.waiting.set_reached(&pool, reached);
+            self.place_common(&pool, now);
+            if self.config.accounts.is_some() {
+                self.place_by_share(&pool, now);
+            }
         }
     }
 
-    /// Places the waiting jobs of a pool after a position, until [`MAX_MISSES`] consecutive
-    /// ones had no fitting task, or [`MAX_LIMITED`] were at their account's limit. Returns the position of the last job tried, none if it was
+    /// Places the jobs of a pool's common lane.
+    fn place_common(&mut self, pool: &str, now: u64) {
+        let Some(last) = self.place_after(pool, None, now) else {
+            return self.waiting.set_reached(pool, None);
+        };
+        let resume = self.waiting.resume_position(pool, last);
+        let reached = self.place_after(pool, Some(resume), now);
+        self.waiting.set_reached(pool, reached);
+    }
+
+    /// Places the waiting jobs of a pool's common lane after a position, until
+    /// [`MAX_MISSES`] consecutive ones had no fitting task, or [`MAX_LIMITED`] were at their
+    /// account's limit. Returns the position of the last job tried, none if it was
     /// the last of the pool.
     fn place_after(
         &mut self,
@@ -88,22 +88,34 @@
     ) -> Option<WaitingPosition> {
         let (mut misses, mut limited) = (0, 0);
         while misses < MAX_MISSES && limited < MAX_LIMITED {
-            let next = self.waiting.next(pool, position.as_ref())?;
-            let checks = self.limits.failed_checks;
-            if self.is_exhausted(&next.1, now) {
-                limited += 1;
-            } else if self.place_job(&next.1, now) {
-                misses = 0;
-            } else if self.limits.failed_checks > checks {
-                limited += 1;
-            } else {
-                misses += 1;
+            let next = self
+                .waiting
+                .next(pool, &JobLane::Common, position.as_ref())?;
+            match self.try_job(&next.1, now) {
+                TryOutcome::Placed => misses = 0,
+                TryOutcome::Limited => limited += 1,
+                TryOutcome::Missed => misses += 1,
             }
             position = Some(next);
         }
         position
     }
 
+    /// Places the tasks of a job; does not look for workers if its account's limit allows
+    /// none of them.
+    pub(crate) fn try_job(&mut self, id: &JobId, now: u64) -> TryOutcome {
+        let checks = self.limits.failed_checks;
+        if self.is_exhausted(id, now) {
+            TryOutcome::Limited
+        } else if self.place_job(id, now) {
+            TryOutcome::Placed
+        } else if self.limits.failed_checks > checks {
+            TryOutcome::Limited
+        } else {
+            TryOutcome::Missed
+        }
+    }
+
     fn rank(&self, job: &JobEntry, now: u64) -> JobRank {
         let (work, critical_path_ms) = remaining_work(job);
         let due_ms = job.submitted_ms + self.objective_ms(job);
@@ -318,54 +330,6 @@
             workers = in_pool().count(), schedulable = schedulable, fitting = fitting.count(); ""
         );
     }
-
-    /// Places speculative copies of straggling runs.
-    fn place_speculative_copies(&mut self, first: &TaskId, pool: &str, spec: &StepSpec, now: u64) {
-        let Some(job) = self.jobs.get(&first.job) else {
-            return;
-        };
-        let Some(step) = job
-            .open
-            .get(&first.occurrence)
-            .and_then(|steps| steps.get(first.step as usize))
-        else {
-            return;
-        };
-        let limit_ms = straggler_limit_ms(spec);
-        let is_late = |run: &TaskRun| {
-            let view = self.workers.get(&run.worker);
-            view.is_some_and(|view| view.observed_ms(now) > run.started_ms + limit_ms)
-        };
-        let is_straggling = |task: &TaskState| match task.placed.as_slice() {
-            [run] => !task.done && is_late(run) && run.percent < NO_COPY_PERCENT,
-            _ => false,
-        };
-        let stragglers = step
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(_, task)| is_straggling(task));
-        let stragglers: Vec<u32> = stragglers.map(|(index, _)| index as u32).collect();
-        for index in stragglers {
-            let task = TaskId {
-                index,
-                ..first.clone()
-            };
-            if !self.account_allows(&first.job, spec, StartKind::Copy, now) {
-                return;
-            }
-            if let Some(worker) = self.choose_worker(&task, pool, spec, false, now) {
-                log::info!(event = "speculative_copy_placed", task:% = task, worker = worker.as_str(); "");
-                self.reserve(&task, &worker, spec, now);
-            }
-        }
-    }
-}
-
-/// Returns the time after which a run of a step counts as a straggler, in milliseconds.
-#[must_use]
-pub fn straggler_limit_ms(spec: &StepSpec) -> u64 {
-    (spec.estimate_ms as f64 * STRAGGLER_FACTOR) as u64 + STRAGGLER_SLACK_MS
 }
 
 /// Returns the remaining work of a job in millicore-milliseconds, and its remaining
@@ -396,15 +360,3 @@
     }
     (work, longest)
 }
-
-/// Returns the capacity that all tasks of a step reserve together.
-#[must_use]
-pub fn step_need(spec: &StepSpec) -> ResourceVector {
-    let need = spec.reserved();
-    let tasks = u64::from(spec.tasks);
-    ResourceVector {
-        cpu: need.cpu * tasks,
-        memory_mb: need.memory_mb * tasks,
-        gpu: need.gpu * tasks,
-    }
-}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -327,7 +327,7 @@
             holder: format!("entry-{epoch}"),
             ..self.engine.settings.clone()
         };
-        let mut engine = JobEngine::new(settings, epoch, self.engine.config.clone(), self.now);
+        let mut engine = JobEngine::new(settings, epoch, Arc::clone(&self.engine.config), self.now);
         engine.inherited_leases_expiry_ms = self.now + 5000;
         engine.fleet.enabled = self.engine.fleet.enabled;
         let time = self.time();
