--- a/src/jobs/rest.rs
+++ b/src/jobs/rest.rs
@@ -19,13 +19,9 @@
 /// Time over which the highest use is remembered, in milliseconds: the turns of all pools.
 const REMEMBERED_MS: u64 = 20_000;
 
-/// Time with work in progress before VMs rest, in milliseconds: longer than the turn of one
-/// pool.
-const LEARNING_MS: u64 = 8000;
-
-/// Multiple of the highest use that stays out of standby: the next turn may need a quarter
-/// more than the highest one so far.
-const USE_FACTOR: f64 = 1.25;
+/// Multiple of the highest use that stays out of standby: the next turn may need half as
+/// much again as the highest one so far.
+const USE_FACTOR: f64 = 1.5;
 
 /// Multiple of a pool's own use that its idle VMs are kept for.
 const POOL_FACTOR: f64 = 1.3;
@@ -71,7 +67,7 @@
             self.uses.pop_front();
         }
         let first_ms = self.first_work_ms?;
-        if now < first_ms + LEARNING_MS {
+        if now < first_ms + REMEMBERED_MS {
             return None;
         }
         let highest = self.uses.iter().map(|(_, used)| *used).max()?;
