--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -75,7 +75,7 @@
     /// Time after the end of a former holder's permit until its VM may be ordered, in
     /// milliseconds; at least the platform's minimum time between two holders' orders.
     pub permit_wait_ms: u64,
-    /// Whether VMs that no pool needs for long enough are moved to the standby pool.
+    /// Whether idle VMs above what all pools use are moved to the standby pool.
     pub rest_idle_vms: bool,
     /// Name under which this owner orders moves and maintenance of VMs.
     pub holder: String,
--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -68,7 +68,7 @@
     pub(crate) turns: HashMap<String, TurnTracker>,
     /// Expected need.
     pub(crate) outlooks: BTreeMap<String, PoolOutlook>,
-    /// Need of all pools over time.
+    /// Use of all pools over time.
     pub(crate) rest: RestTracker,
 }
 
--- a/src/jobs/moves.rs
+++ b/src/jobs/moves.rs
@@ -12,7 +12,7 @@
     Demand,
     /// A turn is expected.
     Turn,
-    /// No pool needs the VM.
+    /// No pool uses the VM.
     Rest,
 }
 
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -3,8 +3,8 @@
 //!
 //! Long-running jobs come first, then jobs that can still meet their objective, then
 //! late ones. Within each class, jobs are ordered by the priority of their queue, then
-//! by their remaining work per value, with the least work first. A task that does not fit does not block
-//! smaller ones.
+//! by their remaining work per value, with the least work first. A task that does not fit
+//! does not block smaller ones.
 
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
--- a/src/jobs/size_guard.rs
+++ b/src/jobs/size_guard.rs
@@ -1,9 +1,10 @@
-//! Keeps large jobs from being refused more often than others.
+//! Keeps large jobs from being refused or delayed more often than others.
 //!
 //! A large job needs much capacity and therefore displaces many others, although callers
 //! expect a fair share of the large jobs of each queue to be served. The largest tenth of
 //! a queue's jobs and the fifth below it are classes of their own. Submissions are counted
-//! by class with decay; the jobs of a class that is served too rarely are accepted.
+//! by class with decay; the jobs of a class that is served too rarely are accepted, and
+//! placed before smaller ones.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
--- a/src/jobs/waiting.rs
+++ b/src/jobs/waiting.rs
@@ -181,8 +181,8 @@
         next_job(&self.pools.get(pool)?.lanes.get(lane)?.jobs, position)
     }
 
-    /// Returns the position in the common lane after which a pass continues once it has tried the jobs with
-    /// the lowest ranks, up to `last`.
+    /// Returns the position in the common lane after which a pass continues once it has tried
+    /// the jobs with the lowest ranks, up to `last`.
     #[must_use]
     pub fn resume_position(&self, pool: &str, last: WaitingPosition) -> WaitingPosition {
         let order = self.pools.get(pool);
--- a/tests/jobs_shares.rs
+++ b/tests/jobs_shares.rs
@@ -166,8 +166,8 @@
     others.sum()
 }
 
-/// Load pattern: one account sends 7.5 times its usual load for 6 s, below its rate. The others must keep
-/// at least 0.9 of the jobs in time that they have without it.
+/// Load pattern: one account sends 7.5 times its usual load for 6 s, below its rate. The
+/// others must keep at least 0.9 of the jobs in time that they have without it.
 #[test]
 fn hot_account_others_keep_their_jobs() {
     let usual = others_with_hot_account(1.0, true);
