--- a/tests/jobs_turns.rs
+++ b/tests/jobs_turns.rs
@@ -194,7 +194,7 @@
     }
     let percent = expected * 100 / total;
     println!("{percent} % of the time");
-    assert!(percent <= 25, "{percent} % of the time");
+    assert!(percent <= 20, "{percent} % of the time");
 }
 
 /// Guards against a constant load that is taken for turns because it arrives at a regular
