Jobs: losses of workers are logged with their evidence

The logs could not tell a crash from a cut, and nothing counted the losses of a task. Each loss of a worker with runs is now logged with its reason, with whether it was planned, and with whether another incarnation has taken the worker's place; so is what becomes known later. No decision uses it.

--- a/src/jobs/actions.rs
+++ b/src/jobs/actions.rs
@@ -45,6 +45,19 @@
     },
 }
 
+impl CallToken {
+    /// Returns the identifier of the called worker.
+    #[must_use]
+    pub fn worker(&self) -> &str {
+        match self {
+            Self::Hold { worker }
+            | Self::Start { worker, .. }
+            | Self::Stop { worker, .. }
+            | Self::Pace { worker, .. } => worker,
+        }
+    }
+}
+
 /// Identifies a pending request of a caller; assigned by the service.
 pub type WaiterId = u64;
 
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -32,6 +32,7 @@
 use crate::jobs::lend::LendingState;
 use crate::jobs::limits::LimitState;
 use crate::jobs::load::PoolLoad;
+use crate::jobs::losses::LostWorkers;
 use crate::jobs::stable_map::StableMap;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
@@ -147,6 +148,8 @@
     pub workers: StableMap<String, WorkerView>,
     /// VMs, their orders and maintenance waves.
     pub fleet: FleetState,
+    /// Workers lost with runs of which it is not known whether they have crashed.
+    pub(crate) lost_workers: LostWorkers,
     /// Unresponsive workers with runs, and the ends of their leases.
     pub unresponsive: UnresponsiveWorkers,
     /// Requests that wait for a version of a job to be stored, with their answers.
@@ -215,6 +218,7 @@
             ended_order: VecDeque::new(),
             workers: StableMap::default(),
             fleet: FleetState::default(),
+            lost_workers: LostWorkers::default(),
             unresponsive: UnresponsiveWorkers::default(),
             store_waiters: BTreeMap::new(),
             dirty: DirtyJobs::default(),
@@ -316,6 +320,7 @@
             self.pace_fillers(time.boot);
         }
         self.expire_ended_jobs(time.boot);
+        self.expire_lost_workers(time.boot);
         self.plan_fleet(time.boot);
         self.update_account_metrics(time.boot);
         self.candidates.clear();
--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 
 use crate::jobs::engine::JobEngine;
+use crate::jobs::losses::LossReason;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::TaskId;
 use crate::jobs::unresponsive::UnresponsiveLease;
@@ -30,6 +31,7 @@
                 address:% = entry.address, born_ms = entry.born_ms; ""
             );
             let (id, born_ms) = (entry.id.clone(), entry.born_ms);
+            self.supersede_at_address(&entry);
             self.workers.insert(id.clone(), WorkerView::new(entry, now));
             self.adopt_orphaned_runs(&id, born_ms);
             self.send_hold(&id, now);
@@ -102,7 +104,7 @@
     /// Handles the restart of a worker: no run of the earlier incarnation is alive.
     pub(crate) fn replace_incarnation(&mut self, worker: &str, entry: WorkerEntry, now: u64) {
         log::info!(event = "worker_restarted", worker = worker, born_ms = entry.born_ms; "");
-        self.mark_runs_lost(worker, "restarted", now);
+        self.mark_runs_lost(worker, LossReason::Restarted, now);
         self.workers
             .insert(worker.to_owned(), WorkerView::new(entry, now));
     }
@@ -111,15 +113,17 @@
     ///
     /// Call this only when no run can be alive: the lease has expired, the worker has
     /// restarted or its VM has left the pool.
-    pub(crate) fn mark_runs_lost(&mut self, worker: &str, reason: &str, now: u64) {
-        let Some(view) = self.workers.get_mut(worker) else {
+    pub(crate) fn mark_runs_lost(&mut self, worker: &str, reason: LossReason, now: u64) {
+        let Some(view) = self.workers.get(worker) else {
             return;
         };
         let runs: Vec<_> = view.runs.iter().cloned().collect();
+        if runs.is_empty() {
+            return;
+        }
+        self.record_losses(worker, reason, now);
         for (task, run) in runs {
-            log::info!(
-                event = "run_lost", task:% = task, run = run, worker = worker, reason = reason; ""
-            );
+            self.log_lost_run(&task, worker, run, reason, now);
             let phase = self.run_phase(&task, worker, run);
             self.release_run(&task, worker, run);
             if let Some(job) = self.jobs.get_mut(&task.job) {
@@ -136,6 +140,22 @@
         }
     }
 
+    fn log_lost_run(&self, task: &TaskId, worker: &str, run: u32, reason: LossReason, now: u64) {
+        let job = self.jobs.get(&task.job);
+        let Some(state) = job.and_then(|job| job.task(task)) else {
+            return;
+        };
+        let mut placed = state.placed.iter();
+        let placed = placed.find(|placed| placed.run == run && placed.worker == worker);
+        let age_ms = placed.map_or(0, |placed| now.saturating_sub(placed.started_ms));
+        let crashes = state.losses.iter().filter(|loss| loss.confirmed).count();
+        log::info!(
+            event = "run_lost", task:% = task, run = run, worker = worker,
+            reason = reason.as_str(), age_ms = age_ms, losses = state.losses.len(),
+            crashes = crashes; ""
+        );
+    }
+
     /// Returns the phase of a run, if it may be alive at the worker.
     pub(crate) fn run_phase(&self, task: &TaskId, worker: &str, run: u32) -> Option<RunPhase> {
         let state = self.jobs.get(&task.job)?.task(task)?;
@@ -213,7 +233,7 @@
             }
         }
         for worker in expired {
-            self.mark_runs_lost(&worker, "lease_expired", now);
+            self.mark_runs_lost(&worker, LossReason::LeaseExpired, now);
         }
         for worker in gone {
             log::info!(event = "worker_gone", worker = worker.as_str(); "");
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -145,9 +145,14 @@
             return false;
         }
         if view.missed_calls > 0 || view.contact_ms.is_none() {
+            let born_ms = view.entry.born_ms;
             self.unresponsive.remove(worker);
             self.waiting.mark_all_due();
+            self.withdraw_losses(worker, born_ms);
         }
+        let Some(view) = self.workers.get_mut(worker) else {
+            return false;
+        };
         let wait_ms = if self.unresponsive.may_grant_lease(worker) {
             0
         } else {
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -7,6 +7,7 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::fleet::MachineOrder;
 use crate::jobs::fleet::OrderState;
+use crate::jobs::losses::LossReason;
 use crate::jobs::types::TaskId;
 use crate::jobs::types::WorkerState;
 use crate::ports::FleetCall;
@@ -267,8 +268,10 @@
             }
         }
         if !worker.is_empty() {
-            self.mark_runs_lost(&worker, "vm_ordered", now);
+            self.mark_runs_lost(&worker, LossReason::VmOrdered, now);
             self.workers.remove(&worker);
+            // Another worker at its address is no evidence of a crash any more.
+            self.lost_workers.remove(&worker);
             self.fleet.departed.insert(worker, now);
         }
     }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -30,6 +30,7 @@
 pub mod lend;
 pub mod limits;
 pub mod load;
+pub mod losses;
 pub mod machines;
 pub mod moves;
 pub mod orders;
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -48,6 +48,12 @@
         sent_ms: u64,
         now: u64,
     ) {
+        if let CallResult::Answered(WorkerReply::Refused {
+            reason: RefusalReason::OtherIncarnation,
+        }) = result
+        {
+            self.worker_superseded(token.worker());
+        }
         match token {
             CallToken::Hold { worker } => match result {
                 CallResult::Answered(reply) => self.handle_hold_reply(&worker, reply, sent_ms, now),
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::jobs::losses::WorkerLoss;
 use crate::jobs::record::PlacedRecord;
 use crate::jobs::record::TaskRecord;
 
@@ -72,6 +73,8 @@
     /// Numbers of the runs that were removed as lost; if the worker lists the failure of
     /// one later, the failure still counts.
     pub lost: Vec<u32>,
+    /// Losses of runs with workers that have crashed or may have.
+    pub losses: Vec<WorkerLoss>,
     /// When a run last ended or was removed, or the task was restored; 0 for never.
     pub last_end_ms: u64,
 }
@@ -159,6 +162,7 @@
         checkpoint: record.checkpoint,
         placed: placed.collect(),
         lost: Vec::new(),
+        losses: Vec::new(),
         last_end_ms: now,
     }
 }
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -114,6 +114,8 @@
     pub failures: u32,
     /// Whether it is being evacuated for a move or for maintenance.
     pub evacuating: bool,
+    /// Whether another incarnation has answered in its place.
+    pub is_superseded: bool,
     /// When a run was last placed here, or when the worker was found.
     pub last_busy_ms: u64,
 }
@@ -140,6 +142,7 @@
             blocked_until_ms: 0,
             failures: 0,
             evacuating: false,
+            is_superseded: false,
             last_busy_ms: now,
         }
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -28,6 +28,8 @@
 pub const PEER_MESSAGES: &str = "chicory_peer_messages_total";
 /// Submissions refused by the scheduler, by pool and reason.
 pub const REFUSED_JOBS: &str = "chicory_jobs_refused_total";
+/// Runs lost with their workers, by reason.
+pub const LOST_RUNS: &str = "chicory_runs_lost_total";
 /// Utility that the waiting jobs of a pool lose by a core-second of further work.
 pub const ROOM_PRICE: &str = "chicory_pool_room_price";
 /// Configuration version in force.
@@ -64,6 +66,7 @@
     metrics::describe_counter!(PEER_BYTES, "Bytes between entry VMs, by direction.");
     metrics::describe_counter!(PEER_MESSAGES, "Messages between entry VMs, by direction.");
     metrics::describe_counter!(REFUSED_JOBS, "Refused submissions, by pool and reason.");
+    metrics::describe_counter!(LOST_RUNS, "Runs lost with their workers, by reason.");
     metrics::describe_gauge!(
         ROOM_PRICE,
         "Utility lost by a core-second of further work, by pool."
