--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use chicorygauge::jobs::actions::Action;
@@ -52,6 +53,8 @@
 const CALL_LIMIT_MS: u64 = 500;
 /// Duration of a commit, in milliseconds.
 const COMMIT_MS: u64 = 6;
+/// Time from the crash of a worker to the removal of its entry, in milliseconds.
+const ENTRY_EXPIRY_MS: u64 = 3500;
 /// Interval between two ticks of the scheduler, in milliseconds.
 const TICK_MS: u64 = 50;
 /// Name of the pool that serves the queue.
@@ -118,6 +121,10 @@
     CommitEnds(Box<WriteBatch>),
     /// A VM (first field) returns to service in a pool (second field).
     VmReturns(String, String),
+    /// A worker crashes.
+    Crash(String),
+    /// The entry of a worker that has crashed is removed from the store.
+    EntryExpires(String),
 }
 
 /// The simulation; time advances only in [`World::run`].
@@ -152,6 +159,16 @@
     acknowledged_done: BTreeSet<String>,
     /// Failed runs by task.
     failures: BTreeMap<String, u32>,
+    /// Tasks that crash each worker that starts them.
+    pub deadly: BTreeSet<String>,
+    /// Time from the start of a deadly task to the crash of its worker, in milliseconds.
+    pub deadly_after_ms: u64,
+    /// Time until a worker that has crashed is replaced, in milliseconds.
+    pub crash_down_ms: u64,
+    /// Times of the crashes by deadly task.
+    pub crashes: BTreeMap<String, Vec<u64>>,
+    /// Number of starts of a deadly task since three workers crashed under it.
+    late_starts: BTreeMap<String, u32>,
     /// Future events by time and sequence number.
     events: BTreeMap<(u64, u64), Event>,
     committing: bool,
@@ -261,6 +278,11 @@
             done: BTreeSet::new(),
             acknowledged_done: BTreeSet::new(),
             failures: BTreeMap::new(),
+            deadly: BTreeSet::new(),
+            deadly_after_ms: 10,
+            crash_down_ms: 3000,
+            crashes: BTreeMap::new(),
+            late_starts: BTreeMap::new(),
             events: BTreeMap::new(),
             committing: false,
             sequence: 0,
@@ -280,7 +302,7 @@
             id: id.clone(),
             born_ms: self.now + self.next_worker,
             pool: pool.to_owned(),
-            address: ([127, 0, 0, 1], 9000).into(),
+            address: self.address_of(machine),
             dc: "a".to_owned(),
             state: WorkerState::Ready,
             capacity: ResourceVector {
@@ -320,6 +342,43 @@
         id
     }
 
+    /// Returns the address of a VM; it stays with the VM.
+    fn address_of(&self, machine: &str) -> SocketAddr {
+        let mut workers = self.workers.values();
+        let earlier = workers.find(|worker| worker.machine == machine);
+        let port = 9000 + self.next_worker as u16;
+        earlier.map_or(([127, 0, 0, 1], port).into(), |worker| worker.entry.address)
+    }
+
+    /// Crashes a worker: its runs are gone, and its VM returns with a new incarnation.
+    pub fn crash(&mut self, id: &str) {
+        let worker = self.workers.get_mut(id).expect("a worker");
+        if !worker.up {
+            return;
+        }
+        worker.up = false;
+        for task in worker
+            .runs
+            .keys()
+            .filter(|task| self.deadly.contains(*task))
+        {
+            self.crashes.entry(task.clone()).or_default().push(self.now);
+        }
+        worker.runs.clear();
+        let (machine, pool) = (worker.machine.clone(), worker.entry.pool.clone());
+        let (down_ms, id) = (self.crash_down_ms, id.to_owned());
+        self.schedule(down_ms, Event::VmReturns(machine, pool));
+        self.schedule(ENTRY_EXPIRY_MS, Event::EntryExpires(id));
+    }
+
+    /// Returns whether another worker runs on the VM of a worker.
+    fn is_replaced(&self, id: &str) -> bool {
+        let machine = self.workers.get(id).map(|worker| &worker.machine);
+        let row = machine.and_then(|machine| self.machines.get(machine));
+        let current = row.and_then(|row| self.workers.get(&row.worker));
+        current.is_some_and(|current| current.up && current.entry.id != id)
+    }
+
     /// Replaces the scheduler by a successor that loads its state from the store.
     pub fn take_over(&mut self) {
         let epoch = self.engine.epoch + 1;
@@ -337,7 +396,8 @@
                 continue;
             };
             let progress = self.stored.get(&format!("{}{id}", keys.progress()));
-            let progress = progress.map(|value| decode(key, value).expect("a progress record"));
+            let progress =
+                progress.map(|value| decode_progress(key, value).expect("a progress record"));
             let body = decode_body(key, value).expect("a body");
             engine.restore_job(id.into(), body, progress, time);
         }
@@ -373,7 +433,11 @@
         self.events.retain(|_, event| {
             matches!(
                 event,
-                Event::CallArrives(..) | Event::StaleCallArrives(_) | Event::VmReturns(..)
+                Event::CallArrives(..)
+                    | Event::StaleCallArrives(_)
+                    | Event::VmReturns(..)
+                    | Event::Crash(_)
+                    | Event::EntryExpires(_)
             )
         });
         for event in self.events.values_mut() {
@@ -620,6 +684,10 @@
             .workers
             .get(&call.worker)
             .is_some_and(|worker| worker.reachable && worker.up);
+        if self.is_replaced(&call.worker) {
+            let reason = RefusalReason::OtherIncarnation;
+            return self.send_reply(token, WorkerReply::Refused { reason }, sent_ms);
+        }
         let order = !matches!(call.order, WorkerOrder::Hold { .. });
         if !reachable || self.draw_fault(self.faults.lost_calls) {
             return self.schedule(
@@ -662,6 +730,8 @@
             Event::VmReturns(machine, pool) => {
                 self.add_worker(&pool, &machine);
             }
+            Event::Crash(id) => self.crash(&id),
+            Event::EntryExpires(id) => self.engine.worker_unlisted(&id, self.now),
         }
     }
 
@@ -853,6 +923,7 @@
             step.lasting || failures < 4,
             "{task} starts after {failures} failures"
         );
+        self.check_deadly_start(id, task);
         if let Some(at) = self.cancelled.get(&*name.job) {
             assert!(
                 self.now < at + 3000,
@@ -888,6 +959,25 @@
         );
     }
 
+    /// Lets the worker of a deadly task crash soon. Checks that the task is started at most
+    /// twice after three workers have crashed under it.
+    fn check_deadly_start(&mut self, id: &str, task: &str) {
+        if !self.deadly.contains(task) {
+            return;
+        }
+        self.schedule(self.deadly_after_ms, Event::Crash(id.to_owned()));
+        if self.crashes.get(task).map_or(0, Vec::len) < 3 {
+            return;
+        }
+        let late_starts = self.late_starts.entry(task.to_owned()).or_default();
+        *late_starts += 1;
+        assert!(
+            *late_starts < 3,
+            "{task} is started three times more after it has crashed three workers, t={}",
+            self.now
+        );
+    }
+
     fn finish_runs(&mut self) {
         let now = self.now;
         for worker in self.workers.values_mut().filter(|worker| worker.up) {
