Jobs: tasks that crash their workers are started in isolation and given up

Cause: a run that was lost with its worker counted as if it had never been started (hypothesis 1), and all tasks of a lost worker were placed together again, or copied at once (hypothesis 2). The class: a retry that has no budget, because the failure is seen as the server's alone. Change: each task keeps its losses with workers that may have crashed, stored with its job's progress. A task with losses is a suspect. It is started alone at its worker: no run has started there for a while, none is started during its trial, and each loss makes the trial longer. If the worker crashes in the trial, the loss is that task's alone. A worker that answers again was cut off, and its losses are withdrawn. Suspects get no speculative copies.

--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -47,7 +47,7 @@
         }
         let workers = self.workers.iter();
         let eligible =
-            workers.filter(|(_, view)| view.entry.pool == pool && view.is_schedulable(now));
+            workers.filter(|(_, view)| view.entry.pool == pool && view.accepts_starts(now));
         let rows = eligible.map(|(id, view)| CandidateRow {
             worker: id.as_str().into(),
             load: view.into(),
@@ -80,6 +80,7 @@
         let needs_advice = self.needs_advice(task);
         let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
         let placed = state.map_or(&[][..], |state| &state.placed);
+        let is_suspect = self.is_suspect(task);
         let mut best: Option<(f64, &CandidateRow)> = None;
         for row in rows.iter().filter(|row| row.load.free().covers(&need)) {
             let id = &*row.worker;
@@ -87,7 +88,12 @@
             if rack_local_only && !is_rack_local {
                 continue;
             }
-            let cost = placement_cost(spec, row) + if is_rack_local { 0.0 } else { 10.0 };
+            let load_cost = if is_suspect {
+                isolation_cost(row)
+            } else {
+                placement_cost(spec, row)
+            };
+            let cost = load_cost + if is_rack_local { 0.0 } else { 10.0 };
             if best.is_some_and(|(lowest, _)| cost >= lowest) {
                 continue;
             }
@@ -197,11 +203,20 @@
     1.0 - used + if has_long_running { -0.5 } else { 0.0 } + due_cost
 }
 
+/// Returns the cost of a worker for a task that may crash it: the lowest where the least
+/// would be lost.
+#[must_use]
+pub fn isolation_cost(row: &CandidateRow) -> f64 {
+    let load = &row.load;
+    let used = load.used.cpu as f64 / load.capacity.cpu.max(1) as f64;
+    f64::from(load.run_counts.long_running) + used
+}
+
 /// Returns whether a worker is schedulable and in the right pool with the step's label.
 ///
 /// Capacity, advice, rack and the step's other runs are not checked.
 pub(crate) fn is_eligible(pool: &str, spec: &StepSpec, view: &WorkerView, now: u64) -> bool {
     view.entry.pool == pool
-        && view.is_schedulable(now)
+        && view.accepts_starts(now)
         && (spec.label.is_empty() || view.has_label(&spec.label))
 }
--- a/src/jobs/copies.rs
+++ b/src/jobs/copies.rs
@@ -42,6 +42,8 @@
             view.is_some_and(|view| view.observed_ms(now) > run.started_ms + limit_ms)
         };
         let is_straggling = |task: &TaskState| match task.placed.as_slice() {
+            // A copy of a task that may have crashed a worker could crash another one.
+            [_] if !task.losses.is_empty() => false,
             [run] => !task.done && is_late(run) && run.percent < NO_COPY_PERCENT,
             _ => false,
         };
@@ -59,9 +61,9 @@
             if !self.account_allows(&first.job, spec, StartKind::Copy, now) {
                 return;
             }
-            if let Some(worker) = self.choose_worker(&task, pool, spec, false, now) {
+            if let Some(worker) = self.find_worker(&task, pool, spec, false, now) {
                 log::info!(event = "speculative_copy_placed", task:% = task, worker = worker.as_str(); "");
-                self.reserve(&task, &worker, spec, now);
+                self.reserve_found(&task, &worker, spec, now);
             }
         }
     }
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -27,6 +27,7 @@
 use crate::jobs::config::QueueConfig;
 use crate::jobs::dirty::DirtyJobs;
 use crate::jobs::fleet::FleetState;
+use crate::jobs::isolation::ClaimedWorkers;
 use crate::jobs::job::JobEntry;
 use crate::jobs::ledger::AccountLedger;
 use crate::jobs::lend::LendingState;
@@ -150,6 +151,10 @@
     pub fleet: FleetState,
     /// Workers lost with runs of which it is not known whether they have crashed.
     pub(crate) lost_workers: LostWorkers,
+    /// Tasks with losses.
+    pub(crate) suspects: BTreeSet<TaskId>,
+    /// Workers that are claimed for isolated starts of suspects.
+    pub(crate) claimed_workers: ClaimedWorkers,
     /// Unresponsive workers with runs, and the ends of their leases.
     pub unresponsive: UnresponsiveWorkers,
     /// Requests that wait for a version of a job to be stored, with their answers.
@@ -219,6 +224,8 @@
             workers: StableMap::default(),
             fleet: FleetState::default(),
             lost_workers: LostWorkers::default(),
+            suspects: BTreeSet::new(),
+            claimed_workers: ClaimedWorkers::default(),
             unresponsive: UnresponsiveWorkers::default(),
             store_waiters: BTreeMap::new(),
             dirty: DirtyJobs::default(),
@@ -321,6 +328,8 @@
         }
         self.expire_ended_jobs(time.boot);
         self.expire_lost_workers(time.boot);
+        self.clear_survivors(time.boot);
+        self.end_trials(time.boot);
         self.plan_fleet(time.boot);
         self.update_account_metrics(time.boot);
         self.candidates.clear();
--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -31,7 +31,7 @@
                 address:% = entry.address, born_ms = entry.born_ms; ""
             );
             let (id, born_ms) = (entry.id.clone(), entry.born_ms);
-            self.supersede_at_address(&entry);
+            self.supersede_at_address(&entry, now);
             self.workers.insert(id.clone(), WorkerView::new(entry, now));
             self.adopt_orphaned_runs(&id, born_ms);
             self.send_hold(&id, now);
@@ -137,6 +137,7 @@
             }
             self.dirty.mark(&task.job, now + self.settings.flush_ms);
             self.finalize_job(&task.job, now);
+            self.give_up_tasks(&[task], now);
         }
     }
 
--- a/src/jobs/gang.rs
+++ b/src/jobs/gang.rs
@@ -28,28 +28,45 @@
         } else {
             vec![None]
         };
-        let assignment = racks
-            .into_iter()
-            .find_map(|rack| self.assign_gang(first, pool, spec, rack.as_deref(), now));
+        let mut is_isolated = self.is_suspect(first);
+        let assign = |is_isolated| {
+            racks.iter().find_map(|rack| {
+                self.assign_gang(first, pool, spec, rack.as_deref(), is_isolated, now)
+            })
+        };
+        let mut assignment = assign(is_isolated);
+        if is_isolated && assignment.is_none() {
+            if self.gang_awaits_isolation(first, now) {
+                return false;
+            }
+            is_isolated = false;
+            assignment = assign(false);
+        }
         let placed = assignment.is_some();
         for (index, worker) in assignment.into_iter().flatten().enumerate() {
             let task = TaskId {
                 index: index as u32,
                 ..first.clone()
             };
-            self.reserve(&task, &worker, spec, now);
+            if is_isolated {
+                self.reserve_found(&task, &worker, spec, now);
+            } else {
+                self.reserve(&task, &worker, spec, now);
+            }
         }
         placed
     }
 
     /// Returns one worker for each task of a gang, or none if not all tasks fit on the
-    /// workers of the rack; without a rack, on those of the pool.
+    /// workers of the rack; without a rack, on those of the pool. With `is_isolated`, each
+    /// task is on a worker of its own that is ready for an isolated start.
     fn assign_gang(
         &self,
         first: &TaskId,
         pool: &str,
         spec: &StepSpec,
         rack: Option<&str>,
+        is_isolated: bool,
         now: u64,
     ) -> Option<Vec<String>> {
         let need = spec.reserved();
@@ -59,12 +76,18 @@
         let eligible = workers.filter(|(id, view)| {
             on_rack(view) && is_eligible(pool, spec, view, now) && self.is_advised(first, id, now)
         });
+        let eligible = eligible.filter(|(id, _)| !is_isolated || self.is_quiet(first, id, now));
         let mut eligible: Vec<_> = eligible.collect();
         eligible.sort_unstable_by_key(|(id, _)| *id);
         for (id, view) in eligible {
             let mut free = view.free();
             let mut runs = self.runs_at(first, id);
-            while chosen.len() < spec.tasks as usize
+            let max = if is_isolated {
+                chosen.len() + 1
+            } else {
+                spec.tasks as usize
+            };
+            while chosen.len() < max.min(spec.tasks as usize)
                 && free.covers(&need)
                 && (spec.per_worker == 0 || runs < spec.per_worker)
             {
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -148,7 +148,7 @@
             let born_ms = view.entry.born_ms;
             self.unresponsive.remove(worker);
             self.waiting.mark_all_due();
-            self.withdraw_losses(worker, born_ms);
+            self.withdraw_losses(worker, born_ms, now);
         }
         let Some(view) = self.workers.get_mut(worker) else {
             return false;
--- /dev/null
+++ b/src/jobs/isolation.rs
@@ -0,0 +1,271 @@
+//! Isolated starts of suspect tasks: tasks whose runs were lost with a worker.
+//!
+//! If a task crashes its worker, all tasks with runs there become suspects. They are told
+//! apart by starting each of them alone: before an isolated start, no run has started at the
+//! worker for a while, and none is started until the trial of the isolated run is over. If the
+//! worker crashes during the trial, only that run can have caused it. Runs that have
+//! been at the worker for longer stay there, so that no empty worker is needed.
+
+use std::collections::BTreeSet;
+
+use crate::jobs::choose::is_eligible;
+use crate::jobs::engine::JobEngine;
+use crate::jobs::limits::StartKind;
+use crate::jobs::task::RunPhase;
+use crate::jobs::task::TaskState;
+use crate::jobs::types::StepSpec;
+use crate::jobs::types::TaskId;
+use crate::jobs::worker::WorkerView;
+
+/// Workers that are claimed for isolated starts.
+pub(crate) type ClaimedWorkers = BTreeSet<String>;
+
+/// Trial of a task with one loss, in milliseconds.
+const TRIAL_MS: u64 = 100;
+
+/// Factor by which each further loss makes the trial longer, as the task may crash its worker
+/// some time after its start.
+const TRIAL_GROWTH: u64 = 5;
+
+/// Number of losses from which on the trial does not grow any more.
+const MAX_TRIAL_LOSSES: u32 = 4;
+
+/// Maximum time for which a claim holds without a start, in milliseconds.
+const CLAIM_MS: u64 = 1500;
+
+/// How long a gang with a suspect waits for an isolated start, in milliseconds.
+const GANG_WAIT_MS: u64 = 2000;
+
+/// Reservation of a worker for the isolated start of a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IsolationClaim {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the isolated run; none until it is placed.
+    pub run: Option<u32>,
+    /// When the worker was claimed, on the boot clock in milliseconds.
+    pub since_ms: u64,
+}
+
+/// Returns the duration of the trial of a task, in milliseconds.
+fn trial_ms(losses: usize) -> u64 {
+    let further = (losses as u32).clamp(1, MAX_TRIAL_LOSSES) - 1;
+    TRIAL_MS * TRIAL_GROWTH.pow(further)
+}
+
+impl JobEngine {
+    /// Returns whether a task is to be started in isolation: a run of it was lost with a
+    /// worker, or is at one that does not answer. A gang is a suspect if a member is.
+    pub(crate) fn is_suspect(&self, task: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let is_gang = job.step_spec(task).is_some_and(|spec| spec.gang);
+        if is_gang {
+            let steps = job.open.get(&task.occurrence);
+            let step = steps.and_then(|steps| steps.get(task.step as usize));
+            let mut tasks = step.into_iter().flat_map(|step| &step.tasks);
+            return tasks.any(|state| !state.losses.is_empty());
+        }
+        job.task(task)
+            .is_some_and(|state| !state.losses.is_empty() || self.unresponsive_runs(state) > 0)
+    }
+
+    /// Returns the number of a task's runs at workers that do not answer.
+    pub(crate) fn unresponsive_runs(&self, state: &TaskState) -> usize {
+        let runs = state.placed.iter().filter(|run| {
+            let view = self.workers.get(&run.worker);
+            view.is_some_and(|view| view.missed_calls > 0)
+        });
+        runs.count()
+    }
+
+    /// Chooses a worker for a task; for a suspect, one for an isolated start. If none is ready
+    /// for that, claims one.
+    pub(crate) fn find_worker(
+        &mut self,
+        task: &TaskId,
+        pool: &str,
+        spec: &StepSpec,
+        rack_local_only: bool,
+        now: u64,
+    ) -> Option<String> {
+        if !self.is_suspect(task) {
+            return self.choose_worker(task, pool, spec, rack_local_only, now);
+        }
+        if self.awaits_evidence(task, now) || self.claim_of(task).is_some() {
+            return None;
+        }
+        let worker = self.choose_worker(task, pool, spec, rack_local_only, now)?;
+        if self.is_quiet(task, &worker, now) {
+            return Some(worker);
+        }
+        if self.may_claim(pool, now) {
+            self.set_claim(&worker, task, None, now);
+        }
+        None
+    }
+
+    fn set_claim(&mut self, worker: &str, task: &TaskId, run: Option<u32>, now: u64) {
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.claim = Some(IsolationClaim {
+                task: task.clone(),
+                run,
+                since_ms: now,
+            });
+            self.claimed_workers.insert(worker.to_owned());
+        }
+    }
+
+    /// Reserves capacity for a run; for a suspect, claims the worker for its trial.
+    pub(crate) fn reserve_found(&mut self, task: &TaskId, worker: &str, spec: &StepSpec, now: u64) {
+        let is_suspect = self.is_suspect(task);
+        self.reserve(task, worker, spec, now);
+        if !is_suspect {
+            return;
+        }
+        let job = self.jobs.get(&task.job);
+        let state = job.and_then(|job| job.task(task));
+        let run = state.map_or(0, |state| state.last_run);
+        log::info!(event = "run_isolated", task:% = task, run = run, worker = worker; "");
+        self.set_claim(worker, task, Some(run), now);
+    }
+
+    /// Places the tasks whose claimed workers are ready for an isolated start.
+    pub(crate) fn place_claimed(&mut self, now: u64) {
+        let claimed = self.claimed_workers.iter();
+        let pending = claimed.filter_map(|worker| {
+            let claim = self.workers.get(worker)?.claim.as_ref()?;
+            let is_ready = claim.run.is_none() && self.is_quiet(&claim.task, worker, now);
+            is_ready.then(|| (worker.clone(), claim.task.clone()))
+        });
+        let pending: Vec<_> = pending.collect();
+        for (worker, task) in pending {
+            self.place_claim(&worker, &task, now);
+        }
+    }
+
+    fn place_claim(&mut self, worker: &str, task: &TaskId, now: u64) {
+        self.drop_claim(worker);
+        let Some(job) = self.jobs.get(&task.job).filter(|job| !job.state.is_final()) else {
+            return;
+        };
+        let pool = self.pool_of(job).to_owned();
+        let (Some(state), Some(spec)) = (job.task(task), job.step_spec(task).cloned()) else {
+            return;
+        };
+        let is_copy = spec.speculative && self.unresponsive_runs(state) == state.placed.len();
+        let kind = match state.placed.as_slice() {
+            _ if state.done => return,
+            [] => StartKind::Task,
+            [run] if is_copy && run.worker != worker => StartKind::Copy,
+            _ => return,
+        };
+        let has_room = self.workers.get(worker).is_some_and(|view| {
+            is_eligible(&pool, &spec, view, now) && view.free().covers(&spec.reserved())
+        });
+        if has_room
+            && (spec.per_worker == 0 || self.runs_at(task, worker) < spec.per_worker)
+            && self.is_advised(task, worker, now)
+            && self.account_allows(&task.job, &spec, kind, now)
+        {
+            self.reserve_found(task, worker, &spec, now);
+        }
+    }
+
+    /// Returns the worker that is claimed for a task and has no run of it yet.
+    fn claim_of(&self, task: &TaskId) -> Option<&String> {
+        self.claimed_workers.iter().find(|worker| {
+            let claim = self
+                .workers
+                .get(*worker)
+                .and_then(|view| view.claim.as_ref());
+            claim.is_some_and(|claim| claim.run.is_none() && claim.task == *task)
+        })
+    }
+
+    /// Returns whether another worker of a pool may be claimed: at least half of them keep
+    /// accepting other runs.
+    fn may_claim(&self, pool: &str, now: u64) -> bool {
+        let in_pool = |worker: &&String| {
+            let view = self.workers.get(*worker);
+            view.is_some_and(|view| view.entry.pool == pool)
+        };
+        let claimed = self.claimed_workers.iter().filter(in_pool).count();
+        let views = self.workers.values();
+        let free = views.filter(|view| view.entry.pool == pool && view.accepts_starts(now));
+        claimed < free.count()
+    }
+
+    /// Returns whether no run has started at a worker for as long as the task's trial lasts.
+    pub(crate) fn is_quiet(&self, task: &TaskId, worker: &str, now: u64) -> bool {
+        let job = self.jobs.get(&task.job);
+        let losses = job
+            .and_then(|job| job.task(task))
+            .map_or(0, |state| state.losses.len());
+        let trial_ms = trial_ms(losses);
+        self.workers.get(worker).is_some_and(|view| {
+            view.runs
+                .iter()
+                .all(|(task, run)| match self.run_phase(task, worker, *run) {
+                    Some(RunPhase::Running(since_ms)) => now >= since_ms + trial_ms,
+                    Some(phase) => phase.is_stopping(),
+                    None => true,
+                })
+        })
+    }
+
+    /// Ends the trials that were passed, and the claims without a start for too long.
+    pub(crate) fn end_trials(&mut self, now: u64) {
+        let claimed = self.claimed_workers.iter();
+        let over = claimed.filter(|worker| {
+            let Some(view) = self.workers.get(*worker) else {
+                return true;
+            };
+            let Some(claim) = &view.claim else {
+                return true;
+            };
+            match claim.run {
+                None => now > claim.since_ms + CLAIM_MS,
+                Some(run) => self.is_trial_over(view, &claim.task, run, now),
+            }
+        });
+        let over: Vec<String> = over.cloned().collect();
+        for worker in over {
+            self.drop_claim(&worker);
+        }
+    }
+
+    fn is_trial_over(&self, view: &WorkerView, task: &TaskId, run: u32, now: u64) -> bool {
+        let job = self.jobs.get(&task.job);
+        let losses = job
+            .and_then(|job| job.task(task))
+            .map_or(0, |state| state.losses.len());
+        match self.run_phase(task, &view.entry.id, run) {
+            Some(RunPhase::Running(since_ms)) => {
+                view.missed_calls == 0 && now >= since_ms + trial_ms(losses)
+            }
+            Some(_) => false,
+            None => true,
+        }
+    }
+
+    pub(crate) fn drop_claim(&mut self, worker: &str) {
+        self.claimed_workers.remove(worker);
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.claim = None;
+            let pool = view.entry.pool.clone();
+            self.waiting.mark_due(&pool);
+        }
+    }
+
+    /// Returns whether a gang must wait for workers that are ready for isolated starts.
+    pub(crate) fn gang_awaits_isolation(&self, task: &TaskId, now: u64) -> bool {
+        let job = self.jobs.get(&task.job);
+        let steps = job.and_then(|job| job.open.get(&task.occurrence));
+        let step = steps.and_then(|steps| steps.get(task.step as usize));
+        let ends = step.into_iter().flat_map(|step| &step.tasks);
+        let last_end_ms = ends.map(|state| state.last_end_ms).max().unwrap_or(0);
+        self.is_suspect(task) && now < last_end_ms + GANG_WAIT_MS
+    }
+}
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::jobs::loss_record::LossRecord;
+use crate::jobs::losses::WorkerLoss;
 use crate::jobs::record::BodyRecord;
 use crate::jobs::record::OccurrenceRecord;
 use crate::jobs::record::ProgressRecord;
@@ -111,6 +113,12 @@
             });
             job.open.insert(record.number, steps.collect());
         }
+        for record in progress.losses {
+            let (task, loss) = record.into_loss(&job.id);
+            if let Some(state) = job.task_mut(&task) {
+                state.losses.push(loss);
+            }
+        }
         let numbers: Vec<_> = job.open.keys().copied().collect();
         for number in numbers {
             job.open_steps(number, now);
@@ -158,9 +166,20 @@
                 open.collect()
             },
             account: self.body.account.clone(),
+            losses: if is_closed {
+                Vec::new()
+            } else {
+                self.losses().map(LossRecord::from).collect()
+            },
         }
     }
 
+    /// Returns the losses of all unfinished tasks.
+    pub fn losses(&self) -> impl Iterator<Item = (TaskId, &WorkerLoss)> {
+        let tasks = self.tasks().filter(|(_, state)| !state.done);
+        tasks.flat_map(|(task, state)| state.losses.iter().map(move |loss| (task.clone(), loss)))
+    }
+
     /// Increments the version after a change.
     pub fn bump_version(&mut self) {
         self.version += 1;
@@ -294,9 +313,9 @@
         self.open_steps(task.occurrence, now);
     }
 
-    /// Returns all runs of the job that may be alive.
-    pub fn live_runs(&self) -> impl Iterator<Item = (TaskId, &TaskRun)> {
-        let tasks = self.open.iter().flat_map(move |(occurrence, steps)| {
+    /// Returns all tasks of the occurrences in progress.
+    fn tasks(&self) -> impl Iterator<Item = (TaskId, &TaskState)> {
+        self.open.iter().flat_map(move |(occurrence, steps)| {
             steps.iter().enumerate().flat_map(move |(step, state)| {
                 let id = move |index: usize| TaskId {
                     job: self.id.clone(),
@@ -307,7 +326,12 @@
                 let tasks = state.tasks.iter().enumerate();
                 tasks.map(move |(index, task)| (id(index), task))
             })
-        });
+        })
+    }
+
+    /// Returns all runs of the job that may be alive.
+    pub fn live_runs(&self) -> impl Iterator<Item = (TaskId, &TaskRun)> {
+        let tasks = self.tasks();
         tasks.flat_map(|(id, task)| task.placed.iter().map(move |run| (id.clone(), run)))
     }
 }
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -52,7 +52,7 @@
             reason: RefusalReason::OtherIncarnation,
         }) = result
         {
-            self.worker_superseded(token.worker());
+            self.worker_superseded(token.worker(), now);
         }
         match token {
             CallToken::Hold { worker } => match result {
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -57,6 +57,7 @@
                 self.waiting.set_rank(&id, &pool, &lane, rank, need);
             }
         }
+        self.place_claimed(now);
         for pool in self.waiting.take_due_pools() {
             self.unplaceable.remove(&pool);
             self.place_common(&pool, now);
@@ -261,6 +262,9 @@
         if self.is_unplaceable(pool, &spec) {
             return waiting > 0;
         }
+        let rack_local_until_ms =
+            open_ms + (spec.estimate_ms as f64 * RACK_LOCAL_WAIT_FACTOR) as u64;
+        let rack_local_only = now < rack_local_until_ms;
         for index in ready {
             let task = TaskId {
                 index,
@@ -269,15 +273,13 @@
             if !self.account_allows(id, &spec, StartKind::Task, now) {
                 break;
             }
-            let rack_local_until_ms =
-                open_ms + (spec.estimate_ms as f64 * RACK_LOCAL_WAIT_FACTOR) as u64;
-            let rack_local_only = now < rack_local_until_ms;
-            match self.choose_worker(&task, pool, &spec, rack_local_only, now) {
+            match self.find_worker(&task, pool, &spec, rack_local_only, now) {
                 Some(worker) => {
                     placed += 1;
-                    self.reserve(&task, &worker, &spec, now);
+                    self.reserve_found(&task, &worker, &spec, now);
                 }
-                // All tasks of a step are alike: if one finds no worker, none does.
+                None if self.is_suspect(&task) => {}
+                // All other tasks of a step are alike: if one finds no worker, none does.
                 None => {
                     self.log_waiting(&task, pool, &spec, now);
                     self.record_unplaceable(&task, pool, &spec);
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -15,6 +15,7 @@
 use snafu::Snafu;
 
 use crate::jobs::account::AccountName;
+use crate::jobs::loss_record::LossRecord;
 use crate::jobs::types::JobSpec;
 use crate::jobs::types::JobState;
 
@@ -238,6 +239,9 @@
     /// [`ProgressExtension`].
     #[serde(skip)]
     pub account: Option<AccountName>,
+    /// Losses of unfinished tasks. They are encoded after the [`ProgressExtension`].
+    #[serde(skip)]
+    pub losses: Vec<LossRecord>,
 }
 
 /// Fields of a progress record that are encoded after it.
@@ -255,13 +259,18 @@
 /// Fails if the encoder fails.
 pub fn encode_progress(record: &ProgressRecord) -> Result<Vec<u8>, EncodeError> {
     let account = record.account.as_ref().filter(|_| record.state.is_final());
-    let Some(account) = account else {
+    if account.is_none() && record.losses.is_empty() {
         return encode(record);
-    };
+    }
     let extension = ProgressExtension {
-        account: Some(account.to_string()),
+        account: account.map(ToString::to_string),
     };
-    encode_with(record, &extension)
+    let mut bytes = encode_with(record, &extension)?;
+    if !record.losses.is_empty() {
+        // Earlier versions ignore what follows the extension that they know.
+        bytes.extend(encode(&record.losses)?);
+    }
+    Ok(bytes)
 }
 
 /// Decodes a progress record that is stored under `key`.
@@ -269,11 +278,18 @@
 /// # Errors
 ///
 /// Fails if `bytes` is not an encoded progress record.
-pub fn decode_progress(key: &str, bytes: &[u8]) -> Result<ProgressRecord, RecordError> {
-    let (record, extension): (ProgressRecord, Option<ProgressExtension>) = decode_with(key, bytes)?;
+pub fn decode_progress(key: &str, mut bytes: &[u8]) -> Result<ProgressRecord, RecordError> {
+    let (record, extension): (ProgressRecord, Option<ProgressExtension>) =
+        read_with(key, &mut bytes)?;
     let account = extension.and_then(|extension| extension.account);
+    let losses = if bytes.is_empty() {
+        Vec::new()
+    } else {
+        rmp_serde::from_read(&mut bytes).context(RecordSnafu { key })?
+    };
     Ok(ProgressRecord {
         account: account.map(Into::into),
+        losses,
         ..record
     })
 }
@@ -324,11 +340,19 @@
     key: &str,
     mut bytes: &[u8],
 ) -> Result<(T, Option<E>), RecordError> {
-    let record = rmp_serde::from_read(&mut bytes).context(RecordSnafu { key })?;
+    read_with(key, &mut bytes)
+}
+
+/// Like [`decode_with`]; `bytes` are left at what follows.
+fn read_with<T: DeserializeOwned, E: DeserializeOwned>(
+    key: &str,
+    bytes: &mut &[u8],
+) -> Result<(T, Option<E>), RecordError> {
+    let record = rmp_serde::from_read(&mut *bytes).context(RecordSnafu { key })?;
     if bytes.is_empty() {
         return Ok((record, None));
     }
-    let extension = rmp_serde::from_read(&mut bytes).context(RecordSnafu { key })?;
+    let extension = rmp_serde::from_read(bytes).context(RecordSnafu { key })?;
     Ok((record, Some(extension)))
 }
 
--- a/src/jobs/restore.rs
+++ b/src/jobs/restore.rs
@@ -7,6 +7,7 @@
 use crate::jobs::record::BodyRecord;
 use crate::jobs::record::ProgressRecord;
 use crate::jobs::types::JobId;
+use crate::jobs::types::TaskId;
 use crate::jobs::worker::RunFootprint;
 
 impl JobEngine {
@@ -38,6 +39,7 @@
         self.jobs.insert(id.clone(), job);
         self.waiting.insert(&id);
         self.count_restored_runs(&id);
+        self.restore_losses(&id, time.boot);
         self.finalize_job(&id, time.boot);
     }
 
@@ -59,7 +61,10 @@
                     view.entry.born_ms = view.entry.born_ms.max(born_ms);
                     view.add_run(task, run, footprint);
                 }
-                Some(_) => self.requeue_run(&task, &worker, run, now),
+                Some(_) => {
+                    self.record_inherited_loss(&task, &worker, born_ms, true, now);
+                    self.requeue_run(&task, &worker, run, now);
+                }
                 // A worker without an entry cannot be called: the run may be alive until
                 // the worker's lease has expired.
                 None => self.orphaned_runs.push((task, worker, run)),
@@ -84,7 +89,17 @@
         let expired: Vec<_> = expired.collect();
         for (task, worker, run) in expired {
             log::info!(event = "run_lost", task:% = task, run = run, worker = worker.as_str(), reason = "no_entry"; "");
+            let born_ms = self.run_born_ms(&task, &worker, run);
+            self.record_inherited_loss(&task, &worker, born_ms, false, now);
             self.requeue_run(&task, &worker, run, now);
         }
     }
+
+    fn run_born_ms(&self, task: &TaskId, worker: &str, run: u32) -> u64 {
+        let job = self.jobs.get(&task.job);
+        let state = job.and_then(|job| job.task(task));
+        let mut placed = state.into_iter().flat_map(|state| &state.placed);
+        let placed = placed.find(|placed| placed.run == run && placed.worker == worker);
+        placed.map_or(0, |placed| placed.born_ms)
+    }
 }
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
+use crate::jobs::isolation::IsolationClaim;
 use crate::jobs::types::JobId;
 use crate::jobs::types::ResourceVector;
 use crate::jobs::types::StepSpec;
@@ -116,6 +117,8 @@
     pub evacuating: bool,
     /// Whether another incarnation has answered in its place.
     pub is_superseded: bool,
+    /// Task for whose isolated start it is reserved; no other run is started here meanwhile.
+    pub claim: Option<IsolationClaim>,
     /// When a run was last placed here, or when the worker was found.
     pub last_busy_ms: u64,
 }
@@ -143,6 +146,7 @@
             failures: 0,
             evacuating: false,
             is_superseded: false,
+            claim: None,
             last_busy_ms: now,
         }
     }
@@ -191,6 +195,12 @@
             && now >= self.blocked_until_ms
     }
 
+    /// Returns whether runs that are not isolated may be started here at the time `now`.
+    #[must_use]
+    pub fn accepts_starts(&self, now: u64) -> bool {
+        self.is_schedulable(now) && self.claim.is_none()
+    }
+
     /// Returns the time up to which its runs were observed, on the boot clock in
     /// milliseconds: its last report, or `now` if it does not answer. Newer reports may wait
     /// to be handled by this owner.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -30,6 +30,8 @@
 pub const REFUSED_JOBS: &str = "chicory_jobs_refused_total";
 /// Runs lost with their workers, by reason.
 pub const LOST_RUNS: &str = "chicory_runs_lost_total";
+/// Tasks given up because they crash their workers.
+pub const GIVEN_UP_TASKS: &str = "chicory_tasks_given_up_total";
 /// Utility that the waiting jobs of a pool lose by a core-second of further work.
 pub const ROOM_PRICE: &str = "chicory_pool_room_price";
 /// Configuration version in force.
@@ -67,6 +69,10 @@
     metrics::describe_counter!(PEER_MESSAGES, "Messages between entry VMs, by direction.");
     metrics::describe_counter!(REFUSED_JOBS, "Refused submissions, by pool and reason.");
     metrics::describe_counter!(LOST_RUNS, "Runs lost with their workers, by reason.");
+    metrics::describe_counter!(
+        GIVEN_UP_TASKS,
+        "Tasks given up because they crash their workers."
+    );
     metrics::describe_gauge!(
         ROOM_PRICE,
         "Utility lost by a core-second of further work, by pool."
--- a/tests/jobs_accounts.rs
+++ b/tests/jobs_accounts.rs
@@ -236,6 +236,7 @@
         finished: Vec::new(),
         open: Vec::new(),
         account: None,
+        losses: Vec::new(),
     };
     let bytes = encode_progress(&record).expect("a record");
     world
@@ -264,6 +265,7 @@
         finished: Vec::new(),
         open: Vec::new(),
         account: Some("north".into()),
+        losses: Vec::new(),
     };
     let former = ProgressRecord {
         account: None,
--- a/tests/jobs_losses.rs
+++ b/tests/jobs_losses.rs
@@ -6,6 +6,8 @@
 
 use chicorygauge::jobs::types::JobState;
 use chicorygauge::jobs::types::StepSpec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use world::World;
 use world::job;
 use world::step;
@@ -68,6 +70,16 @@
     assert_only_deadly_failed(&world);
 }
 
+/// A worker that crashes without a reset of its connections passes for sound for a while, also
+/// when the run that crashed it was isolated.
+#[test]
+fn requeue_silent_crashes_bounded() {
+    let mut world = world_with_deadly_task(6, step(3, 1800, 600));
+    world.silent_crashes = true;
+    world.run(40_000);
+    assert_only_deadly_failed(&world);
+}
+
 /// A successor did not know of the losses that its predecessors had seen.
 #[test]
 fn take_over_deadly_task_bounded() {
@@ -90,3 +102,125 @@
     assert_eq!(late.count(), 0, "jobs still delayed by the deadly task");
     assert!(crashes(&world) <= 2, "{} crashes", crashes(&world));
 }
+
+/// The worker of a gang's member crashed with it, and the whole gang was started again without
+/// end.
+#[test]
+fn place_gang_deadly_member_bounded() {
+    let spec = StepSpec {
+        gang: true,
+        ..step(3, 1800, 600)
+    };
+    let mut world = world_with_deadly_task(6, spec);
+    world.run(60_000);
+    assert_only_deadly_failed(&world);
+}
+
+/// Long-running tasks have no limit of attempts, and crashed their workers without end.
+#[test]
+fn requeue_deadly_long_running_task_bounded() {
+    let spec = StepSpec {
+        lasting: true,
+        ..step(3, 1800, 600)
+    };
+    let mut world = world_with_deadly_task(6, spec);
+    world.run(60_000);
+    assert_only_deadly_failed(&world);
+}
+
+/// Lost runs could not be told from crashes, so a bound on them would have given up tasks whose
+/// workers were only cut off.
+#[test]
+fn requeue_after_cuts_not_given_up() {
+    let mut world = World::new(6, 1);
+    world.run(20);
+    world.submit(DEADLY, &job(&[step(1, 1800, 20_000)]), 100);
+    for _ in 0..4 {
+        world.run(500);
+        let mut workers = world.workers.iter();
+        let busy = workers.find(|(_, worker)| !worker.runs.is_empty());
+        let busy = busy.map(|(id, _)| id.clone()).expect("a run");
+        world.workers.get_mut(&busy).expect("a worker").reachable = false;
+        world.run(7000);
+        world.workers.get_mut(&busy).expect("a worker").reachable = true;
+    }
+    world.run(30_000);
+    assert_eq!(state_of(&world, DEADLY), Some(JobState::Completed));
+}
+
+/// A task that was lost in real crashes of its workers, far apart, was taken for their cause.
+#[test]
+fn clear_survivors_long_running_task_not_given_up() {
+    let spec = StepSpec {
+        lasting: true,
+        ..step(1, 1800, 600)
+    };
+    let mut world = World::new(4, 1);
+    world.run(20);
+    world.submit(DEADLY, &job(&[spec]), 100);
+    for _ in 0..6 {
+        world.run(40_000);
+        let mut workers = world.workers.iter();
+        let busy = workers.find(|(_, worker)| !worker.runs.is_empty());
+        let busy = busy.map(|(id, _)| id.clone()).expect("a run");
+        world.crash(&busy);
+    }
+    world.run(10_000);
+    assert_eq!(state_of(&world, DEADLY), Some(JobState::Running));
+    assert_eq!(world.running(), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 16,
+        rng_seed: RngSeed::Fixed(27),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Only tasks that crash their workers may be given up, in time, whatever else happens:
+    /// lost calls and answers, takeovers, cuts, other crashes.
+    #[test]
+    fn requeue_random_faults_bounded(
+        seed in 1_u64..1_000_000,
+        deadly in proptest::collection::vec((0_u64..8, 0_u32..4), 1..4),
+        after_ms in prop_oneof![Just(3_u64), Just(10), Just(150), Just(700)],
+        speculative in any::<bool>(),
+        silent in any::<bool>(),
+    ) {
+        let mut world = World::new(8, seed);
+        world.run(20);
+        world.deadly_after_ms = after_ms;
+        world.silent_crashes = silent;
+        for (number, index) in &deadly {
+            world.deadly.insert(format!("{}.0.0.{index}", neighbour(*number)));
+        }
+        world.faults.lost_replies = 5;
+        world.faults.lost_calls = 5;
+        for number in 0..8 {
+            let spec = StepSpec { speculative, ..step(4, 1800, 800) };
+            world.submit(&neighbour(number), &job(&[spec]), number);
+            world.run(300);
+        }
+        for _ in 0..6 {
+            let pause_ms = 3000 + world.draw() % 4000;
+            world.run(pause_ms);
+            if world.draw().is_multiple_of(3) {
+                world.take_over();
+            }
+        }
+        world.run(60_000);
+        for number in 0..8 {
+            let id = neighbour(number);
+            let is_deadly = deadly.iter().any(|(other, _)| *other == number);
+            let state = state_of(&world, &id);
+            if is_deadly {
+                prop_assert_eq!(state, Some(JobState::Failed), "{}", id);
+            } else if after_ms <= 10 {
+                prop_assert_eq!(state, Some(JobState::Completed), "{}", id);
+            } else {
+                prop_assert!(state.is_some_and(JobState::is_final), "{}: {:?}", id, state);
+            }
+        }
+    }
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -93,6 +93,8 @@
     pub reachable: bool,
     /// Whether its process is running.
     pub up: bool,
+    /// Whether its process has crashed.
+    crashed: bool,
     epoch: u64,
     lease_until_ms: u64,
     pub runs: BTreeMap<String, FakeRun>,
@@ -163,6 +165,8 @@
     pub deadly: BTreeSet<String>,
     /// Time from the start of a deadly task to the crash of its worker, in milliseconds.
     pub deadly_after_ms: u64,
+    /// Whether connections to a worker that crashes go silent; otherwise they are reset.
+    pub silent_crashes: bool,
     /// Time until a worker that has crashed is replaced, in milliseconds.
     pub crash_down_ms: u64,
     /// Times of the crashes by deadly task.
@@ -280,6 +284,7 @@
             failures: BTreeMap::new(),
             deadly: BTreeSet::new(),
             deadly_after_ms: 10,
+            silent_crashes: false,
             crash_down_ms: 3000,
             crashes: BTreeMap::new(),
             late_starts: BTreeMap::new(),
@@ -330,6 +335,7 @@
                 machine: machine.to_owned(),
                 reachable: true,
                 up: true,
+                crashed: false,
                 epoch: 0,
                 lease_until_ms: 0,
                 runs: BTreeMap::new(),
@@ -357,6 +363,7 @@
             return;
         }
         worker.up = false;
+        worker.crashed = true;
         for task in worker
             .runs
             .keys()
@@ -364,11 +371,42 @@
         {
             self.crashes.entry(task.clone()).or_default().push(self.now);
         }
+        let tasks: Vec<String> = worker.runs.keys().cloned().collect();
         worker.runs.clear();
         let (machine, pool) = (worker.machine.clone(), worker.entry.pool.clone());
         let (down_ms, id) = (self.crash_down_ms, id.to_owned());
         self.schedule(down_ms, Event::VmReturns(machine, pool));
         self.schedule(ENTRY_EXPIRY_MS, Event::EntryExpires(id));
+        for task in tasks {
+            self.break_gang(&task);
+        }
+    }
+
+    /// Ends the runs of the other members of a task's gang.
+    fn break_gang(&mut self, task: &str) {
+        let name = TaskId::parse(task).expect("a task");
+        let spec = &self.specs[&*name.job];
+        if !spec.steps[name.step as usize].gang {
+            return;
+        }
+        let prefix = format!("{}.{}.{}.", name.job, name.occurrence, name.step);
+        for worker in self.workers.values_mut() {
+            let members = worker.runs.keys();
+            let members: Vec<String> = members
+                .filter(|task| task.starts_with(&prefix))
+                .cloned()
+                .collect();
+            for member in members {
+                end_run(worker, &member, RunEnd::GangBroken);
+            }
+        }
+    }
+
+    /// Returns the time until a call to a worker that does not answer fails, in milliseconds.
+    fn failure_delay_ms(&self, id: &str) -> u64 {
+        let worker = self.workers.get(id);
+        let is_reset = worker.is_some_and(|worker| worker.crashed && !self.silent_crashes);
+        if is_reset { HOP_MS } else { CALL_LIMIT_MS }
     }
 
     /// Returns whether another worker runs on the VM of a worker.
@@ -691,7 +729,7 @@
         let order = !matches!(call.order, WorkerOrder::Hold { .. });
         if !reachable || self.draw_fault(self.faults.lost_calls) {
             return self.schedule(
-                CALL_LIMIT_MS,
+                self.failure_delay_ms(&call.worker),
                 Event::CallEnds(token, CallResult::Unknown, sent_ms),
             );
         }
@@ -794,7 +832,7 @@
             .filter(|worker| worker.up && worker.reachable)
         else {
             return self.schedule(
-                CALL_LIMIT_MS,
+                self.failure_delay_ms(&call.worker),
                 Event::CallEnds(token, CallResult::Unknown, sent_ms),
             );
         };
