Jobs: a start is withheld if its worker's capacity shrank meanwhile

Callers see nothing; a pool whose workers start whatever they are told breaks LIMIT. Cause: the capacity was checked when a run was placed, and not when its start was sent; between them is a commit, which takes seconds while the store is down. Found while reading for starts that are not checked again before they are repeated. Evidence: start_after_shrunk_capacity_withheld failed before (24,000 of 16,000 millicores). Change: the start is withheld as at an unresponsive worker, and the task is placed again. Result: the test passes.

--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -87,9 +87,8 @@
         retries: u32,
         now: u64,
     ) {
-        if !self.unresponsive.may_grant_lease(worker) {
-            // The start would grant a lease that the next owner does not know of.
-            log::info!(event = "start_withheld", task:% = task, run = run, worker = worker, reason = "unresponsive"; "");
+        if let Some(reason) = self.withhold_reason(worker) {
+            log::info!(event = "start_withheld", task:% = task, run = run, worker = worker, reason = reason; "");
             // An earlier attempt may still be carried out.
             return match retries {
                 0 => self.requeue_run(task, worker, run, now),
@@ -141,6 +140,18 @@
         self.send_order(worker, order, token);
     }
 
+    /// Returns why no start may be sent to a worker; none if one may.
+    fn withhold_reason(&self, worker: &str) -> Option<&'static str> {
+        if !self.unresponsive.may_grant_lease(worker) {
+            // The start would grant a lease that the next owner does not know of.
+            return Some("unresponsive");
+        }
+        // The capacity may have shrunk while the placement was being stored.
+        let view = self.workers.get(worker)?;
+        let is_over = !view.entry.capacity.covers(&view.used);
+        is_over.then_some("capacity")
+    }
+
     fn handle_start_result(
         &mut self,
         worker: &str,
