Jobs: occurrences in progress are bounded

Callers of all jobs of the shard would see their owner run out of memory, and then each successor. Cause: the same class as the tasks that crash their workers, here with the entry VMs as servers: each owner opened all overdue occurrences of a recurring job at once, so one submission whose first run lies far back could exhaust owner after owner. It also looked at every due number at each tick, and kept occurrences that finished while a copy ran. Change: occurrences open in order while they have at most 4096 tasks together, as one submission may have; finished ones are removed when their last run has ended.

--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -18,6 +18,7 @@
 use crate::jobs::task::store_task;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
+use crate::jobs::types::MAX_TASKS;
 use crate::jobs::types::RunEnd;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
@@ -202,10 +203,17 @@
                 (schedule.times, due.min(u64::from(schedule.times)) as u32)
             }
         };
+        self.drop_finished();
         let mut opened = false;
-        for number in 0..due.min(times) {
-            if self.open.contains_key(&number) || self.finished.contains(&number) {
-                continue;
+        let tasks = self.body.spec.tasks_per_occurrence();
+        let max_open = (MAX_TASKS / tasks.max(1)).max(1) as usize;
+        // Occurrences are opened in the order of their numbers.
+        let last_open = self.open.last_key_value().map(|(number, _)| *number);
+        let last = last_open.max(self.finished.last().copied());
+        let next = last.map_or(0, |last| last + 1);
+        for number in next..due.min(times) {
+            if self.open.len() >= max_open {
+                break;
             }
             let steps = self.body.spec.steps.iter().map(|step| StepState {
                 tasks: vec![TaskState::default(); step.tasks as usize],
@@ -218,6 +226,15 @@
         opened
     }
 
+    /// Removes the finished occurrences whose last runs have ended since.
+    fn drop_finished(&mut self) {
+        let finished = &self.finished;
+        self.open.retain(|number, steps| {
+            let mut tasks = steps.iter().flat_map(|step| &step.tasks);
+            !finished.contains(number) || tasks.any(|task| !task.placed.is_empty())
+        });
+    }
+
     /// Opens the steps of an occurrence whose earlier steps are all done.
     fn open_steps(&mut self, number: u32, now: u64) {
         let Some(steps) = self.open.get_mut(&number) else {
--- a/src/jobs/types.rs
+++ b/src/jobs/types.rs
@@ -192,8 +192,9 @@
 /// Maximum length of the text passed to runs, in bytes; published by the platform.
 const MAX_SPEC_BYTES: usize = 4000;
 
-/// Maximum number of tasks of a job; bounds the memory that one submission can claim.
-const MAX_TASKS: u64 = 4096;
+/// Maximum number of tasks of a job, and of those of its occurrences in progress; bounds the
+/// memory that one submission can claim.
+pub const MAX_TASKS: u64 = 4096;
 
 impl JobSpec {
     /// Returns why the job is invalid, or none if it is valid.
@@ -205,7 +206,7 @@
         if self.steps.is_empty() {
             return Some("a job must have at least one step".to_owned());
         }
-        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        let tasks = self.tasks_per_occurrence();
         if tasks > MAX_TASKS {
             return Some(format!(
                 "the job has {tasks} tasks; at most {MAX_TASKS} are accepted"
@@ -231,6 +232,12 @@
         None
     }
 
+    /// Returns the number of tasks of one occurrence.
+    #[must_use]
+    pub fn tasks_per_occurrence(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.tasks)).sum()
+    }
+
     /// Returns the CPU work of one occurrence, in millicore-milliseconds; long-running
     /// steps do not count.
     #[must_use]
