Turns: forecasts contradicted one after another pause the search

Change: after a contradiction before a turn came as expected, no period is searched for as many periods as there were such contradictions before. A first one has no pause, as a period that has changed is to be learned anew.

--- a/src/jobs/turns.rs
+++ b/src/jobs/turns.rs
@@ -63,6 +63,12 @@
     checked_step: u64,
     /// Period that was contradicted, and until when it is not considered.
     rejected: Option<(usize, u64)>,
+    /// When the period in force was learned.
+    learned_ms: u64,
+    /// Number of consecutive forecasts that were contradicted before a turn came as expected.
+    misses: u32,
+    /// Until when no period is searched.
+    paused_until_ms: u64,
 }
 
 impl TurnTracker {
@@ -95,10 +101,11 @@
         {
             self.pattern = None;
             self.rejected = Some((pattern.period_steps, now + pattern.period_ms()));
+            self.record_miss(pattern, now);
             return Some(TurnChange::Contradicted(pattern));
         }
         let is_due = self.searched_ms.is_none_or(|at| now >= at + SEARCH_MS);
-        if !is_due {
+        if !is_due || now < self.paused_until_ms {
             return None;
         }
         self.searched_ms = Some(now);
@@ -112,7 +119,10 @@
             {
                 None
             }
-            (_, Some(found)) => Some(TurnChange::Learned(found)),
+            (_, Some(found)) => {
+                self.learned_ms = now;
+                Some(TurnChange::Learned(found))
+            }
             (None, None) => None,
         }
     }
@@ -235,6 +245,16 @@
         is_missing || is_unexpected
     }
 
+    /// Pauses the search after forecasts that were contradicted one after another: such
+    /// arrivals only look periodic. The first contradiction has no pause, as a period that
+    /// changes is to be learned anew.
+    fn record_miss(&mut self, pattern: TurnPattern, now: u64) {
+        let has_held = now >= self.learned_ms + pattern.period_ms();
+        self.misses = if has_held { 1 } else { self.misses + 1 };
+        let pause_ms = pattern.period_ms() * u64::from(self.misses - 1);
+        self.paused_until_ms = now + pause_ms;
+    }
+
     fn is_rejected(&self, period: usize) -> bool {
         let rejected = self.rejected;
         rejected.is_some_and(|(other, _)| period.abs_diff(other) <= DEVIATION_STEPS as usize)
