Jobs: evidence on lost workers in a module of its own; more tests of losses

Wording and layout: what is known of lost workers is apart from what becomes of their tasks. Tests: when a task is given up, records with losses read by both versions, workers that leave as announced, and isolated starts one after the other.

--- a/src/jobs/copies.rs
+++ b/src/jobs/copies.rs
@@ -63,7 +63,7 @@
             }
             if let Some(worker) = self.find_worker(&task, pool, spec, false, now) {
                 log::info!(event = "speculative_copy_placed", task:% = task, worker = worker.as_str(); "");
-                self.reserve_found(&task, &worker, spec, now);
+                self.reserve_worker(&task, &worker, spec, now);
             }
         }
     }
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -33,7 +33,7 @@
 use crate::jobs::lend::LendingState;
 use crate::jobs::limits::LimitState;
 use crate::jobs::load::PoolLoad;
-use crate::jobs::losses::LostWorkers;
+use crate::jobs::lost_workers::LostWorkers;
 use crate::jobs::stable_map::StableMap;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use crate::jobs::engine::JobEngine;
-use crate::jobs::losses::LossReason;
+use crate::jobs::lost_workers::LossReason;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::TaskId;
 use crate::jobs::unresponsive::UnresponsiveLease;
--- a/src/jobs/gang.rs
+++ b/src/jobs/gang.rs
@@ -49,7 +49,7 @@
                 ..first.clone()
             };
             if is_isolated {
-                self.reserve_found(&task, &worker, spec, now);
+                self.reserve_worker(&task, &worker, spec, now);
             } else {
                 self.reserve(&task, &worker, spec, now);
             }
--- a/src/jobs/isolation.rs
+++ b/src/jobs/isolation.rs
@@ -106,6 +106,7 @@
         None
     }
 
+    /// Claims a worker for a task, for its run if that is placed.
     fn set_claim(&mut self, worker: &str, task: &TaskId, run: Option<u32>, now: u64) {
         if let Some(view) = self.workers.get_mut(worker) {
             view.claim = Some(IsolationClaim {
@@ -118,7 +119,13 @@
     }
 
     /// Reserves capacity for a run; for a suspect, claims the worker for its trial.
-    pub(crate) fn reserve_found(&mut self, task: &TaskId, worker: &str, spec: &StepSpec, now: u64) {
+    pub(crate) fn reserve_worker(
+        &mut self,
+        task: &TaskId,
+        worker: &str,
+        spec: &StepSpec,
+        now: u64,
+    ) {
         let is_suspect = self.is_suspect(task);
         self.reserve(task, worker, spec, now);
         if !is_suspect {
@@ -169,7 +176,7 @@
             && self.is_advised(task, worker, now)
             && self.account_allows(&task.job, &spec, kind, now)
         {
-            self.reserve_found(task, worker, &spec, now);
+            self.reserve_worker(task, worker, &spec, now);
         }
     }
 
@@ -250,7 +257,8 @@
         }
     }
 
-    pub(crate) fn drop_claim(&mut self, worker: &str) {
+    /// Ends the claim of a worker, which then accepts other runs again.
+    fn drop_claim(&mut self, worker: &str) {
         self.claimed_workers.remove(worker);
         if let Some(view) = self.workers.get_mut(worker) {
             view.claim = None;
--- a/src/jobs/losses.rs
+++ b/src/jobs/losses.rs
@@ -1,16 +1,10 @@
-//! Workers that were lost with runs, and what is known of each: whether it has crashed, was
-//! only cut off, or left as ordered.
+//! Losses of tasks: runs that were lost with workers that have crashed or may have.
 //!
-//! A worker that does not answer loses its runs once its lease has expired. That it has
-//! crashed shows only later, when another incarnation answers or is listed at its address;
-//! if the same incarnation answers again, it was cut off.
-//!
-//! Each task keeps the losses of its runs at workers that may have crashed, also across
-//! takeovers, and is then started in isolation. A task is given up once it has crashed
-//! workers often enough; its job fails.
-
-use std::collections::HashMap;
-use std::net::SocketAddr;
+//! A task that crashes each worker that starts it must not be started without end, and
+//! tasks that only ran beside it must not be given up. Each task keeps its losses, also
+//! across takeovers, and is started in isolation while it has some (see
+//! [`isolation`](crate::jobs::isolation)). It is given up once it has crashed workers often
+//! enough, and its job fails. A run that lasts for long clears its task.
 
 use crate::jobs::engine::JobEngine;
 use crate::jobs::task::RunPhase;
@@ -18,14 +12,7 @@
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
-use crate::jobs::types::WorkerState;
-use crate::jobs::worker::WorkerView;
 use crate::metrics::GIVEN_UP_TASKS;
-use crate::metrics::LOST_RUNS;
-use crate::ports::WorkerEntry;
-
-/// How long a lost worker's answer or successor is waited for, in milliseconds.
-const EVIDENCE_WAIT_MS: u64 = 60_000;
 
 /// Number of workers known to have crashed from which on a task may be given up.
 const MIN_CRASHES: usize = 2;
@@ -45,29 +32,6 @@
 /// milliseconds.
 const SURVIVAL_MS: u64 = 30_000;
 
-/// Why all runs at a worker are lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LossReason {
-    /// The worker does not answer and its lease has expired.
-    LeaseExpired,
-    /// Another incarnation runs under its identifier.
-    Restarted,
-    /// Its VM was moved or went into maintenance.
-    VmOrdered,
-}
-
-impl LossReason {
-    /// Returns the name in log lines and metrics.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::LeaseExpired => "lease_expired",
-            Self::Restarted => "restarted",
-            Self::VmOrdered => "vm_ordered",
-        }
-    }
-}
-
 /// Loss of a run with its worker, which has crashed or may have.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerLoss {
@@ -91,82 +55,7 @@
     losses.len() >= MAX_UNISOLATED_LOSSES || crashes.into_iter().any(|loss| loss.isolated)
 }
 
-/// A lost worker of which it is not known whether it has crashed.
-#[derive(Clone, Debug)]
-pub(crate) struct LostWorker {
-    born_ms: u64,
-    /// Address at which it was called; none if a former owner lost it.
-    address: Option<SocketAddr>,
-    lost_ms: u64,
-    /// Tasks that have a loss at it.
-    tasks: Vec<TaskId>,
-}
-
-/// Lost workers by identifier.
-pub(crate) type LostWorkers = HashMap<String, LostWorker>;
-
 impl JobEngine {
-    /// Records the loss of all runs at a worker with each of their tasks, unless the worker
-    /// was to leave. Called before the runs are removed.
-    pub(crate) fn record_losses(&mut self, worker: &str, reason: LossReason, now: u64) {
-        let Some(view) = self.workers.get(worker) else {
-            return;
-        };
-        let planned = reason == LossReason::VmOrdered
-            || view.evacuating
-            || view.entry.state == WorkerState::Draining;
-        let confirmed = view.is_superseded || reason == LossReason::Restarted;
-        let silent_ms = now.saturating_sub(view.contact_ms.unwrap_or(now));
-        log::info!(
-            event = "worker_runs_lost", worker = worker, reason = reason.as_str(),
-            runs = view.runs.len(), planned = planned, crashed = confirmed,
-            silent_ms = silent_ms; ""
-        );
-        let (born_ms, address) = (view.entry.born_ms, view.entry.address);
-        let runs: Vec<_> = view.runs.iter().cloned().collect();
-        let labels = [("reason", reason.as_str())];
-        metrics::counter!(LOST_RUNS, &labels).increment(runs.len() as u64);
-        if planned {
-            return;
-        }
-        let isolated = self.isolated_run(worker);
-        let mut tasks = Vec::new();
-        for (task, run) in runs {
-            let phase = self.run_phase(&task, worker, run);
-            let is_cleared = isolated
-                .as_ref()
-                .is_some_and(|other| *other != (task.clone(), run));
-            if is_cleared || phase.is_none_or(|phase| matches!(phase, RunPhase::Reserved(_))) {
-                continue;
-            }
-            let loss = WorkerLoss {
-                worker: worker.to_owned(),
-                born_ms,
-                isolated: isolated.is_some(),
-                confirmed,
-            };
-            self.add_loss(&task, loss);
-            tasks.push(task);
-        }
-        if !confirmed && !tasks.is_empty() {
-            let lost = LostWorker {
-                born_ms,
-                address: Some(address),
-                lost_ms: now,
-                tasks,
-            };
-            self.lost_workers.insert(worker.to_owned(), lost);
-        }
-    }
-
-    /// Returns the run on trial at a worker, if its start was confirmed.
-    fn isolated_run(&self, worker: &str) -> Option<(TaskId, u32)> {
-        let claim = self.workers.get(worker)?.claim.as_ref()?;
-        let run = claim.run?;
-        let phase = self.run_phase(&claim.task, worker, run);
-        matches!(phase, Some(RunPhase::Running(_))).then(|| (claim.task.clone(), run))
-    }
-
     /// Adds a loss to a task.
     pub(crate) fn add_loss(&mut self, task: &TaskId, loss: WorkerLoss) {
         let job = self.jobs.get_mut(&task.job);
@@ -181,20 +70,16 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let mut suspects = Vec::new();
+        let (mut suspects, mut unconfirmed) = (Vec::new(), Vec::new());
         for (task, loss) in job.losses() {
             suspects.push(task.clone());
             if !loss.confirmed {
-                let lost = self.lost_workers.entry(loss.worker.clone());
-                let lost = lost.or_insert_with(|| LostWorker {
-                    born_ms: loss.born_ms,
-                    address: None,
-                    lost_ms: now,
-                    tasks: Vec::new(),
-                });
-                lost.tasks.push(task);
+                unconfirmed.push((task, loss.worker.clone(), loss.born_ms));
             }
         }
+        for (task, worker, born_ms) in unconfirmed {
+            self.await_evidence(&worker, born_ms, task, now);
+        }
         self.give_up_tasks(&suspects, now);
         self.suspects.extend(suspects);
     }
@@ -216,14 +101,7 @@
         };
         self.add_loss(task, loss);
         if !crashed {
-            let lost = self.lost_workers.entry(worker.to_owned());
-            let lost = lost.or_insert_with(|| LostWorker {
-                born_ms,
-                address: None,
-                lost_ms: now,
-                tasks: Vec::new(),
-            });
-            lost.tasks.push(task.clone());
+            self.await_evidence(worker, born_ms, task.clone(), now);
         }
         self.give_up_tasks(std::slice::from_ref(task), now);
     }
@@ -296,7 +174,12 @@
     }
 
     /// Changes the losses of a task; the job is stored again if that makes a difference.
-    fn change_losses(&mut self, task: &TaskId, now: u64, change: impl Fn(&mut Vec<WorkerLoss>)) {
+    pub(crate) fn change_losses(
+        &mut self,
+        task: &TaskId,
+        now: u64,
+        change: impl Fn(&mut Vec<WorkerLoss>),
+    ) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -310,68 +193,4 @@
             self.dirty.mark(&task.job, now + self.settings.flush_ms);
         }
     }
-
-    /// Handles evidence that a worker's incarnation is no longer running: another one has
-    /// answered in its place.
-    pub(crate) fn worker_superseded(&mut self, worker: &str, now: u64) {
-        if let Some(view) = self.workers.get_mut(worker)
-            && !view.is_superseded
-        {
-            view.is_superseded = true;
-            log::info!(event = "worker_superseded", worker = worker, runs = view.runs.len(); "");
-        }
-        let Some(lost) = self.lost_workers.remove(worker) else {
-            return;
-        };
-        log::info!(event = "worker_crash_confirmed", worker = worker, tasks = lost.tasks.len(); "");
-        for task in &lost.tasks {
-            self.change_losses(task, now, |losses| {
-                let own = losses.iter_mut().filter(|loss| loss.worker == worker);
-                own.for_each(|loss| loss.confirmed = true);
-            });
-        }
-        self.give_up_tasks(&lost.tasks, now);
-    }
-
-    /// Handles a worker that was found: earlier workers at its address are no longer running.
-    pub(crate) fn supersede_at_address(&mut self, entry: &WorkerEntry, now: u64) {
-        let is_earlier = |view: &&WorkerView| {
-            view.missed_calls > 0
-                && view.entry.address == entry.address
-                && view.entry.born_ms < entry.born_ms
-        };
-        let views = self.workers.values().filter(is_earlier);
-        let mut earlier: Vec<String> = views.map(|view| view.entry.id.clone()).collect();
-        let lost = self.lost_workers.iter().filter(|(_, lost)| {
-            lost.address == Some(entry.address) && lost.born_ms < entry.born_ms
-        });
-        earlier.extend(lost.map(|(id, _)| id.clone()));
-        for worker in earlier {
-            self.worker_superseded(&worker, now);
-        }
-    }
-
-    /// Handles an answer of a worker: if its runs were counted as lost, it was cut off, and
-    /// its tasks' losses at it are withdrawn.
-    pub(crate) fn withdraw_losses(&mut self, worker: &str, born_ms: u64, now: u64) {
-        let Some(lost) = self.lost_workers.remove(worker) else {
-            return;
-        };
-        if lost.born_ms != born_ms {
-            self.lost_workers.insert(worker.to_owned(), lost);
-            return self.worker_superseded(worker, now);
-        }
-        log::info!(event = "worker_was_cut_off", worker = worker, tasks = lost.tasks.len(); "");
-        for task in &lost.tasks {
-            self.change_losses(task, now, |losses| {
-                losses.retain(|loss| loss.worker != worker);
-            });
-        }
-    }
-
-    /// Forgets lost workers of which nothing was heard for long.
-    pub(crate) fn expire_lost_workers(&mut self, now: u64) {
-        self.lost_workers
-            .retain(|_, lost| now < lost.lost_ms + EVIDENCE_WAIT_MS);
-    }
 }
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -7,7 +7,7 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::fleet::MachineOrder;
 use crate::jobs::fleet::OrderState;
-use crate::jobs::losses::LossReason;
+use crate::jobs::lost_workers::LossReason;
 use crate::jobs::types::TaskId;
 use crate::jobs::types::WorkerState;
 use crate::ports::FleetCall;
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -33,6 +33,7 @@
 pub mod load;
 pub mod loss_record;
 pub mod losses;
+pub mod lost_workers;
 pub mod machines;
 pub mod moves;
 pub mod orders;
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -276,7 +276,7 @@
             match self.find_worker(&task, pool, &spec, rack_local_only, now) {
                 Some(worker) => {
                     placed += 1;
-                    self.reserve_found(&task, &worker, &spec, now);
+                    self.reserve_worker(&task, &worker, &spec, now);
                 }
                 None if self.is_suspect(&task) => {}
                 // All other tasks of a step are alike: if one finds no worker, none does.
--- a/tests/jobs_losses.rs
+++ b/tests/jobs_losses.rs
@@ -4,8 +4,22 @@
 #[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
+use std::collections::BTreeMap;
+
+use chicorygauge::jobs::loss_record::LossRecord;
+use chicorygauge::jobs::losses::WorkerLoss;
+use chicorygauge::jobs::losses::is_given_up;
+use chicorygauge::jobs::record::ProgressExtension;
+use chicorygauge::jobs::record::ProgressRecord;
+use chicorygauge::jobs::record::decode_progress;
+use chicorygauge::jobs::record::decode_with;
+use chicorygauge::jobs::record::encode_progress;
+use chicorygauge::jobs::types::JobId;
 use chicorygauge::jobs::types::JobState;
 use chicorygauge::jobs::types::StepSpec;
+use chicorygauge::jobs::types::WorkerState;
+use chicorygauge::ports::WorkerEntry;
+use chicorygauge::ports::worker::WorkerOrder;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use world::World;
@@ -170,6 +184,119 @@
     assert_eq!(world.running(), 1);
 }
 
+fn loss(isolated: bool, confirmed: bool) -> WorkerLoss {
+    WorkerLoss {
+        worker: "w-1".to_owned(),
+        born_ms: 7,
+        isolated,
+        confirmed,
+    }
+}
+
+/// A task was given up although none of the workers, or only one, was known to have crashed, or
+/// although another run may have been the cause.
+#[test]
+fn is_given_up_by_crashes_and_isolation() {
+    let (cut, crash, alone) = (loss(false, false), loss(false, true), loss(true, true));
+    let kept: [&[&WorkerLoss]; 5] = [
+        &[&alone],
+        &[&cut, &alone],
+        &[&crash, &crash, &crash],
+        &[&cut, &cut, &cut, &cut],
+        &[&cut, &cut, &cut, &alone],
+    ];
+    let given_up: [&[&WorkerLoss]; 4] = [
+        &[&crash, &alone],
+        &[&cut, &alone, &crash],
+        &[&crash, &crash, &crash, &crash],
+        &[&cut, &cut, &cut, &cut, &cut],
+    ];
+    let losses = |case: &[&WorkerLoss]| case.iter().map(|loss| (*loss).clone()).collect::<Vec<_>>();
+    for case in kept {
+        assert!(!is_given_up(&losses(case)), "{case:?}");
+    }
+    for case in given_up {
+        assert!(is_given_up(&losses(case)), "{case:?}");
+    }
+}
+
+/// An entry VM of the previous version could not read a record with losses, or dropped the
+/// account that stands before them.
+#[test]
+fn progress_record_losses_read_by_both_versions() {
+    let record = ProgressRecord {
+        state: JobState::Cancelled,
+        written_ms: 7,
+        finished: vec![1],
+        open: Vec::new(),
+        account: Some("north".into()),
+        losses: vec![LossRecord {
+            index: 2,
+            worker: "w-1".to_owned(),
+            born_ms: 3,
+            confirmed: true,
+            ..LossRecord::default()
+        }],
+    };
+    let bytes = encode_progress(&record).expect("a record");
+    assert_eq!(decode_progress("key", &bytes).expect("a record"), record);
+    let previous: (ProgressRecord, Option<ProgressExtension>) =
+        decode_with("key", &bytes).expect("a record");
+    assert_eq!(previous.0.finished, vec![1]);
+    let account = previous.1.and_then(|extension| extension.account);
+    assert_eq!(account.as_deref(), Some("north"));
+}
+
+/// The runs of a worker that left as announced counted against their tasks.
+#[test]
+fn record_losses_draining_worker_not_counted() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.submit(DEADLY, &job(&[step(2, 1800, 20_000)]), 100);
+    world.run(200);
+    let mut workers = world.workers.iter();
+    let busy = workers.find(|(_, worker)| !worker.runs.is_empty());
+    let busy = busy.map(|(id, _)| id.clone()).expect("a run");
+    let entry = WorkerEntry {
+        state: WorkerState::Draining,
+        ..world.workers[&busy].entry.clone()
+    };
+    world.engine.worker_listed(entry, world.now);
+    world.run(100);
+    world.crash(&busy);
+    world.run(10_000);
+    let id: JobId = DEADLY.into();
+    let running = world.engine.jobs.get(&id).expect("a job");
+    assert_eq!(running.losses().count(), 0);
+    assert_eq!(world.starts(), 4, "both tasks were started again");
+}
+
+/// The tasks of a crashed worker were started again at the same time at the same worker.
+#[test]
+fn find_worker_suspects_started_alone() {
+    let mut world = World::new(3, 1);
+    world.run(20);
+    world.submit(DEADLY, &job(&[step(8, 1800, 20_000)]), 100);
+    world.run(200);
+    let mut workers = world.workers.iter();
+    let busy = workers.find(|(_, worker)| !worker.runs.is_empty());
+    let busy = busy.map(|(id, _)| id.clone()).expect("a run");
+    assert_eq!(world.tasks_at(&busy).len(), 8);
+    world.crash(&busy);
+    world.run(9000);
+    let starts = world.calls.iter().skip_while(|(at, _)| *at < 1500);
+    let starts = starts.filter(|(_, call)| matches!(call.order, WorkerOrder::Start { .. }));
+    let mut last: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut count = 0;
+    for (at, call) in starts {
+        if let Some(before) = last.insert(&call.worker, *at) {
+            assert!(at - before >= 100, "{} at {before} and {at}", call.worker);
+        }
+        count += 1;
+    }
+    assert_eq!(count, 8);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 16,
