Jobs: gangs with suspects wait for evidence like other tasks

Found while reading the diff: a gang whose member had lost four runs was started again at once, and the trial of a gang took the losses of its first member.

--- a/src/jobs/gang.rs
+++ b/src/jobs/gang.rs
@@ -29,6 +29,9 @@
             vec![None]
         };
         let mut is_isolated = self.is_suspect(first);
+        if is_isolated && self.gang_awaits_evidence(first, now) {
+            return false;
+        }
         let assign = |is_isolated| {
             racks.iter().find_map(|rack| {
                 self.assign_gang(first, pool, spec, rack.as_deref(), is_isolated, now)
--- a/src/jobs/isolation.rs
+++ b/src/jobs/isolation.rs
@@ -10,8 +10,10 @@
 
 use crate::jobs::choose::is_eligible;
 use crate::jobs::engine::JobEngine;
+use crate::jobs::job::JobEntry;
 use crate::jobs::limits::StartKind;
 use crate::jobs::task::RunPhase;
+use crate::jobs::task::StepState;
 use crate::jobs::task::TaskState;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
@@ -57,18 +59,21 @@
     /// Returns whether a task is to be started in isolation: a run of it was lost with a
     /// worker, or is at one that does not answer. A gang is a suspect if a member is.
     pub(crate) fn is_suspect(&self, task: &TaskId) -> bool {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let has_silent_run = state.is_some_and(|state| self.unresponsive_runs(state) > 0);
+        has_silent_run || self.loss_count(task) > 0
+    }
+
+    /// Returns the number of a task's losses; for a gang, the highest of its members.
+    fn loss_count(&self, task: &TaskId) -> usize {
         let Some(job) = self.jobs.get(&task.job) else {
-            return false;
+            return 0;
         };
-        let is_gang = job.step_spec(task).is_some_and(|spec| spec.gang);
-        if is_gang {
-            let steps = job.open.get(&task.occurrence);
-            let step = steps.and_then(|steps| steps.get(task.step as usize));
-            let mut tasks = step.into_iter().flat_map(|step| &step.tasks);
-            return tasks.any(|state| !state.losses.is_empty());
+        if !job.step_spec(task).is_some_and(|spec| spec.gang) {
+            return job.task(task).map_or(0, |state| state.losses.len());
         }
-        job.task(task)
-            .is_some_and(|state| !state.losses.is_empty() || self.unresponsive_runs(state) > 0)
+        let members = step_of(job, task).into_iter().flat_map(|step| &step.tasks);
+        members.map(|state| state.losses.len()).max().unwrap_or(0)
     }
 
     /// Returns the number of a task's runs at workers that do not answer.
@@ -206,11 +211,7 @@
 
     /// Returns whether no run has started at a worker for as long as the task's trial lasts.
     pub(crate) fn is_quiet(&self, task: &TaskId, worker: &str, now: u64) -> bool {
-        let job = self.jobs.get(&task.job);
-        let losses = job
-            .and_then(|job| job.task(task))
-            .map_or(0, |state| state.losses.len());
-        let trial_ms = trial_ms(losses);
+        let trial_ms = trial_ms(self.loss_count(task));
         self.workers.get(worker).is_some_and(|view| {
             view.runs
                 .iter()
@@ -244,13 +245,10 @@
     }
 
     fn is_trial_over(&self, view: &WorkerView, task: &TaskId, run: u32, now: u64) -> bool {
-        let job = self.jobs.get(&task.job);
-        let losses = job
-            .and_then(|job| job.task(task))
-            .map_or(0, |state| state.losses.len());
+        let trial_ms = trial_ms(self.loss_count(task));
         match self.run_phase(task, &view.entry.id, run) {
             Some(RunPhase::Running(since_ms)) => {
-                view.missed_calls == 0 && now >= since_ms + trial_ms(losses)
+                view.missed_calls == 0 && now >= since_ms + trial_ms
             }
             Some(_) => false,
             None => true,
@@ -267,13 +265,27 @@
         }
     }
 
-    /// Returns whether a gang must wait for workers that are ready for isolated starts.
+    /// Returns whether a gang with a suspect still waits for workers that are ready for
+    /// isolated starts.
     pub(crate) fn gang_awaits_isolation(&self, task: &TaskId, now: u64) -> bool {
-        let job = self.jobs.get(&task.job);
-        let steps = job.and_then(|job| job.open.get(&task.occurrence));
-        let step = steps.and_then(|steps| steps.get(task.step as usize));
-        let ends = step.into_iter().flat_map(|step| &step.tasks);
-        let last_end_ms = ends.map(|state| state.last_end_ms).max().unwrap_or(0);
-        self.is_suspect(task) && now < last_end_ms + GANG_WAIT_MS
+        let step = self.jobs.get(&task.job).and_then(|job| step_of(job, task));
+        let members = step.into_iter().flat_map(|step| &step.tasks);
+        let last_end_ms = members.map(|state| state.last_end_ms).max().unwrap_or(0);
+        now < last_end_ms + GANG_WAIT_MS
     }
+
+    /// Returns whether a member of a gang waits until more is known of its losses.
+    pub(crate) fn gang_awaits_evidence(&self, task: &TaskId, now: u64) -> bool {
+        let step = self.jobs.get(&task.job).and_then(|job| step_of(job, task));
+        let mut members = (0..step.map_or(0, |step| step.tasks.len() as u32)).map(|index| TaskId {
+            index,
+            ..task.clone()
+        });
+        members.any(|member| self.awaits_evidence(&member, now))
+    }
+}
+
+fn step_of<'a>(job: &'a JobEntry, task: &TaskId) -> Option<&'a StepState> {
+    let steps = job.open.get(&task.occurrence)?;
+    steps.get(task.step as usize)
 }
--- a/src/jobs/lost_workers.rs
+++ b/src/jobs/lost_workers.rs
@@ -5,7 +5,7 @@
 //! if the same incarnation answers again, it was only cut off. One that was to leave has not
 //! crashed either.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use crate::jobs::engine::JobEngine;
@@ -55,7 +55,7 @@
 }
 
 /// Lost workers by identifier.
-pub(crate) type LostWorkers = HashMap<String, LostWorker>;
+pub(crate) type LostWorkers = BTreeMap<String, LostWorker>;
 
 impl JobEngine {
     /// Records the loss of all runs at a worker with each of their tasks, unless the worker
