Jobs: a single loss without evidence does not make a suspect

Callers saw more work late after a data centre was cut off. Change: a suspect has a confirmed loss or two losses, or a run at a superseded worker.

--- a/src/jobs/isolation.rs
+++ b/src/jobs/isolation.rs
@@ -14,6 +14,7 @@
 use crate::jobs::limits::StartKind;
 use crate::jobs::task::RunPhase;
 use crate::jobs::task::StepState;
+use crate::jobs::task::TaskRun;
 use crate::jobs::task::TaskState;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
@@ -56,12 +57,29 @@
 }
 
 impl JobEngine {
-    /// Returns whether a task is to be started in isolation: a run of it was lost with a
-    /// worker, or is at one that does not answer. A gang is a suspect if a member is.
+    /// Returns whether a task is to be started in isolation: a worker has crashed with a run of
+    /// it, or it has lost runs with several workers. A gang is a suspect if a member is.
+    ///
+    /// A single worker that does not answer is more often cut off, together with many others.
     pub(crate) fn is_suspect(&self, task: &TaskId) -> bool {
-        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
-        let has_silent_run = state.is_some_and(|state| self.unresponsive_runs(state) > 0);
-        has_silent_run || self.loss_count(task) > 0
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        if job.step_spec(task).is_some_and(|spec| spec.gang) {
+            let mut members = step_of(job, task).into_iter().flat_map(|step| &step.tasks);
+            return members.any(|state| self.is_suspect_state(state));
+        }
+        let state = job.task(task);
+        state.is_some_and(|state| self.is_suspect_state(state))
+    }
+
+    fn is_suspect_state(&self, state: &TaskState) -> bool {
+        let has_crashed = state.losses.iter().any(|loss| loss.confirmed);
+        let is_superseded = |run: &TaskRun| {
+            let view = self.workers.get(&run.worker);
+            view.is_some_and(|view| view.is_superseded)
+        };
+        has_crashed || state.losses.len() > 1 || state.placed.iter().any(is_superseded)
     }
 
     /// Returns the number of a task's losses; for a gang, the highest of its members.
