Wording: suspects, and the index of tasks with losses

Cause: read as a newcomer, the list named suspects held all tasks with losses, and the module heads and the glossary described the former rule, by which each loss made a suspect. No check, bound or expectation is changed. Result: clippy is clean and the 14 tests of jobs_losses pass.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -151,8 +151,8 @@
     pub fleet: FleetState,
     /// Workers lost with runs of which it is not known whether they have crashed.
     pub(crate) lost_workers: LostWorkers,
-    /// Tasks with losses.
-    pub(crate) suspects: BTreeSet<TaskId>,
+    /// Unfinished tasks with losses.
+    pub(crate) tasks_with_losses: BTreeSet<TaskId>,
     /// Workers that are claimed for isolated starts of suspects.
     pub(crate) claimed_workers: ClaimedWorkers,
     /// Unresponsive workers with runs, and the ends of their leases.
@@ -224,7 +224,7 @@
             workers: StableMap::default(),
             fleet: FleetState::default(),
             lost_workers: LostWorkers::default(),
-            suspects: BTreeSet::new(),
+            tasks_with_losses: BTreeSet::new(),
             claimed_workers: ClaimedWorkers::default(),
             unresponsive: UnresponsiveWorkers::default(),
             store_waiters: BTreeMap::new(),
--- a/src/jobs/isolation.rs
+++ b/src/jobs/isolation.rs
@@ -1,6 +1,7 @@
-//! Isolated starts of suspect tasks: tasks whose runs were lost with a worker.
+//! Isolated starts of suspects: tasks that may have crashed a worker.
 //!
-//! If a task crashes its worker, all tasks with runs there become suspects. They are told
+//! If a worker is known to have crashed, all tasks with runs there become suspects. So does a
+//! task that has lost runs with several workers, whatever is known of them. Suspects are told
 //! apart by starting each of them alone: before an isolated start, no run has started at the
 //! worker for a while, and none is started until the trial of the isolated run is over. If the
 //! worker crashes during the trial, only that run can have caused it. Runs that have
@@ -116,7 +117,7 @@
         if !self.is_suspect(task) {
             return self.choose_worker(task, pool, spec, rack_local_only, now);
         }
-        if self.awaits_evidence(task, now) || self.claim_of(task).is_some() {
+        if self.awaits_evidence(task, now) || self.has_claim(task) {
             return None;
         }
         let worker = self.choose_worker(task, pool, spec, rack_local_only, now)?;
@@ -203,12 +204,12 @@
         }
     }
 
-    /// Returns the worker that is claimed for a task and has no run of it yet.
-    fn claim_of(&self, task: &TaskId) -> Option<&String> {
-        self.claimed_workers.iter().find(|worker| {
+    /// Returns whether a worker is claimed for a task and has no run of it yet.
+    fn has_claim(&self, task: &TaskId) -> bool {
+        self.claimed_workers.iter().any(|worker| {
             let claim = self
                 .workers
-                .get(*worker)
+                .get(worker)
                 .and_then(|view| view.claim.as_ref());
             claim.is_some_and(|claim| claim.run.is_none() && claim.task == *task)
         })
--- a/src/jobs/losses.rs
+++ b/src/jobs/losses.rs
@@ -2,7 +2,7 @@
 //!
 //! A task that crashes each worker that starts it must not be started without end, and
 //! tasks that only ran beside it must not be given up. Each task keeps its losses, also
-//! across takeovers, and is started in isolation while it has some (see
+//! across takeovers. They decide whether it is a suspect, which is started in isolation (see
 //! [`isolation`](crate::jobs::isolation)). It is given up once it has crashed workers often
 //! enough, and its job fails. A run that lasts for long clears its task.
 
@@ -61,18 +61,19 @@
         let job = self.jobs.get_mut(&task.job);
         if let Some(state) = job.and_then(|job| job.task_mut(task)) {
             state.losses.push(loss);
-            self.suspects.insert(task.clone());
+            self.tasks_with_losses.insert(task.clone());
         }
     }
 
-    /// Restores the suspects among the tasks of a job of a former owner.
+    /// Indexes the losses of the tasks of a job of a former owner, and gives up the tasks for
+    /// which they suffice.
     pub(crate) fn restore_losses(&mut self, id: &JobId, now: u64) {
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let (mut suspects, mut unconfirmed) = (Vec::new(), Vec::new());
+        let (mut tasks, mut unconfirmed) = (Vec::new(), Vec::new());
         for (task, loss) in job.losses() {
-            suspects.push(task.clone());
+            tasks.push(task.clone());
             if !loss.confirmed {
                 unconfirmed.push((task, loss.worker.clone(), loss.born_ms));
             }
@@ -80,8 +81,8 @@
         for (task, worker, born_ms) in unconfirmed {
             self.await_evidence(&worker, born_ms, task, now);
         }
-        self.give_up_tasks(&suspects, now);
-        self.suspects.extend(suspects);
+        self.give_up_tasks(&tasks, now);
+        self.tasks_with_losses.extend(tasks);
     }
 
     /// Records the loss of an inherited run; `crashed` if its worker is known to have crashed.
@@ -142,11 +143,11 @@
         })
     }
 
-    /// Forgets the losses of tasks with a run that has lasted for long, and the suspects that
-    /// are done.
+    /// Forgets the losses of tasks with a run that has lasted for long, and stops watching the
+    /// tasks that are done.
     pub(crate) fn clear_survivors(&mut self, now: u64) {
         let state_of = |task: &TaskId| self.jobs.get(&task.job)?.task(task);
-        let survived = self.suspects.iter().filter(|task| {
+        let survived = self.tasks_with_losses.iter().filter(|task| {
             state_of(task).is_some_and(|state| !state.done && self.has_survived(state, now))
         });
         let survived: Vec<TaskId> = survived.cloned().collect();
@@ -155,7 +156,7 @@
             self.change_losses(task, now, Vec::clear);
         }
         let jobs = &self.jobs;
-        self.suspects.retain(|task| {
+        self.tasks_with_losses.retain(|task| {
             let state = jobs.get(&task.job).and_then(|job| job.task(task));
             state.is_some_and(|state| !state.done && !state.losses.is_empty())
         });
--- a/tests/jobs_losses.rs
+++ b/tests/jobs_losses.rs
@@ -50,6 +50,13 @@
     ended.or_else(|| engine.jobs.get(id).map(|job| job.state))
 }
 
+/// Returns the identifier of a worker with a run.
+fn busy_worker(world: &World) -> String {
+    let mut workers = world.workers.iter();
+    let busy = workers.find(|(_, worker)| !worker.runs.is_empty());
+    busy.map(|(id, _)| id.clone()).expect("a run")
+}
+
 fn crashes(world: &World) -> usize {
     world.crashes.values().map(Vec::len).sum()
 }
@@ -151,9 +158,7 @@
     world.submit(DEADLY, &job(&[step(1, 1800, 20_000)]), 100);
     for _ in 0..4 {
         world.run(500);
-        let mut workers = world.workers.iter();
-        let busy = workers.find(|(_, worker)| !worker.runs.is_empty());
-        let busy = busy.map(|(id, _)| id.clone()).expect("a run");
+        let busy = busy_worker(&world);
         world.workers.get_mut(&busy).expect("a worker").reachable = false;
         world.run(7000);
         world.workers.get_mut(&busy).expect("a worker").reachable = true;
@@ -174,9 +179,7 @@
     world.submit(DEADLY, &job(&[spec]), 100);
     for _ in 0..6 {
         world.run(40_000);
-        let mut workers = world.workers.iter();
-        let busy = workers.find(|(_, worker)| !worker.runs.is_empty());
-        let busy = busy.map(|(id, _)| id.clone()).expect("a run");
+        let busy = busy_worker(&world);
         world.crash(&busy);
     }
     world.run(10_000);
@@ -254,9 +257,7 @@
     world.run(20);
     world.submit(DEADLY, &job(&[step(2, 1800, 20_000)]), 100);
     world.run(200);
-    let mut workers = world.workers.iter();
-    let busy = workers.find(|(_, worker)| !worker.runs.is_empty());
-    let busy = busy.map(|(id, _)| id.clone()).expect("a run");
+    let busy = busy_worker(&world);
     let entry = WorkerEntry {
         state: WorkerState::Draining,
         ..world.workers[&busy].entry.clone()
@@ -278,9 +279,7 @@
     world.run(20);
     world.submit(DEADLY, &job(&[step(8, 1800, 20_000)]), 100);
     world.run(200);
-    let mut workers = world.workers.iter();
-    let busy = workers.find(|(_, worker)| !worker.runs.is_empty());
-    let busy = busy.map(|(id, _)| id.clone()).expect("a run");
+    let busy = busy_worker(&world);
     assert_eq!(world.tasks_at(&busy).len(), 8);
     world.crash(&busy);
     world.run(9000);
