Jobs: runs of a worker that its VM is listed without are placed again at once

Ruled out: a refused connection as proof, as cuts can refuse too; a shorter lease, which loses the runs of a pool in each takeover during a cut. The list of VMs names the current worker of each VM. Change: an unanswered call to a worker with runs makes a read of the list due. If the read began after the worker's last sign of life, and shows its VM without it, or two reads show neither, the runs are lost now and the crash is confirmed. Without an answer of the list the lease decides as before. Tests: requeue_listed_crash_at_once and requeue_listed_silent_crash_before_lease failed before; requeue_cut_worker_waits_for_lease, ended_by_successive_lists; the random test with lists.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -10,6 +10,8 @@
 use crate::jobs::actions::Action;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
+use crate::jobs::listed_workers::ListedWorkers;
+use crate::jobs::listed_workers::REQUESTED_LIST_GAP_MS;
 use crate::jobs::permits::OrderPermits;
 use crate::jobs::record::EncodeError;
 use crate::jobs::record::ShardKeys;
@@ -95,6 +97,11 @@
     pub due_workers: BTreeSet<String>,
     /// Permits to order VMs.
     pub permits: OrderPermits,
+    /// Workers as the lists of VMs have shown them.
+    pub(crate) listed_workers: ListedWorkers,
+    /// When a read of the list was last requested because a worker did not answer; none once
+    /// a read has begun since.
+    pub(crate) list_requested_ms: Option<u64>,
 }
 
 impl FleetState {
@@ -227,9 +234,15 @@
         } else {
             LIST_PERIOD_MS
         };
+        let period_ms = if self.fleet.list_requested_ms.is_some() {
+            period_ms.min(REQUESTED_LIST_GAP_MS)
+        } else {
+            period_ms
+        };
         let stale = self.fleet.listed_ms.is_none_or(|at| now >= at + period_ms);
         if stale && self.fleet.listing_ms.is_none() {
             self.fleet.listing_ms = Some(now);
+            self.fleet.list_requested_ms = None;
             self.fleet.partial_rows.clear();
             let page = String::new();
             self.actions.push(Action::Fleet(FleetCall::List { page }));
@@ -302,6 +315,7 @@
         for machine in finished {
             log::info!(event = "vm_order_finished", vm = machine.as_str(); "");
         }
+        self.expire_unlisted_workers(started_ms, now);
         self.waiting.mark_all_due();
     }
 
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -191,6 +191,7 @@
         if view.missed_calls == 1 {
             log::info!(event = "worker_unresponsive", worker = worker, runs = view.runs.len(); "");
         }
+        self.request_vm_list(worker, now);
     }
 
     /// Applies the listed ends that were not applied before.
--- a/src/jobs/lost_workers.rs
+++ b/src/jobs/lost_workers.rs
@@ -27,6 +27,8 @@
     LeaseExpired,
     /// Another incarnation runs under its identifier.
     Restarted,
+    /// It does not answer, and the platform lists its VM without it.
+    NotListed,
     /// Its VM was moved or went into maintenance.
     VmOrdered,
 }
@@ -38,6 +40,7 @@
         match self {
             Self::LeaseExpired => "lease_expired",
             Self::Restarted => "restarted",
+            Self::NotListed => "not_listed",
             Self::VmOrdered => "vm_ordered",
         }
     }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -30,6 +30,7 @@
 pub mod ledger;
 pub mod lend;
 pub mod limits;
+pub mod listed_workers;
 pub mod load;
 pub mod loss_record;
 pub mod losses;
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -83,6 +83,8 @@
 pub struct WorkerView {
     /// Its latest entry in the store.
     pub entry: WorkerEntry,
+    /// When it was found in the store.
+    pub found_ms: u64,
     /// When its entry disappeared from the store; none while the entry exists.
     pub unlisted_ms: Option<u64>,
     /// Ends up to this number are stored.
@@ -129,6 +131,7 @@
     pub fn new(entry: WorkerEntry, now: u64) -> Self {
         Self {
             entry,
+            found_ms: now,
             unlisted_ms: None,
             cursor: 0,
             applied_cursor: 0,
--- a/tests/jobs_losses.rs
+++ b/tests/jobs_losses.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 
+use chicorygauge::jobs::listed_workers::ListedWorkers;
 use chicorygauge::jobs::loss_record::LossRecord;
 use chicorygauge::jobs::losses::WorkerLoss;
 use chicorygauge::jobs::losses::is_given_up;
@@ -19,6 +20,8 @@
 use chicorygauge::jobs::types::StepSpec;
 use chicorygauge::jobs::types::WorkerState;
 use chicorygauge::ports::WorkerEntry;
+use chicorygauge::ports::fleet::MachineRow;
+use chicorygauge::ports::fleet::MachineState;
 use chicorygauge::ports::worker::WorkerOrder;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -296,6 +299,95 @@
     assert_eq!(count, 8);
 }
 
+/// Returns a world in which one worker of a running job has just crashed, and that worker.
+fn world_with_listed_crash(spec: StepSpec, silent: bool) -> (World, String) {
+    let mut world = World::new(4, 1);
+    world.engine.fleet.enabled = true;
+    world.crashes_listed = true;
+    world.silent_crashes = silent;
+    world.run(3100);
+    world.submit(DEADLY, &job(&[spec]), 100);
+    world.run(200);
+    let busy = busy_worker(&world);
+    world.crash(&busy);
+    (world, busy)
+}
+
+/// Runs of a crashed worker waited for the end of its lease, although the platform listed its
+/// VM as down at once.
+#[test]
+fn requeue_listed_crash_at_once() {
+    let (mut world, _) = world_with_listed_crash(step(4, 1800, 2000), false);
+    let starts = world.starts();
+    world.run(600);
+    assert_eq!(world.starts(), starts + 4);
+    world.run(6000);
+    assert_eq!(state_of(&world, DEADLY), Some(JobState::Completed));
+}
+
+/// The same for a worker whose connections fall silent: a call has to time out first.
+#[test]
+fn requeue_listed_silent_crash_before_lease() {
+    let (mut world, _) = world_with_listed_crash(step(4, 1800, 4000), true);
+    let starts = world.starts();
+    world.run(2500);
+    assert_eq!(world.starts(), starts + 4);
+}
+
+/// A list that was read before the crash, or a VM that is still listed with its worker, is no
+/// evidence: the worker may be cut off and run on.
+#[test]
+fn requeue_cut_worker_waits_for_lease() {
+    let mut world = World::new(4, 1);
+    world.engine.fleet.enabled = true;
+    world.run(3100);
+    world.submit(DEADLY, &job(&[step(4, 1800, 20_000)]), 100);
+    world.run(200);
+    let (busy, starts) = (busy_worker(&world), world.starts());
+    world.workers.get_mut(&busy).expect("a worker").reachable = false;
+    world.run(3000);
+    assert_eq!(world.starts(), starts, "started elsewhere while it may run");
+    world.run(5000);
+    assert_eq!(world.starts(), starts + 4);
+}
+
+/// Whether a worker that does not answer has ended, by lists of VMs.
+#[test]
+fn ended_by_successive_lists() {
+    let row = |machine: &str, state: MachineState, worker: &str| MachineRow {
+        machine: machine.to_owned(),
+        pool: String::new(),
+        state,
+        labels: Vec::new(),
+        worker: worker.to_owned(),
+    };
+    let list = |rows: &[MachineRow]| {
+        let rows = rows.iter().cloned();
+        rows.map(|row| (row.machine.clone(), row)).collect()
+    };
+    let up = list(&[row("m-1", MachineState::Up, "w-1")]);
+    let down = list(&[row("m-1", MachineState::Down, "")]);
+    let replaced = list(&[row("m-1", MachineState::Up, "w-2")]);
+    let removed = list(&[row("m-2", MachineState::Up, "w-3")]);
+    let cases: [(&[&BTreeMap<String, MachineRow>], bool); 6] = [
+        (&[&up, &up], false),
+        (&[&up, &down], true),
+        (&[&up, &replaced], true),
+        // A page may have left it out.
+        (&[&up, &removed], false),
+        (&[&up, &removed, &up, &removed], false),
+        (&[&up, &removed, &removed], true),
+    ];
+    for (number, (lists, expected)) in cases.into_iter().enumerate() {
+        let mut listed = ListedWorkers::default();
+        let mut ended = Vec::new();
+        for rows in lists {
+            ended = listed.observe(rows, &["w-1"], |worker| worker == "w-1");
+        }
+        assert_eq!(ended == ["w-1"], expected, "case {number}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 16,
@@ -313,8 +405,11 @@
         after_ms in prop_oneof![Just(3_u64), Just(10), Just(150), Just(700)],
         speculative in any::<bool>(),
         silent in any::<bool>(),
+        listed in any::<bool>(),
     ) {
         let mut world = World::new(8, seed);
+        world.engine.fleet.enabled = listed;
+        world.crashes_listed = listed;
         world.run(20);
         world.deadly_after_ms = after_ms;
         world.silent_crashes = silent;
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -167,6 +167,8 @@
     pub deadly_after_ms: u64,
     /// Whether connections to a worker that crashes go silent; otherwise they are reset.
     pub silent_crashes: bool,
+    /// Whether the list of VMs shows the VM of a crashed worker as down, without a worker.
+    pub crashes_listed: bool,
     /// Time until a worker that has crashed is replaced, in milliseconds.
     pub crash_down_ms: u64,
     /// Times of the crashes by deadly task.
@@ -285,6 +287,7 @@
             deadly: BTreeSet::new(),
             deadly_after_ms: 10,
             silent_crashes: false,
+            crashes_listed: false,
             crash_down_ms: 3000,
             crashes: BTreeMap::new(),
             late_starts: BTreeMap::new(),
@@ -374,6 +377,11 @@
         let tasks: Vec<String> = worker.runs.keys().cloned().collect();
         worker.runs.clear();
         let (machine, pool) = (worker.machine.clone(), worker.entry.pool.clone());
+        if self.crashes_listed {
+            let row = self.machines.get_mut(&machine).expect("a VM");
+            row.state = MachineState::Down;
+            row.worker.clear();
+        }
         let (down_ms, id) = (self.crash_down_ms, id.to_owned());
         self.schedule(down_ms, Event::VmReturns(machine, pool));
         self.schedule(ENTRY_EXPIRY_MS, Event::EntryExpires(id));
