Jobs: runs that had outlasted a trial make no suspects; explained crashes are withdrawn

Change: a run that was alive 100 ms after its start, the time of a first trial, makes no suspect; a hold call that breaks off during its wait is a sign of life until then. Once a task is given up whose isolated run crashed a worker within that time, the losses of outlasted runs in its earlier crashes of the same kind are withdrawn. Tried first: all losses in these crashes withdrawn; requeue_random_faults_bounded found a task that was started on after three crashes, as two culprits had shared a worker.

--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -92,15 +92,17 @@
             (_, false, true) => SHARED_WAIT_MS,
             (_, false, false) => wait_ms,
         };
+        let wait_ms = if view.pending_ends.is_empty() {
+            wait_ms
+        } else {
+            0
+        };
         view.hold_in_flight = true;
+        view.hold_wait_ms = wait_ms;
         let order = WorkerOrder::Hold {
             lease_until_ms,
             cursor: view.cursor,
-            wait_ms: if view.pending_ends.is_empty() {
-                wait_ms
-            } else {
-                0
-            },
+            wait_ms,
         };
         let token = CallToken::Hold {
             worker: worker.to_owned(),
@@ -122,8 +124,10 @@
                     self.apply_running(worker, &running, sent_ms, now);
                 }
             }
-            WorkerReply::Refused { reason } => self.handle_hold_refusal(worker, reason, now),
-            WorkerReply::Done { .. } => self.handle_hold_failure(worker, now),
+            WorkerReply::Refused { reason } => {
+                self.handle_hold_refusal(worker, reason, sent_ms, now);
+            }
+            WorkerReply::Done { .. } => self.handle_hold_failure(worker, sent_ms, now),
         }
         self.send_hold(worker, now);
     }
@@ -163,6 +167,7 @@
         }
         view.missed_calls = 0;
         view.contact_ms = Some(now);
+        view.alive_ms = now;
         view.next_hold_ms = now + wait_ms;
         view.observe_clock(ClockSample {
             clock_ms,
@@ -171,22 +176,25 @@
         true
     }
 
-    fn handle_hold_refusal(&mut self, worker: &str, reason: RefusalReason, now: u64) {
+    fn handle_hold_refusal(&mut self, worker: &str, reason: RefusalReason, sent_ms: u64, now: u64) {
         log::warn!(event = "hold_refused", worker = worker, reason:? = reason, epoch = self.epoch; "");
         if reason == RefusalReason::Epoch {
             self.deposed = true;
         }
-        self.handle_hold_failure(worker, now);
+        self.handle_hold_failure(worker, sent_ms, now);
     }
 
     /// Handles a hold without a usable answer and schedules the next one.
-    pub fn handle_hold_failure(&mut self, worker: &str, now: u64) {
+    pub fn handle_hold_failure(&mut self, worker: &str, sent_ms: u64, now: u64) {
         let retry_ms = self.settings.hold_retry_ms;
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
         view.hold_in_flight = false;
         view.missed_calls += 1;
+        if view.missed_calls == 1 && now < sent_ms + view.hold_wait_ms {
+            view.alive_ms = now;
+        }
         view.next_hold_ms = now + retry_ms * u64::from(view.missed_calls.min(MAX_BACKOFF_MISSES));
         if view.missed_calls == 1 {
             log::info!(event = "worker_unresponsive", worker = worker, runs = view.runs.len(); "");
--- a/src/jobs/isolation.rs
+++ b/src/jobs/isolation.rs
@@ -1,6 +1,7 @@
 //! Isolated starts of suspects: tasks that may have crashed a worker.
 //!
-//! If a worker is known to have crashed, all tasks with runs there become suspects. So does a
+//! If a worker is known to have crashed, the tasks with runs there become suspects, but for
+//! those whose run had outlasted a first trial by then. So does a
 //! task that has lost runs with several workers, whatever is known of them. Suspects are told
 //! apart by starting each of them alone: before an isolated start, no run has started at the
 //! worker for a while, and none is started until the trial of the isolated run is over. If the
@@ -57,9 +58,16 @@
     TRIAL_MS * TRIAL_GROWTH.pow(further)
 }
 
+/// Returns whether a run was alive for as long as a first trial lasts: it ran at its worker
+/// before, which was alive at `alive_ms`.
+pub(crate) fn has_outlasted_trial(phase: RunPhase, alive_ms: u64) -> bool {
+    matches!(phase, RunPhase::Running(since_ms) if alive_ms >= since_ms + TRIAL_MS)
+}
+
 impl JobEngine {
-    /// Returns whether a task is to be started in isolation: a worker has crashed with a run of
-    /// it, or it has lost runs with several workers. A gang is a suspect if a member is.
+    /// Returns whether a task is to be started in isolation: a worker has crashed soon after the
+    /// start of a run of it, or it has lost runs with several workers. A gang is a suspect if a
+    /// member is.
     ///
     /// A single worker that does not answer is more often cut off, together with many others.
     pub(crate) fn is_suspect(&self, task: &TaskId) -> bool {
@@ -75,7 +83,8 @@
     }
 
     fn is_suspect_state(&self, state: &TaskState) -> bool {
-        let has_crashed = state.losses.iter().any(|loss| loss.confirmed);
+        let mut losses = state.losses.iter();
+        let has_crashed = losses.any(|loss| loss.confirmed && !loss.outlasted_trial);
         let is_superseded = |run: &TaskRun| {
             let view = self.workers.get(&run.worker);
             view.is_some_and(|view| view.is_superseded)
--- a/src/jobs/losses.rs
+++ b/src/jobs/losses.rs
@@ -43,6 +43,9 @@
     pub isolated: bool,
     /// Whether the worker is known to have crashed.
     pub confirmed: bool,
+    /// Whether the run was still listed at the worker after the time of a first trial. Not
+    /// stored: a successor takes the task for a suspect.
+    pub outlasted_trial: bool,
 }
 
 /// Returns whether a task with these losses is to be given up.
@@ -55,6 +58,27 @@
     losses.len() >= MAX_UNISOLATED_LOSSES || crashes.into_iter().any(|loss| loss.isolated)
 }
 
+/// A worker and its incarnation.
+type WorkerIncarnation = (String, u64);
+
+impl WorkerLoss {
+    fn incarnation(&self) -> WorkerIncarnation {
+        (self.worker.clone(), self.born_ms)
+    }
+}
+
+/// Returns the crashes that a task with these losses has caused: those soon after its start,
+/// once one of its isolated runs has crashed a worker as soon.
+fn explained_crashes(losses: &[WorkerLoss]) -> Vec<WorkerIncarnation> {
+    let crashes = losses.iter();
+    let crashes = crashes.filter(|loss| loss.confirmed && !loss.outlasted_trial);
+    if crashes.clone().any(|loss| loss.isolated) {
+        crashes.map(WorkerLoss::incarnation).collect()
+    } else {
+        Vec::new()
+    }
+}
+
 impl JobEngine {
     /// Adds a loss to a task.
     pub(crate) fn add_loss(&mut self, task: &TaskId, loss: WorkerLoss) {
@@ -99,6 +123,7 @@
             born_ms,
             isolated: false,
             confirmed: crashed,
+            outlasted_trial: false,
         };
         self.add_loss(task, loss);
         if !crashed {
@@ -121,6 +146,7 @@
             }
             let crashes = state.losses.iter().filter(|loss| loss.confirmed).count();
             let losses = state.losses.len();
+            let explained = explained_crashes(&state.losses);
             job.state = JobState::Failed;
             job.bump_version();
             log::warn!(
@@ -130,6 +156,22 @@
             self.settle_size_count(&task.job, now);
             self.dirty.mark(&task.job, now);
             self.finalize_job(&task.job, now);
+            self.withdraw_explained(&explained, now);
+        }
+    }
+
+    /// Withdraws the losses of runs that had outlasted a trial in crashes whose cause is known
+    /// to be another task.
+    fn withdraw_explained(&mut self, crashes: &[WorkerIncarnation], now: u64) {
+        if crashes.is_empty() {
+            return;
+        }
+        let tasks: Vec<TaskId> = self.tasks_with_losses.iter().cloned().collect();
+        for task in tasks {
+            self.change_losses(&task, now, |losses| {
+                losses
+                    .retain(|loss| !loss.outlasted_trial || !crashes.contains(&loss.incarnation()));
+            });
         }
     }
 
--- a/src/jobs/lost_workers.rs
+++ b/src/jobs/lost_workers.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 
 use crate::jobs::engine::JobEngine;
+use crate::jobs::isolation::has_outlasted_trial;
 use crate::jobs::losses::WorkerLoss;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::TaskId;
@@ -77,6 +78,7 @@
             runs = view.runs.len(), planned = planned, crashed = confirmed,
             silent_ms = silent_ms; ""
         );
+        let alive_ms = view.alive_ms;
         let (born_ms, address) = (view.entry.born_ms, view.entry.address);
         let runs: Vec<_> = view.runs.iter().cloned().collect();
         let labels = [("reason", reason.as_str())];
@@ -99,6 +101,7 @@
                 born_ms,
                 isolated: isolated.is_some(),
                 confirmed,
+                outlasted_trial: phase.is_some_and(|phase| has_outlasted_trial(phase, alive_ms)),
             };
             self.add_loss(&task, loss);
             tasks.push(task);
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -57,7 +57,7 @@
         match token {
             CallToken::Hold { worker } => match result {
                 CallResult::Answered(reply) => self.handle_hold_reply(&worker, reply, sent_ms, now),
-                _ => self.handle_hold_failure(&worker, now),
+                _ => self.handle_hold_failure(&worker, sent_ms, now),
             },
             CallToken::Start {
                 worker,
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -99,8 +99,12 @@
     pub lease_until_ms: u64,
     /// Last answer to a hold call in this epoch; none before the first.
     pub contact_ms: Option<u64>,
+    /// Last sign of life: an answered hold call, or one that broke off during its wait.
+    pub alive_ms: u64,
     /// Whether a hold call is in flight.
     pub hold_in_flight: bool,
+    /// How long the worker may wait before it answers the last hold call, in milliseconds.
+    pub hold_wait_ms: u64,
     /// Earliest time of the next hold call.
     pub next_hold_ms: u64,
     /// Failed or unanswered calls since the last answered hold call.
@@ -139,7 +143,9 @@
             clock: None,
             lease_until_ms: 0,
             contact_ms: None,
+            alive_ms: 0,
             hold_in_flight: false,
+            hold_wait_ms: 0,
             next_hold_ms: now,
             missed_calls: 0,
             used: ResourceVector::default(),
