Entry VMs: callers of a data centre that is cut off are told to come back in a second

Cause: in the cut of a data centre its entry VMs refuse as disconnected with Retry-After 0. Ruled out: late readiness; it falls with the refusals. Change: a disconnected entry VM sends a message to the others it knows; if one answers, it is cut off together with it (a peer that reached the store would relay to it), and callers are told to come back in a second. An entry VM that is cut off alone still says 0.

--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::clock::boot_ms;
@@ -85,6 +86,12 @@
 /// answers in a quarter of a second.
 const STORE_LIMIT: Duration = Duration::from_millis(400);
 
+/// Time limit of the messages that look for reachable entry VMs: a few round trips.
+const PROBE_LIMIT: Duration = Duration::from_millis(120);
+
+/// Maximum number of entry VMs to which these are sent.
+const MAX_PROBED_PEERS: usize = 32;
+
 /// State that is exchanged, and the contact with other entry VMs.
 #[derive(Clone)]
 pub struct ExchangeState {
@@ -101,6 +108,8 @@
     pub started_ms: u64,
     /// Whether neither the owner nor the store is reachable.
     pub disconnected: Arc<AtomicBool>,
+    /// Whether that holds for other entry VMs too: some of them answer.
+    pub cut_together: Arc<AtomicBool>,
     /// HTTP client for other entry VMs.
     pub client: KeepAliveClient,
     /// Whether the configuration in force may be used to check API keys.
@@ -161,6 +170,31 @@
         self.disconnected.load(Ordering::Relaxed)
     }
 
+    /// Returns whether this entry VM is disconnected together with others, as in the cut of a
+    /// data centre.
+    #[must_use]
+    pub fn is_cut_together(&self) -> bool {
+        self.is_disconnected() && self.cut_together.load(Ordering::Relaxed)
+    }
+
+    /// Determines whether other entry VMs are reachable, while this one is disconnected. They
+    /// cannot reach the store or the owner either, since they would relay calls to the store.
+    async fn update_cut_together(&self, others: &[SocketAddr]) {
+        let mut calls = JoinSet::new();
+        for peer in others.iter().copied().take(MAX_PROBED_PEERS) {
+            let state = self.clone();
+            calls.spawn(async move {
+                let answer = state.send(peer, u64::MAX, Vec::new(), PROBE_LIMIT).await;
+                answer.is_some()
+            });
+        }
+        let mut answered = false;
+        while let Some(result) = calls.join_next().await {
+            answered |= result.unwrap_or(false);
+        }
+        self.cut_together.store(answered, Ordering::Relaxed);
+    }
+
     fn set_disconnected(&self, disconnected: bool) {
         if self.disconnected.swap(disconnected, Ordering::Relaxed) != disconnected {
             log::warn!(event = "connectivity_changed", disconnected = disconnected; "");
@@ -328,7 +362,11 @@
             None => None,
         };
         let connected = answered.is_some() || owning && !state.reach().is_isolated();
-        state.set_disconnected(!connected && !reaches_store(&link).await);
+        let disconnected = !connected && !reaches_store(&link).await;
+        if disconnected {
+            state.update_cut_together(&others).await;
+        }
+        state.set_disconnected(disconnected);
         if synced && others.is_empty() || state.reach().is_startup_over {
             state.status.set_peers_asked();
         }
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -48,10 +48,15 @@
 /// replaced within about two seconds.
 const NO_OWNER_RETRY_MS: u64 = 1000;
 
-/// Retry delay for a caller if this entry VM is disconnected, in milliseconds. Retrying
+/// Retry delay for a caller if this entry VM alone is disconnected, in milliseconds. Retrying
 /// at once is right, since the load balancer then chooses another entry VM.
 const DISCONNECTED_RETRY_MS: u64 = 0;
 
+/// Retry delay for a caller if other entry VMs are disconnected too, in milliseconds. The load
+/// balancer chooses among those of the same data centre until it has noticed that none of them
+/// is ready, some two seconds later; a caller that retries at once gives up before that.
+const CUT_TOGETHER_RETRY_MS: u64 = 1000;
+
 /// Retry delay for a caller if the configuration was not confirmed recently, in
 /// milliseconds; exchanges with peers, which may confirm it, are half a second apart.
 const UNCONFIRMED_RETRY_MS: u64 = 1000;
@@ -129,7 +134,15 @@
     };
     if state.exchange.is_disconnected() {
         log::info!(event = "request_refused", job = relay.job.as_str(), reason = "disconnected"; "");
-        return refused(503, DISCONNECTED_RETRY_MS);
+        let is_shared = state.exchange.is_cut_together();
+        return refused(
+            503,
+            if is_shared {
+                CUT_TOGETHER_RETRY_MS
+            } else {
+                DISCONNECTED_RETRY_MS
+            },
+        );
     }
     let outcome = state.relay.relay(&relay, deadline).await;
     respond(state, &relay, outcome)
--- a/src/service/jobs/node.rs
+++ b/src/service/jobs/node.rs
@@ -127,6 +127,7 @@
         last_contact: Arc::default(),
         started_ms: boot_ms(),
         disconnected: Arc::default(),
+        cut_together: Arc::default(),
         client: client.clone(),
         status: ConfigStatus::new(settings.needs_accounts),
     };
