Maintenance waves follow spare capacity; their time limit counts across owners

And each owner counted the limit anew from its own start. Change: a wave takes VMs that no pool wants as fast as its maximum allows, others only as far as the time limit requires, and none of them while it could still be completed one and a half times over at full pace. When an owner first learnt of a wave is stored with its progress, after the known fields. Without known demand the pace is the former one.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -15,9 +15,11 @@
 use crate::jobs::permits::OrderPermits;
 use crate::jobs::record::EncodeError;
 use crate::jobs::record::ShardKeys;
-use crate::jobs::record::WaveRecord;
 use crate::jobs::record::encode;
+use crate::jobs::record::encode_with;
+use crate::jobs::wave::StoredWave;
 use crate::jobs::wave::WaveOrder;
+use crate::jobs::wave::WavePace;
 use crate::jobs::wave::WaveProgress;
 use crate::jobs::writes::WriteBatch;
 use crate::ports::FleetCall;
@@ -36,10 +38,6 @@
 /// into maintenance, in milliseconds; longer than three of its heartbeats.
 const IGNORE_ENTRY_MS: u64 = 15_000;
 
-/// Number of VMs of a wave that are evacuated beyond those that may be down now, so
-/// that the next one can go down without delay.
-const EVACUATE_AHEAD: usize = 1;
-
 /// Time that a VM of a wave is unavailable besides its maintenance, in milliseconds:
 /// while it is evacuated, and until its worker accepts runs again.
 const WAVE_OVERHEAD_MS: u64 = 2000;
@@ -134,7 +132,7 @@
         }
         for (number, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.dirty) {
             let key = format!("{}{number}", keys.waves());
-            batch.push(key, encode(&wave.record)?);
+            batch.push(key, encode_with(&wave.record, &wave.extension(time))?);
             batch.waves.push((*number, wave.record.clone()));
             wave.dirty = false;
         }
@@ -182,18 +180,18 @@
 }
 
 impl JobEngine {
-    /// Adds a requested wave; `record` is its progress if a former owner has begun it.
+    /// Adds a requested wave; `stored` is its progress if a former owner has begun it.
     /// A wave that is known already is left as it is.
-    pub fn add_wave(&mut self, order: WaveOrder, record: Option<WaveRecord>, now: u64) {
+    pub fn add_wave(&mut self, order: WaveOrder, stored: Option<StoredWave>, time: TimePair) {
         let number = order.wave;
         if self.fleet.waves.contains_key(&number) {
             return;
         }
         log::info!(
             event = "wave_requested", wave = number, vms = order.machines.len(),
-            max_down = order.most, limit_s = order.limit_s, taken_over = record.is_some(); ""
+            max_down = order.most, limit_s = order.limit_s, taken_over = stored.is_some(); ""
         );
-        let wave = WaveProgress::new(order, record, now);
+        let wave = WaveProgress::new(order, stored, time);
         self.fleet.waves.insert(number, wave);
         self.fleet.listed_ms = None;
     }
@@ -344,9 +342,8 @@
                     .is_some_and(|order| order.done_ms.is_none())
             };
             let evacuating = wave.due().filter(is_evacuating).count();
-            let max_down = self.wave_concurrency(wave, now);
-            let to_evacuate =
-                (max_down + EVACUATE_AHEAD).saturating_sub(evacuating + wave.down.len());
+            let away = evacuating + wave.down.len();
+            let to_evacuate = self.wave_pace(wave, away, now).evacuations();
             let mut due: Vec<(u64, &String)> = Vec::new();
             for machine in wave
                 .due()
@@ -369,16 +366,18 @@
         }
     }
 
-    /// Returns how many VMs of a wave should be down at a time: as few as its time limit
-    /// allows, since the pools lack the capacity of each of them.
-    fn wave_concurrency(&self, wave: &WaveProgress, now: u64) -> usize {
+    /// Returns what the pace of a wave depends on; `away` VMs are evacuated or down now.
+    fn wave_pace(&self, wave: &WaveProgress, away: usize, now: u64) -> WavePace {
         let end_ms =
             wave.first_seen_ms + (wave.order.limit_s * 1000).saturating_sub(WAVE_MARGIN_MS);
-        let left_ms = end_ms.saturating_sub(now).max(1);
-        let per_vm_ms = self.settings.maintenance_ms + WAVE_OVERHEAD_MS;
-        let left = wave.due().count() + wave.down.len();
-        let needed = (left as u64 * per_vm_ms).div_ceil(left_ms) as usize;
-        needed.clamp(1, wave.order.most.max(1))
+        WavePace {
+            left: wave.due().count() + wave.down.len(),
+            away,
+            left_ms: end_ms.saturating_sub(now),
+            per_vm_ms: self.settings.maintenance_ms + WAVE_OVERHEAD_MS,
+            most: wave.order.most,
+            spare: self.lending.spare_vms,
+        }
     }
 
     /// Returns the cost of evacuating a VM; the lowest is chosen first. Long-running
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -304,6 +304,14 @@
     pub complete: bool,
 }
 
+/// What was added to [`WaveRecord`] later.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WaveExtension {
+    /// When an owner first learnt of the wave, in milliseconds since the Unix epoch.
+    pub seen_unix_ms: u64,
+}
+
 /// Encodes a record as MessagePack.
 ///
 /// # Errors
--- a/src/jobs/wave.rs
+++ b/src/jobs/wave.rs
@@ -7,8 +7,60 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::jobs::engine::TimePair;
+use crate::jobs::record::WaveExtension;
 use crate::jobs::record::WaveRecord;
 
+/// Factor by which the time left must exceed what a wave takes at full pace for it to be
+/// deferred while the pools lack VMs.
+const DEFER_FACTOR: f64 = 1.5;
+
+/// Number of VMs that are evacuated beyond those that may be down now, so that the next one
+/// can go down without delay.
+const EVACUATE_AHEAD: usize = 1;
+
+/// What the pace of a wave depends on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WavePace {
+    /// Number of VMs that are due, evacuated or in maintenance.
+    pub left: usize,
+    /// Number of these that are evacuated or in maintenance.
+    pub away: usize,
+    /// Time left for the wave, in milliseconds.
+    pub left_ms: u64,
+    /// Time that a VM is unavailable, in milliseconds.
+    pub per_vm_ms: u64,
+    /// Maximum number of VMs in maintenance at the same time.
+    pub most: usize,
+    /// Number of VMs that no pool wants; none if that is not known.
+    pub spare: Option<usize>,
+}
+
+impl WavePace {
+    /// Returns how many more VMs are to be evacuated now.
+    ///
+    /// The wave takes spare VMs as fast as it may. It takes others only as far as the time
+    /// limit requires, and none of them while it could still be completed in time at full pace.
+    #[must_use]
+    pub fn evacuations(&self) -> usize {
+        let most = self.most.max(1);
+        let work_ms = self.left as u64 * self.per_vm_ms;
+        let needed = work_ms.div_ceil(self.left_ms.max(1)) as usize;
+        let needed = needed.clamp(1, most) + EVACUATE_AHEAD;
+        let needed = needed.saturating_sub(self.away);
+        let Some(spare) = self.spare else {
+            return needed;
+        };
+        let spare = spare.min((most + EVACUATE_AHEAD).saturating_sub(self.away));
+        let full_pace_ms = work_ms as f64 / most as f64;
+        if full_pace_ms * DEFER_FACTOR <= self.left_ms as f64 {
+            spare
+        } else {
+            spare.max(needed)
+        }
+    }
+}
+
 /// A wave as it was requested.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -23,6 +75,15 @@
     pub most: usize,
 }
 
+/// Progress of a wave as a former owner stored it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredWave {
+    /// Progress.
+    pub record: WaveRecord,
+    /// When an owner first learnt of the wave; none if an earlier version stored it.
+    pub extension: Option<WaveExtension>,
+}
+
 /// A wave in progress.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WaveProgress {
@@ -37,16 +98,22 @@
     pub remaining: BTreeSet<String>,
     /// Whether the record has changed since it last went into a commit.
     pub dirty: bool,
-    /// When this owner first learnt of the wave, on the boot clock in milliseconds.
+    /// When an owner first learnt of the wave, on the boot clock in milliseconds; its time
+    /// limit counts from then.
     pub first_seen_ms: u64,
 }
 
 impl WaveProgress {
     /// Returns a wave with the progress that a former owner stored, if it has begun.
     #[must_use]
-    pub fn new(order: WaveOrder, record: Option<WaveRecord>, now: u64) -> Self {
-        let dirty = record.is_none();
-        let record = record.unwrap_or_default();
+    pub fn new(order: WaveOrder, stored: Option<StoredWave>, time: TimePair) -> Self {
+        let dirty = stored.is_none();
+        let stored = stored.unwrap_or_default();
+        let seen_unix_ms = stored.extension.map(|extension| extension.seen_unix_ms);
+        let age_ms = seen_unix_ms.map_or(0, |seen_ms| time.unix.saturating_sub(seen_ms));
+        // The clock may have been changed since.
+        let age_ms = age_ms.min(order.limit_s * 1000);
+        let record = stored.record;
         let ordered: BTreeSet<String> = record.ordered.iter().cloned().collect();
         let machines = order.machines.iter();
         let remaining = machines.filter(|machine| !ordered.contains(*machine));
@@ -61,7 +128,7 @@
             order,
             record,
             dirty,
-            first_seen_ms: now,
+            first_seen_ms: time.boot.saturating_sub(age_ms),
         }
     }
 
@@ -73,6 +140,15 @@
         self.dirty = true;
     }
 
+    /// Returns what is stored with the record.
+    #[must_use]
+    pub fn extension(&self, time: TimePair) -> WaveExtension {
+        let age_ms = time.boot.saturating_sub(self.first_seen_ms);
+        WaveExtension {
+            seen_unix_ms: time.unix.saturating_sub(age_ms),
+        }
+    }
+
     /// Returns the VMs whose maintenance is still to be ordered.
     pub fn due(&self) -> impl Iterator<Item = &String> {
         self.remaining.iter()
--- a/src/service/jobs/load.rs
+++ b/src/service/jobs/load.rs
@@ -7,10 +7,11 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
 use crate::jobs::record::ShardKeys;
-use crate::jobs::record::WaveRecord;
 use crate::jobs::record::decode;
 use crate::jobs::record::decode_body;
 use crate::jobs::record::decode_progress;
+use crate::jobs::record::decode_with;
+use crate::jobs::wave::StoredWave;
 use crate::ports::store::StoreItem;
 use crate::service::jobs::store::StoreError;
 use crate::service::jobs::store::StoreLink;
@@ -24,7 +25,7 @@
     /// Progress records of jobs, still encoded.
     pub progress: Vec<StoreItem>,
     /// Progress of waves by number.
-    pub waves: HashMap<u64, WaveRecord>,
+    pub waves: HashMap<u64, StoredWave>,
     /// Permits to move or maintain VMs, still encoded, if any are stored.
     pub permits: Option<StoreItem>,
     /// Leases of unresponsive workers, still encoded, if any are stored.
@@ -66,9 +67,11 @@
             .rsplit('/')
             .next()
             .and_then(|number| number.parse().ok());
-        match (number, decode(&item.key, &item.value)) {
-            (Some(number), Ok(record)) => {
-                content.waves.insert(number, record);
+        match (number, decode_with(&item.key, &item.value)) {
+            (Some(number), Ok((record, extension))) => {
+                content
+                    .waves
+                    .insert(number, StoredWave { record, extension });
             }
             (_, Err(error)) => log::error!(event = "wave_record_unreadable", error:% = error; ""),
             (None, Ok(_)) => {
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -76,7 +76,7 @@
     /// Requests a renewal of the lease because the owner's key is gone.
     pub(super) check_lease: Arc<Notify>,
     /// Progress of waves as loaded from the store, by number.
-    pub(super) stored_waves: HashMap<u64, crate::jobs::record::WaveRecord>,
+    pub(super) stored_waves: HashMap<u64, crate::jobs::wave::StoredWave>,
     pub(super) executor: ActionExecutor,
     pub(super) events: mpsc::UnboundedSender<OwnerEvent>,
     /// Value of the owner's key.
@@ -190,8 +190,8 @@
             self.engine.set_config(config);
         }
         for wave in state.waves {
-            let record = self.stored_waves.get(&wave.wave).cloned();
-            self.engine.add_wave(wave, record, boot_ms());
+            let stored = self.stored_waves.get(&wave.wave).cloned();
+            self.engine.add_wave(wave, stored, now());
         }
     }
 
--- a/tests/jobs_lending.rs
+++ b/tests/jobs_lending.rs
@@ -175,8 +175,8 @@
         limit_s: 40,
         most: 10,
     };
-    let now = world.now;
-    world.engine.add_wave(order(1), None, now);
+    let time = world.time();
+    world.engine.add_wave(order(1), None, time);
     while world.now < end {
         world.run(10);
         let waiting = world.engine.fleet.waves[&1].record.ordered.is_empty();
@@ -215,8 +215,8 @@
         limit_s: 40,
         most: 3,
     };
-    let now = world.now;
-    world.engine.add_wave(order, None, now);
+    let time = world.time();
+    world.engine.add_wave(order, None, time);
     world.run(45_000);
     let wave = &world.engine.fleet.waves[&1];
     assert!(wave.record.complete, "{:?}", wave.record);
