Maintenance waves spread over their time limit again, but for shortages

Change: a wave is deferred while the pools lack VMs, as long as it could still be completed one and a half times over at full pace; otherwise it is spread over its time limit as before. Tests: evacuations_spare_vms_taken_at_once asserted the reverted pace and is replaced by evacuations_idle_vms_spread_over_the_limit.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -376,7 +376,7 @@
             left_ms: end_ms.saturating_sub(now),
             per_vm_ms: self.settings.maintenance_ms + WAVE_OVERHEAD_MS,
             most: wave.order.most,
-            spare: self.lending.spare_vms,
+            is_short: self.lending.is_short,
         }
     }
 
--- a/src/jobs/lend.rs
+++ b/src/jobs/lend.rs
@@ -70,8 +70,8 @@
     pub(crate) outlooks: BTreeMap<String, PoolOutlook>,
     /// Use of all pools over time.
     pub(crate) rest: RestTracker,
-    /// Number of VMs that no pool wants; none if that is not known.
-    pub(crate) spare_vms: Option<usize>,
+    /// Whether the pools want more VMs than there are.
+    pub(crate) is_short: bool,
 }
 
 /// Returns how many of `total` VMs each pool should have.
@@ -190,7 +190,7 @@
     /// moved VM could not register its entry, and the VM would be idle until the store is
     /// back.
     pub(crate) fn plan_moves(&mut self, now: u64) {
-        self.lending.spare_vms = None;
+        self.lending.is_short = false;
         if self.store_unresponsive || self.store_down_since_ms.is_some() {
             return;
         }
@@ -200,7 +200,7 @@
         let mut free = self.standby_machines(&standby);
         let present: usize = demands.values().map(|demand| demand.present).sum();
         let wanted: usize = demands.values().map(|demand| demand.wanted).sum();
-        self.lending.spare_vms = Some((present + free.len()).saturating_sub(wanted));
+        self.lending.is_short = wanted > present + free.len();
         let max_present = self.update_rest(now).unwrap_or(usize::MAX);
         free.truncate(max_present.saturating_sub(present));
         let targets = distribute_vms(&demands, present + free.len());
--- a/src/jobs/wave.rs
+++ b/src/jobs/wave.rs
@@ -32,32 +32,28 @@
     pub per_vm_ms: u64,
     /// Maximum number of VMs in maintenance at the same time.
     pub most: usize,
-    /// Number of VMs that no pool wants; none if that is not known.
-    pub spare: Option<usize>,
+    /// Whether the pools want more VMs than there are.
+    pub is_short: bool,
 }
 
 impl WavePace {
-    /// Returns how many more VMs are to be evacuated now.
+    /// Returns how many more VMs are to be evacuated now: as few as the time limit requires, as
+    /// a pool's next peak may want each of them.
     ///
-    /// The wave takes spare VMs as fast as it may. It takes others only as far as the time
-    /// limit requires, and none of them while it could still be completed in time at full pace.
+    /// While the pools lack VMs, the wave is deferred as long as it could still be completed in
+    /// time at full pace.
     #[must_use]
     pub fn evacuations(&self) -> usize {
         let most = self.most.max(1);
         let work_ms = self.left as u64 * self.per_vm_ms;
         let needed = work_ms.div_ceil(self.left_ms.max(1)) as usize;
         let needed = needed.clamp(1, most) + EVACUATE_AHEAD;
-        let needed = needed.saturating_sub(self.away);
-        let Some(spare) = self.spare else {
-            return needed;
-        };
-        let spare = spare.min((most + EVACUATE_AHEAD).saturating_sub(self.away));
         let full_pace_ms = work_ms as f64 / most as f64;
-        if full_pace_ms * DEFER_FACTOR <= self.left_ms as f64 {
-            spare
-        } else {
-            spare.max(needed)
+        let may_defer = full_pace_ms * DEFER_FACTOR <= self.left_ms as f64;
+        if self.is_short && may_defer {
+            return 0;
         }
+        needed.saturating_sub(self.away)
     }
 }
 
