--- a/src/jobs/ending.rs
+++ b/src/jobs/ending.rs
@@ -24,6 +24,19 @@
         }
     }
 
+    /// Removes a run that is certainly not alive, so that its task is placed again.
+    pub(crate) fn requeue_run(&mut self, task: &TaskId, worker: &str, run: u32, now: u64) {
+        self.release_run(task, worker, run);
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            if let Some(state) = job.task_mut(task) {
+                state.last_end_ms = now;
+            }
+            job.bump_version();
+        }
+        self.dirty.mark(&task.job, now + self.settings.flush_ms);
+        self.finalize_job(&task.job, now);
+    }
+
     /// Stops the remaining runs of a job in a final state, and replaces the job by its
     /// state once that is stored and no run is left. Does nothing for other jobs.
     pub(crate) fn finalize_job(&mut self, id: &JobId, now: u64) {
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -355,19 +355,6 @@
         }
     }
 
-    /// Removes a run that is certainly not alive, so that its task is placed again.
-    pub(crate) fn requeue_run(&mut self, task: &TaskId, worker: &str, run: u32, now: u64) {
-        self.release_run(task, worker, run);
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            if let Some(state) = job.task_mut(task) {
-                state.last_end_ms = now;
-            }
-            job.bump_version();
-        }
-        self.dirty.mark(&task.job, now + self.settings.flush_ms);
-        self.finalize_job(&task.job, now);
-    }
-
     /// Updates a run from its row in a worker's list.
     ///
     /// A run found alive is stopped if its job has ended or its task is done.
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -134,15 +134,12 @@
     };
     if state.exchange.is_disconnected() {
         log::info!(event = "request_refused", job = relay.job.as_str(), reason = "disconnected"; "");
-        let is_shared = state.exchange.is_cut_together();
-        return refused(
-            503,
-            if is_shared {
-                CUT_TOGETHER_RETRY_MS
-            } else {
-                DISCONNECTED_RETRY_MS
-            },
-        );
+        let retry_ms = if state.exchange.is_cut_together() {
+            CUT_TOGETHER_RETRY_MS
+        } else {
+            DISCONNECTED_RETRY_MS
+        };
+        return refused(503, retry_ms);
     }
     let outcome = state.relay.relay(&relay, deadline).await;
     respond(state, &relay, outcome)
