--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -313,7 +313,7 @@
         for machine in finished {
             log::info!(event = "vm_order_finished", vm = machine.as_str(); "");
         }
-        self.expire_unlisted_workers(started_ms, now);
+        self.expire_ended_workers(started_ms, now);
         self.waiting.mark_all_due();
     }
 
--- a/src/jobs/isolation.rs
+++ b/src/jobs/isolation.rs
@@ -2,11 +2,11 @@
 //!
 //! If a worker is known to have crashed, the tasks with runs there become suspects, but for
 //! those whose run had outlasted a first trial by then. So does a task that has lost runs with
-//! several workers, whatever is known of them. Suspects are told
-//! apart by starting each of them alone: before an isolated start, no run has started at the
-//! worker for a while, and none is started until the trial of the isolated run is over. If the
-//! worker crashes during the trial, only that run can have caused it. Runs that have
-//! been at the worker for longer stay there, so that no empty worker is needed.
+//! several workers, whatever is known of them. Suspects are told apart by starting each of them
+//! alone: before an isolated start, no run has started at the worker for a while, and none is
+//! started until the trial of the isolated run is over. If the worker crashes during the trial,
+//! only that run can have caused it. Runs that have been at the worker for longer stay there, so
+//! that no empty worker is needed.
 
 use std::collections::BTreeSet;
 
--- a/src/jobs/listed_workers.rs
+++ b/src/jobs/listed_workers.rs
@@ -74,7 +74,7 @@
 impl JobEngine {
     /// Removes the runs of workers that have ended according to the current list of VMs, whose
     /// read began at `started_ms`.
-    pub(crate) fn expire_unlisted_workers(&mut self, started_ms: u64, now: u64) {
+    pub(crate) fn expire_ended_workers(&mut self, started_ms: u64, now: u64) {
         let is_silent = |view: &WorkerView| {
             let seen_ms = view.contact_ms.unwrap_or(view.found_ms);
             view.missed_calls > 0 && !view.runs.is_empty() && seen_ms < started_ms
--- a/src/jobs/losses.rs
+++ b/src/jobs/losses.rs
@@ -43,8 +43,8 @@
     pub isolated: bool,
     /// Whether the worker is known to have crashed.
     pub confirmed: bool,
-    /// Whether the run was still listed at the worker after the time of a first trial. Not
-    /// stored: a successor takes the task for a suspect.
+    /// Whether the run had been alive for as long as a first trial lasts. Not stored: a successor
+    /// takes the task for a suspect.
     pub outlasted_trial: bool,
 }
 
