--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -15,6 +15,16 @@
 /// stored for a successor; a single failure is usually a broken connection.
 const UNRESPONSIVE_MISSES: u32 = 2;
 
+/// When a worker's lease has certainly expired.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct LeaseBound {
+    /// On the boot clock, in milliseconds.
+    expires_ms: u64,
+    /// What shows it: `granted` by this owner, `stored` by a former one, or the `longest`
+    /// that a former owner may have granted.
+    source: &'static str,
+}
+
 impl JobEngine {
     /// Handles a new or changed entry of a worker.
     ///
@@ -165,14 +175,29 @@
         placed.map(|placed| placed.phase)
     }
 
-    /// Returns when the lease that a former owner granted has certainly expired, on the
-    /// boot clock.
-    fn inherited_lease_expiry_ms(&self, view: &WorkerView) -> u64 {
+    /// Returns when the lease of a worker has certainly expired.
+    fn lease_bound(&self, view: &WorkerView) -> LeaseBound {
+        // A worker that has not answered under this epoch may hold a lease that the
+        // former owner renewed until the end of its ownership.
+        let longest = LeaseBound {
+            expires_ms: self.inherited_leases_expiry_ms,
+            source: "longest",
+        };
+        if view.contact_ms.is_some() {
+            let granted = view.lease_expiry_ms().map(|expires_ms| LeaseBound {
+                expires_ms,
+                source: "granted",
+            });
+            return granted.unwrap_or(longest);
+        }
         let lease = self.unresponsive.lease(&view.entry.id);
         let lease = lease.filter(|lease| lease.born_ms == view.entry.born_ms);
-        lease.map_or(self.inherited_leases_expiry_ms, |lease| {
-            lease.expires_ms.min(self.inherited_leases_expiry_ms)
-        })
+        let stored = lease.map(|lease| LeaseBound {
+            expires_ms: lease.expires_ms,
+            source: "stored",
+        });
+        let stored = stored.filter(|stored| stored.expires_ms < longest.expires_ms);
+        stored.unwrap_or(longest)
     }
 
     /// Updates the unresponsive workers with runs, whose lease ends are stored for a
@@ -217,15 +242,13 @@
         let mut gone = Vec::new();
         for (id, view) in &self.workers {
             let unresponsive = view.missed_calls > 0 || view.contact_ms.is_none();
-            // A worker that has not answered under this epoch may hold a lease that the
-            // former owner renewed until the end of its ownership.
-            let lease_expiry_ms = match view.contact_ms {
-                Some(_) => view
-                    .lease_expiry_ms()
-                    .unwrap_or(self.inherited_leases_expiry_ms),
-                None => self.inherited_lease_expiry_ms(view),
-            };
-            if unresponsive && !view.runs.is_empty() && now > lease_expiry_ms {
+            let bound = self.lease_bound(view);
+            if unresponsive && !view.runs.is_empty() && now > bound.expires_ms {
+                log::info!(
+                    event = "worker_lease_expired", worker = id.as_str(), source = bound.source,
+                    over_ms = now - bound.expires_ms, answered = view.contact_ms.is_some(),
+                    owned_ms = now.saturating_sub(self.started_ms); ""
+                );
                 expired.push(id.clone());
             }
             let unlisted = view.unlisted_ms.is_some_and(|since| now > since + grace);
--- a/src/jobs/unresponsive.rs
+++ b/src/jobs/unresponsive.rs
@@ -60,6 +60,10 @@
     pub fn inherit(&mut self, record: UnresponsiveRecord, time: TimePair) {
         let leases = record.rows.into_iter().map(|row| {
             let left_ms = row.lapse_ms as i64 - time.unix as i64 + CLOCK_SLACK_MS as i64;
+            log::info!(
+                event = "worker_lease_inherited", worker = row.worker.as_str(),
+                born_ms = row.born_ms, left_ms = left_ms; ""
+            );
             let lease = UnresponsiveLease {
                 born_ms: row.born_ms,
                 expires_ms: time.boot.saturating_add_signed(left_ms),
--- a/src/service/jobs/relay.rs
+++ b/src/service/jobs/relay.rs
@@ -85,7 +85,9 @@
             }
         };
         let mut maybe_executed = false;
+        let mut attempts = 0_u32;
         loop {
+            attempts += 1;
             let attempt = timeout_at(deadline, self.attempt(request, body.clone())).await;
             match attempt {
                 Ok(AttemptResult::Answered(RelayReply::NotOwner)) | Ok(AttemptResult::NotSent) => {}
@@ -94,9 +96,16 @@
                 Ok(AttemptResult::Unknown) => maybe_executed = true,
                 // The deadline ended the attempt after it may have been sent.
                 Err(_) if self.members.borrow().owner.is_some() => return RelayOutcome::Unknown,
-                Err(_) => {}
+                Err(_) => {
+                    let owning = self.inbox.borrow().is_some();
+                    log::info!(event = "relay_cut_short", job = request.job.as_str(), attempts = attempts, owning = owning; "");
+                }
             }
             if Instant::now() + ATTEMPT_PAUSE >= deadline {
+                log::info!(
+                    event = "relay_ended", job = request.job.as_str(), attempts = attempts,
+                    maybe_executed = maybe_executed; ""
+                );
                 return if maybe_executed {
                     RelayOutcome::Unknown
                 } else {
