--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -133,6 +133,8 @@
 pub struct World {
     pub engine: JobEngine,
     pub now: u64,
+    /// How far the scheduler's wall clock is ahead of its true time, in milliseconds.
+    pub clock_ahead_ms: i64,
     pub workers: BTreeMap<String, FakeWorker>,
     pub faults: WorldFaults,
     pub store_up: bool,
@@ -267,6 +269,7 @@
         Self {
             engine: JobEngine::new(settings, 1, Arc::new(config), 1000),
             now: 1000,
+            clock_ahead_ms: 0,
             workers: BTreeMap::new(),
             faults: WorldFaults::default(),
             store_up: true,
@@ -497,7 +500,7 @@
     pub fn time(&self) -> TimePair {
         TimePair {
             boot: self.now,
-            unix: 1_000_000 + self.now,
+            unix: (1_000_000 + self.now).saturating_add_signed(self.clock_ahead_ms),
         }
     }
 
