Jobs: a new owner counts what former owners may have granted to a worker

Cause: once a worker has answered a new owner, the end of its lease was taken from what this owner had granted alone. That is nothing as long as no lease may be granted: while the store still has the worker as unresponsive, or its entry stays missing. The lease of the former owner ran on, and the first call without an answer made all runs count as lost.

Change: with the first answer the longest lease is assumed that a former owner can have granted until then. Later ones cannot be: the answer shows that the worker has seen the new epoch.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -103,6 +103,16 @@
     }
 }
 
+impl SchedulerSettings {
+    /// Returns for how long a lease can last at most, in milliseconds, on the worker's clock or
+    /// on the owner's: the worker's may run up to 2 % slow, and the owner's estimate of it be
+    /// ahead by as much; 5 % covers that with a margin.
+    #[must_use]
+    pub fn max_lease_ms(&self) -> u64 {
+        self.lease_ms * 21 / 20
+    }
+}
+
 /// Time between two checks of all runs for stuck ones and for their pace, in milliseconds.
 const RUN_CHECK_MS: u64 = 300;
 
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -154,9 +154,13 @@
             self.waiting.mark_all_due();
             self.withdraw_losses(worker, born_ms, now);
         }
+        let max_lease_ms = self.settings.max_lease_ms();
         let Some(view) = self.workers.get_mut(worker) else {
             return false;
         };
+        if view.contact_ms.is_none() && !view.runs.is_empty() {
+            view.assume_lease(clock_ms, max_lease_ms);
+        }
         let wait_ms = if self.unresponsive.may_grant_lease(worker) {
             0
         } else {
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -95,7 +95,8 @@
     pub pending_ends: VecDeque<PendingEnd>,
     /// Last reading of its clock.
     pub clock: Option<ClockSample>,
-    /// End of the longest lease that was granted, on the worker's clock.
+    /// End of the longest lease that was granted, also by former owners, on the worker's
+    /// clock.
     pub lease_until_ms: u64,
     /// Last answer to a hold call in this epoch; none before the first.
     pub contact_ms: Option<u64>,
@@ -230,6 +231,12 @@
         Some(clock.clock_ms + since_ms + lease_ms)
     }
 
+    /// Assumes that former owners have granted a lease of `max_lease_ms` up to a first answer
+    /// with this reading of the worker's clock; after it, the worker rejects their orders.
+    pub fn assume_lease(&mut self, clock_ms: u64, max_lease_ms: u64) {
+        self.lease_until_ms = self.lease_until_ms.max(clock_ms + max_lease_ms);
+    }
+
     /// Records a reading of the worker's clock.
     pub fn observe_clock(&mut self, sample: ClockSample) {
         self.clock = Some(sample);
--- a/src/service/jobs/owner.rs
+++ b/src/service/jobs/owner.rs
@@ -142,9 +142,8 @@
     let now = boot_ms();
     let mut engine = JobEngine::new(scheduler, claimed.epoch, config, now);
     // The former owner may have renewed leases until RENEWAL_GRACE_MS after its ownership
-    // ended. A worker's clock may run up to 2 % slow, so that a lease lasts longer on this
-    // clock; 5 % covers that with a margin.
-    engine.inherited_leases_expiry_ms = now + RENEWAL_GRACE_MS + engine.settings.lease_ms * 21 / 20;
+    // ended.
+    engine.inherited_leases_expiry_ms = now + RENEWAL_GRACE_MS + engine.settings.max_lease_ms();
     engine.fleet.enabled = context.client.addresses.fleet.is_some();
     let waves = content.waves.clone();
     restore(&mut engine, content);
