Jobs: leases of unresponsive workers are stored as what is left of them

Cause: the end of the lease was stored as a time of day, and a constant of 2.5 s stood for how far clocks may differ or be set between the write and the read. A clock that was set ahead by more ended the lease early; one that was set back made tasks wait.

Change: the record holds what is left of each lease, and a successor counts that from its read, which is later than the write. No clock but the boot clocks decides. So that a successor does not wait much longer than before, the record is written again with the next commit once it is 500 ms old. The time of day stays in the rows for entry VMs of earlier versions; a row of theirs lasts for the longest lease. Ruled out: a larger constant (there is no bound on a step) and keys that a lease of the store removes (the store may end its leases early).

--- a/src/jobs/unresponsive.rs
+++ b/src/jobs/unresponsive.rs
@@ -2,8 +2,13 @@
 //!
 //! A new owner cannot know until when the former owner renewed the lease of a worker
 //! that answers neither of them; it would have to wait for the longest possible
-//! lease. So an owner stores when an unresponsive worker's lease ends, and grants
-//! this worker no further lease until the row is known to be removed from the store.
+//! lease. So an owner stores how much of an unresponsive worker's lease is left, and
+//! grants this worker no further lease until the row is known to be removed from the
+//! store.
+//!
+//! No time of day proves that a lease is over: a clock may be set by any amount between
+//! the write and the read. What was left at the write is counted from the read, which is
+//! later. So that this adds little, the record is written again with other commits.
 
 use std::collections::BTreeMap;
 
@@ -11,10 +16,14 @@
 use serde::Serialize;
 
 use crate::jobs::engine::TimePair;
+use crate::jobs::record::EncodeError;
+use crate::jobs::record::RecordError;
+use crate::jobs::record::decode_with;
+use crate::jobs::record::encode_with;
 
-/// Added to the end of a lease that a former owner stored, in milliseconds: the
-/// clocks of entry VMs differ, and one may be adjusted while the row is stored.
-const CLOCK_SLACK_MS: u64 = 2500;
+/// Age from which on a stored record is written again with the next commit, in
+/// milliseconds.
+const REWRITE_MS: u64 = 500;
 
 /// The lease of an unresponsive worker as it is stored.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -24,8 +33,13 @@
     pub worker: String,
     /// Start of the worker's incarnation, in milliseconds since the Unix epoch.
     pub born_ms: u64,
-    /// When the lease has certainly expired, in milliseconds since the Unix epoch.
+    /// When the lease has certainly expired, in milliseconds since the Unix epoch. Only
+    /// earlier versions use it.
     pub lapse_ms: u64,
+    /// Time from the write until the lease has certainly expired, in milliseconds; none if
+    /// an earlier version wrote the row. It is encoded as an [`UnresponsiveExtension`].
+    #[serde(skip)]
+    pub left_ms: Option<u64>,
 }
 
 /// Leases of all unresponsive workers as they are stored.
@@ -36,6 +50,44 @@
     pub rows: Vec<UnresponsiveRow>,
 }
 
+/// Fields of an [`UnresponsiveRecord`] that are encoded after it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct UnresponsiveExtension {
+    /// Time until each row's lease has certainly expired, in milliseconds.
+    pub left_ms: Vec<u64>,
+}
+
+impl UnresponsiveRecord {
+    /// Encodes the record for the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the encoder fails.
+    pub fn encode(&self) -> Result<Vec<u8>, EncodeError> {
+        let left_ms = self.rows.iter().map(|row| row.left_ms.unwrap_or_default());
+        let extension = UnresponsiveExtension {
+            left_ms: left_ms.collect(),
+        };
+        encode_with(self, &extension)
+    }
+
+    /// Decodes the record that is stored under `key`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `bytes` is not an encoded record.
+    pub fn decode(key: &str, bytes: &[u8]) -> Result<Self, RecordError> {
+        let (mut record, extension): (Self, Option<UnresponsiveExtension>) =
+            decode_with(key, bytes)?;
+        let left_ms = extension.unwrap_or_default().left_ms;
+        for (row, left_ms) in record.rows.iter_mut().zip(left_ms) {
+            row.left_ms = Some(left_ms);
+        }
+        Ok(record)
+    }
+}
+
 /// The lease of an unresponsive worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnresponsiveLease {
@@ -53,25 +105,30 @@
     storing: Option<BTreeMap<String, UnresponsiveLease>>,
     /// Leases in the last commit that succeeded.
     stored: BTreeMap<String, UnresponsiveLease>,
+    /// When the record was last written, on the boot clock in milliseconds.
+    written_ms: u64,
 }
 
 impl UnresponsiveWorkers {
-    /// Replaces all leases by those that a former owner stored.
-    pub fn inherit(&mut self, record: UnresponsiveRecord, time: TimePair) {
+    /// Replaces all leases by those that a former owner stored, read at `now`. None lasts
+    /// beyond `longest_ms`, when all leases of former owners have expired; a row of an earlier
+    /// version lasts until then.
+    pub fn inherit(&mut self, record: UnresponsiveRecord, longest_ms: u64, now: u64) {
         let leases = record.rows.into_iter().map(|row| {
-            let left_ms = row.lapse_ms as i64 - time.unix as i64 + CLOCK_SLACK_MS as i64;
+            let expires_ms = row.left_ms.map_or(longest_ms, |left_ms| now + left_ms);
             log::info!(
                 event = "worker_lease_inherited", worker = row.worker.as_str(),
-                born_ms = row.born_ms, left_ms = left_ms; ""
+                born_ms = row.born_ms, left_ms:? = row.left_ms; ""
             );
             let lease = UnresponsiveLease {
                 born_ms: row.born_ms,
-                expires_ms: time.boot.saturating_add_signed(left_ms),
+                expires_ms: expires_ms.min(longest_ms),
             };
             (row.worker, lease)
         });
         self.current = leases.collect();
         self.stored = self.current.clone();
+        self.written_ms = now;
     }
 
     /// Records that a worker is unresponsive.
@@ -111,15 +168,26 @@
         self.storing.is_none() && self.current != self.stored
     }
 
+    /// Returns whether the record is to be part of the next commit: there is a change, or
+    /// more of the leases has passed than the stored record says.
+    #[must_use]
+    pub fn is_rewrite_due(&self, now: u64) -> bool {
+        let is_old = !self.current.is_empty() && now >= self.written_ms + REWRITE_MS;
+        self.is_dirty() || self.storing.is_none() && is_old
+    }
+
     /// Returns the record to store and records that its commit is in progress.
     pub fn begin_write(&mut self, time: TimePair) -> UnresponsiveRecord {
         self.storing = Some(self.current.clone());
-        let rows = self.current.iter().map(|(worker, lease)| UnresponsiveRow {
-            worker: worker.clone(),
-            born_ms: lease.born_ms,
-            lapse_ms: time
-                .unix
-                .saturating_add_signed(lease.expires_ms as i64 - time.boot as i64),
+        self.written_ms = time.boot;
+        let rows = self.current.iter().map(|(worker, lease)| {
+            let left_ms = lease.expires_ms.saturating_sub(time.boot);
+            UnresponsiveRow {
+                worker: worker.clone(),
+                born_ms: lease.born_ms,
+                lapse_ms: time.unix + left_ms,
+                left_ms: Some(left_ms),
+            }
         });
         UnresponsiveRecord {
             rows: rows.collect(),
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -14,7 +14,6 @@
 use crate::jobs::record::EncodeError;
 use crate::jobs::record::ShardKeys;
 use crate::jobs::record::WaveRecord;
-use crate::jobs::record::encode;
 use crate::jobs::record::encode_body;
 use crate::jobs::record::encode_progress;
 use crate::jobs::task::RunPhase;
@@ -114,9 +113,9 @@
         if with_fleet {
             self.fleet
                 .take_writes(keys, &self.settings.holder, time, &mut batch)?;
-            if self.unresponsive.is_dirty() {
+            if self.unresponsive.is_rewrite_due(time.boot) {
                 let record = self.unresponsive.begin_write(time);
-                batch.push(keys.unresponsive(), encode(&record)?);
+                batch.push(keys.unresponsive(), record.encode()?);
                 batch.unresponsive = true;
             }
         }
--- a/src/service/jobs/load.rs
+++ b/src/service/jobs/load.rs
@@ -11,6 +11,7 @@
 use crate::jobs::record::decode_body;
 use crate::jobs::record::decode_progress;
 use crate::jobs::record::decode_with;
+use crate::jobs::unresponsive::UnresponsiveRecord;
 use crate::jobs::wave::StoredWave;
 use crate::ports::store::StoreItem;
 use crate::service::jobs::store::StoreError;
@@ -117,8 +118,9 @@
         }
     }
     if let Some(item) = content.unresponsive {
-        match decode(&item.key, &item.value) {
-            Ok(record) => engine.unresponsive.inherit(record, time),
+        let longest_ms = engine.inherited_leases_expiry_ms;
+        match UnresponsiveRecord::decode(&item.key, &item.value) {
+            Ok(record) => engine.unresponsive.inherit(record, longest_ms, time.boot),
             // Without the record, the scheduler assumes the longest possible leases.
             Err(error) => {
                 log::error!(event = "unresponsive_leases_unreadable", error:% = error; "")
--- a/tests/jobs_leases.rs
+++ b/tests/jobs_leases.rs
@@ -5,8 +5,11 @@
 #[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
+use chicorygauge::jobs::record::encode;
 use chicorygauge::jobs::types::JobState;
 use chicorygauge::jobs::unresponsive::UnresponsiveLease;
+use chicorygauge::jobs::unresponsive::UnresponsiveRecord;
+use chicorygauge::jobs::unresponsive::UnresponsiveRow;
 use chicorygauge::jobs::unresponsive::UnresponsiveWorkers;
 use world::World;
 use world::job;
@@ -67,6 +70,46 @@
     assert_completed(&mut world);
 }
 
+/// A row of an earlier version says nothing but a time of day.
+#[test]
+fn inherit_lease_of_earlier_version_longest() {
+    let row = UnresponsiveRow {
+        worker: "w-1".to_owned(),
+        born_ms: 1,
+        lapse_ms: 4000,
+        left_ms: None,
+    };
+    let record = UnresponsiveRecord { rows: vec![row] };
+    let bytes = encode(&record).expect("a record of an earlier version");
+    let record = UnresponsiveRecord::decode("key", &bytes).expect("a record");
+    let mut unresponsive = UnresponsiveWorkers::default();
+    unresponsive.inherit(record, 90_000, 80_000);
+    let lease = unresponsive.lease("w-1").expect("a lease");
+    assert_eq!(lease.expires_ms, 90_000);
+    assert!(!unresponsive.may_grant_lease("w-1"));
+}
+
+/// What was left of a lease when its row was first written would count anew with each takeover
+/// if the row were not written again.
+#[test]
+fn inherit_lease_of_old_row_shorter() {
+    let (mut world, worker) = world_with_run();
+    set_reachable(&mut world, &worker, false);
+    for number in 0..30 {
+        world.submit(&format!("{number:016x}"), &job(&[step(1, 100, 50)]), number);
+        world.run(100);
+    }
+    let known = world.engine.unresponsive.lease(&worker).expect("a lease");
+    world.take_over();
+    let lease = world.engine.unresponsive.lease(&worker).expect("a lease");
+    assert!(lease.expires_ms >= known.expires_ms);
+    assert!(
+        lease.expires_ms <= known.expires_ms + 1000,
+        "the successor waits for {} ms longer than the former owner knew",
+        lease.expires_ms - known.expires_ms
+    );
+}
+
 /// A successor counted the lease of a worker that had answered it once from what it had granted
 /// itself, which was nothing while the row of the worker was still stored.
 #[test]
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -34,6 +34,7 @@
 use chicorygauge::jobs::types::StepSpec;
 use chicorygauge::jobs::types::TaskId;
 use chicorygauge::jobs::types::WorkerState;
+use chicorygauge::jobs::unresponsive::UnresponsiveRecord;
 use chicorygauge::jobs::writes::WriteBatch;
 use chicorygauge::ports::FleetCall;
 use chicorygauge::ports::FleetReply;
@@ -466,8 +467,10 @@
             permits.inherit(record, &settings.holder, settings.permit_wait_ms, time);
         }
         if let Some(value) = self.stored.get(&keys.unresponsive()) {
-            let record = decode(&keys.unresponsive(), value).expect("unresponsive workers");
-            engine.unresponsive.inherit(record, time);
+            let record = UnresponsiveRecord::decode(&keys.unresponsive(), value);
+            let longest_ms = engine.inherited_leases_expiry_ms;
+            let record = record.expect("unresponsive workers");
+            engine.unresponsive.inherit(record, longest_ms, time.boot);
         }
         let entries = self.workers.values().filter(|worker| worker.up);
         engine.workers_synced(
