Jobs: rows of a commit that failed count as stored until a later one succeeds

What would be seen: TWICE after a takeover.

Cause: a commit that was answered as impossible was taken to be "not stored, and not to be stored later". An earlier attempt at it, whose answer was lost, may still be carried out while the chain key has its revision. A worker that had answered meanwhile was granted a lease beyond the end that the late row tells the next owner.

Change: no lease is granted to workers in failed commits until a commit has succeeded; it changes the revision, so that no earlier attempt can take effect after it.

--- a/src/jobs/unresponsive.rs
+++ b/src/jobs/unresponsive.rs
@@ -11,6 +11,7 @@
 //! later. So that this adds little, the record is written again with other commits.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -105,6 +106,8 @@
     storing: Option<BTreeMap<String, UnresponsiveLease>>,
     /// Leases in the last commit that succeeded.
     stored: BTreeMap<String, UnresponsiveLease>,
+    /// Workers in commits that have failed since.
+    maybe_stored: BTreeSet<String>,
     /// When the record was last written, on the boot clock in milliseconds.
     written_ms: u64,
 }
@@ -152,20 +155,22 @@
         self.current.keys()
     }
 
-    /// Returns whether a worker may be granted a lease: no row of it is stored, is
+    /// Returns whether a worker may be granted a lease: no row of it may be stored, is
     /// about to be stored or is in a commit in progress.
     #[must_use]
     pub fn may_grant_lease(&self, worker: &str) -> bool {
         let storing = self.storing.as_ref();
         !self.current.contains_key(worker)
             && !self.stored.contains_key(worker)
+            && !self.maybe_stored.contains(worker)
             && !storing.is_some_and(|rows| rows.contains_key(worker))
     }
 
     /// Returns whether there is a change to store and no commit of it in progress.
     #[must_use]
     pub fn is_dirty(&self) -> bool {
-        self.storing.is_none() && self.current != self.stored
+        let is_changed = self.current != self.stored || !self.maybe_stored.is_empty();
+        self.storing.is_none() && is_changed
     }
 
     /// Returns whether the record is to be part of the next commit: there is a change, or
@@ -198,12 +203,14 @@
     pub fn write_succeeded(&mut self) {
         if let Some(rows) = self.storing.take() {
             self.stored = rows;
+            self.maybe_stored.clear();
         }
     }
 
-    /// Handles the failure of the commit in progress: its record is not stored and
-    /// cannot be stored later.
+    /// Handles the failure of the commit in progress. An attempt at it may still be carried
+    /// out, until a later commit has succeeded.
     pub fn write_failed(&mut self) {
-        self.storing = None;
+        let failed = self.storing.take().unwrap_or_default();
+        self.maybe_stored.extend(failed.into_keys());
     }
 }
