Permits to order VMs are stored as what is left of them

The cause of the incident in another place: the end of a former holder's permit was a time of day.

Change: the record holds what is left of each permit, counted from the read by the next holder. It is written again with other commits until no permit is left, so that old permits do not block VMs after a takeover. A row of an earlier version counts as just stored.

Evidence: inherit_clock_set_ahead_blocked fails with the former calculation ("assertion failed: permits.is_blocked") and passes with clocks set ahead by 2 s to an hour; so does inherit_of_earlier_version_blocked, whose row's time of day is long past.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -15,7 +15,6 @@
 use crate::jobs::permits::OrderPermits;
 use crate::jobs::record::EncodeError;
 use crate::jobs::record::ShardKeys;
-use crate::jobs::record::encode;
 use crate::jobs::record::encode_with;
 use crate::jobs::wave::StoredWave;
 use crate::jobs::wave::WaveOrder;
@@ -125,9 +124,9 @@
         time: TimePair,
         batch: &mut WriteBatch,
     ) -> Result<(), EncodeError> {
-        if self.permits.is_dirty() {
+        if self.permits.is_rewrite_due(time.boot) {
             let record = self.permits.begin_write(holder, time);
-            batch.push(keys.permits(), encode(&record)?);
+            batch.push(keys.permits(), record.encode()?);
             batch.permits = true;
         }
         for (number, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.dirty) {
--- a/src/jobs/permits.rs
+++ b/src/jobs/permits.rs
@@ -2,9 +2,13 @@
 //!
 //! Two owners of a shard, called holders here, must not order the same VM shortly
 //! after each other. So a holder stores a permit before its first order for a VM. The
-//! permit names the VM and the time until which the holder may order it. A new holder
+//! permit names the VM and says for how long the holder may order it. A new holder
 //! waits before it orders a VM with a former holder's permit, and orders all other
 //! VMs without delay.
+//!
+//! What was left of a permit at the write is counted from the read, which is later; clocks
+//! may be set in between. So that old permits do not block VMs after each takeover, the
+//! record is written again with other commits until no permit is left.
 
 use std::collections::BTreeMap;
 
@@ -12,6 +16,10 @@
 use serde::Serialize;
 
 use crate::jobs::engine::TimePair;
+use crate::jobs::record::EncodeError;
+use crate::jobs::record::RecordError;
+use crate::jobs::record::decode_with;
+use crate::jobs::record::encode_with;
 
 /// Validity of a permit, in milliseconds: enough for a few attempts at an order.
 const PERMIT_MS: u64 = 1500;
@@ -24,6 +32,10 @@
 /// any new holder waits.
 const RETENTION_MS: u64 = 10_000;
 
+/// Age from which on a stored record is written again with the next commit, in
+/// milliseconds.
+const REWRITE_MS: u64 = 500;
+
 /// A permit as it is stored.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -32,8 +44,13 @@
     pub machine: String,
     /// Name of the holder that may order it.
     pub holder: String,
-    /// End of the permit, in milliseconds since the Unix epoch.
+    /// End of the permit, in milliseconds since the Unix epoch. Only earlier versions use
+    /// it.
     pub until_ms: u64,
+    /// Time from the write until the end of the permit, in milliseconds, negative after it;
+    /// none if an earlier version wrote the row. It is encoded as a [`PermitExtension`].
+    #[serde(skip)]
+    pub left_ms: Option<i64>,
 }
 
 /// Permits as they are stored.
@@ -44,6 +61,43 @@
     pub rows: Vec<PermitRow>,
 }
 
+/// Fields of a [`PermitRecord`] that are encoded after it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PermitExtension {
+    /// Time until the end of each row's permit, in milliseconds.
+    pub left_ms: Vec<i64>,
+}
+
+impl PermitRecord {
+    /// Encodes the record for the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the encoder fails.
+    pub fn encode(&self) -> Result<Vec<u8>, EncodeError> {
+        let left_ms = self.rows.iter().map(|row| row.left_ms.unwrap_or_default());
+        let extension = PermitExtension {
+            left_ms: left_ms.collect(),
+        };
+        encode_with(self, &extension)
+    }
+
+    /// Decodes the record that is stored under `key`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `bytes` is not an encoded record.
+    pub fn decode(key: &str, bytes: &[u8]) -> Result<Self, RecordError> {
+        let (mut record, extension): (Self, Option<PermitExtension>) = decode_with(key, bytes)?;
+        let left_ms = extension.unwrap_or_default().left_ms;
+        for (row, left_ms) in record.rows.iter_mut().zip(left_ms) {
+            row.left_ms = Some(left_ms);
+        }
+        Ok(record)
+    }
+}
+
 /// Permits of this holder and of former holders.
 ///
 /// All times are on the boot clock, in milliseconds.
@@ -62,6 +116,8 @@
     /// All VMs are blocked until this time; set if the former holders' permits cannot
     /// be read.
     all_blocked_until_ms: u64,
+    /// When the record was last written, or read from a former holder.
+    written_ms: u64,
 }
 
 impl OrderPermits {
@@ -70,9 +126,12 @@
     /// stored in an earlier incarnation are ignored.
     pub fn inherit(&mut self, record: PermitRecord, holder: &str, wait_ms: u64, time: TimePair) {
         self.wait_ms = wait_ms;
+        self.written_ms = time.boot;
         for row in record.rows.into_iter().filter(|row| row.holder != holder) {
-            // If the former holder's clock ran ahead, the VM must not stay blocked long.
-            let left_ms = (row.until_ms as i64 - time.unix as i64).min(PERMIT_MS as i64);
+            let left_ms = row
+                .left_ms
+                .unwrap_or(PERMIT_MS as i64)
+                .min(PERMIT_MS as i64);
             let until_ms = time.boot.saturating_add_signed(left_ms);
             self.former.insert(row.machine, (row.holder, until_ms));
         }
@@ -117,10 +176,19 @@
         !self.requested.is_empty()
     }
 
+    /// Returns whether the record is to be part of the next commit: permits are requested, or
+    /// more of the stored ones has passed than the record says.
+    #[must_use]
+    pub fn is_rewrite_due(&self, now: u64) -> bool {
+        let is_empty = self.stored.is_empty() && self.former.is_empty();
+        self.is_dirty() || !is_empty && now >= self.written_ms + REWRITE_MS
+    }
+
     /// Returns the record to store and records that its commit is in progress. It
     /// contains the requested permits and the earlier ones that still bind a next holder.
     pub fn begin_write(&mut self, holder: &str, time: TimePair) -> PermitRecord {
         self.storing.append(&mut self.requested);
+        self.written_ms = time.boot;
         let is_retained = |until: &u64| time.boot < *until + RETENTION_MS;
         self.stored.retain(|_, until| is_retained(until));
         self.former.retain(|_, (_, until)| is_retained(until));
@@ -130,12 +198,14 @@
         let former = former.filter(|(machine, _)| !own.contains_key(*machine));
         let former = former.map(|(machine, (holder, until))| (machine, holder.as_str(), until));
         let own = own.iter().map(|(machine, until)| (machine, holder, until));
-        let rows = own.chain(former).map(|(machine, holder, until)| PermitRow {
-            machine: machine.clone(),
-            holder: holder.to_owned(),
-            until_ms: time
-                .unix
-                .saturating_add_signed(*until as i64 - time.boot as i64),
+        let rows = own.chain(former).map(|(machine, holder, until)| {
+            let left_ms = *until as i64 - time.boot as i64;
+            PermitRow {
+                machine: machine.clone(),
+                holder: holder.to_owned(),
+                until_ms: time.unix.saturating_add_signed(left_ms),
+                left_ms: Some(left_ms),
+            }
         });
         PermitRecord {
             rows: rows.collect(),
--- a/src/service/jobs/load.rs
+++ b/src/service/jobs/load.rs
@@ -6,8 +6,8 @@
 use crate::clock::unix_ms;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
+use crate::jobs::permits::PermitRecord;
 use crate::jobs::record::ShardKeys;
-use crate::jobs::record::decode;
 use crate::jobs::record::decode_body;
 use crate::jobs::record::decode_progress;
 use crate::jobs::record::decode_with;
@@ -132,7 +132,7 @@
             engine.settings.holder.clone(),
             engine.settings.permit_wait_ms,
         );
-        match decode(&item.key, &item.value) {
+        match PermitRecord::decode(&item.key, &item.value) {
             Ok(record) => engine.fleet.permits.inherit(record, &holder, wait_ms, time),
             Err(error) => {
                 log::error!(event = "permits_unreadable", error:% = error; "");
--- a/tests/jobs_permits.rs
+++ b/tests/jobs_permits.rs
@@ -3,6 +3,8 @@
 use chicorygauge::jobs::engine::TimePair;
 use chicorygauge::jobs::permits::OrderPermits;
 use chicorygauge::jobs::permits::PermitRecord;
+use chicorygauge::jobs::permits::PermitRow;
+use chicorygauge::jobs::record::encode;
 
 const WAIT_MS: u64 = 4000;
 
@@ -21,6 +23,12 @@
     record
 }
 
+/// Returns a record as a successor reads it from the store.
+fn stored(record: &PermitRecord) -> PermitRecord {
+    let bytes = record.encode().expect("an encoded record");
+    PermitRecord::decode("key", &bytes).expect("a record")
+}
+
 #[test]
 fn request_permit_granted_once_stored() {
     let mut permits = OrderPermits::default();
@@ -94,3 +102,56 @@
     permits.inherit(record, "two", WAIT_MS, time(200));
     assert!(!permits.is_blocked("m-1", 200 + WAIT_MS + 2000));
 }
+
+/// The end of a permit was stored as a time of day, so a holder whose clock had been set ahead
+/// ordered a VM right after the former one.
+#[test]
+fn inherit_clock_set_ahead_blocked() {
+    for ahead_ms in [2000, 10_000, 3_600_000] {
+        let mut former = OrderPermits::default();
+        let record = store_permit(&mut former, "m-1", "one", 100);
+        let ahead = TimePair {
+            boot: 200,
+            unix: time(200).unix + ahead_ms,
+        };
+        let mut permits = OrderPermits::default();
+        permits.inherit(stored(&record), "two", WAIT_MS, ahead);
+        assert!(permits.is_blocked("m-1", 100 + 1500 + WAIT_MS - 1));
+    }
+}
+
+/// A permit of long ago must not block its VM anew after each takeover.
+#[test]
+fn begin_write_old_permit_does_not_block() {
+    let mut former = OrderPermits::default();
+    store_permit(&mut former, "m-1", "one", 100);
+    assert!(!former.is_rewrite_due(300));
+    assert!(former.is_rewrite_due(5700));
+    let record = former.begin_write("one", time(5700));
+    former.write_succeeded();
+    let mut permits = OrderPermits::default();
+    permits.inherit(stored(&record), "two", WAIT_MS, time(5800));
+    assert!(!permits.is_blocked("m-1", 5800));
+    // Once no permit is left, the record is written for the last time.
+    assert!(former.is_rewrite_due(12_000));
+    assert!(former.begin_write("one", time(12_000)).rows.is_empty());
+    former.write_succeeded();
+    assert!(!former.is_rewrite_due(20_000));
+}
+
+/// An earlier version stores nothing but a time of day.
+#[test]
+fn inherit_of_earlier_version_blocked() {
+    let row = PermitRow {
+        machine: "m-1".to_owned(),
+        holder: "one".to_owned(),
+        until_ms: 5,
+        left_ms: None,
+    };
+    let bytes = encode(&PermitRecord { rows: vec![row] }).expect("an earlier record");
+    let record = PermitRecord::decode("key", &bytes).expect("a record");
+    let mut permits = OrderPermits::default();
+    permits.inherit(record, "two", WAIT_MS, time(200));
+    assert!(permits.is_blocked("m-1", 200 + 1500 + WAIT_MS - 1));
+    assert!(!permits.is_blocked("m-1", 200 + 1500 + WAIT_MS));
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -22,6 +22,7 @@
 use chicorygauge::jobs::engine::SchedulerSettings;
 use chicorygauge::jobs::engine::TimePair;
 use chicorygauge::jobs::orders::CallResult;
+use chicorygauge::jobs::permits::PermitRecord;
 use chicorygauge::jobs::record::BodyRecord;
 use chicorygauge::jobs::record::ProgressRecord;
 use chicorygauge::jobs::record::ShardKeys;
@@ -461,7 +462,7 @@
             }
         }
         if let Some(value) = self.stored.get(&keys.permits()) {
-            let record = decode(&keys.permits(), value).expect("permits");
+            let record = PermitRecord::decode(&keys.permits(), value).expect("permits");
             let settings = engine.settings.clone();
             let permits = &mut engine.fleet.permits;
             permits.inherit(record, &settings.holder, settings.permit_wait_ms, time);
