A submission that lies with an owner is not answered as not executed

Cause: at the caller's deadline the relay derived the outcome from who was known as the owner then. If the owner's key was gone at that moment, an attempt that had been handed to the owner of the same process counted as not sent.

The outcome is now derived from the attempts. An attempt counts as possibly executed from the moment at which it is handed to a local owner or to a connection, until its result shows the contrary: a failed connection, or the answer that the receiver owns nothing.

--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -23,13 +23,13 @@
 use crate::metrics::UNAUTHORIZED;
 use crate::ports::DialectPort;
 use crate::ports::client::JSON;
+use crate::service::jobs::attempts::RelayOutcome;
 use crate::service::jobs::exchange::ExchangeState;
 use crate::service::jobs::messages::OperatorView;
 use crate::service::jobs::messages::RelayOperation;
 use crate::service::jobs::messages::RelayReply;
 use crate::service::jobs::messages::RelayRequest;
 use crate::service::jobs::relay::RelayClient;
-use crate::service::jobs::relay::RelayOutcome;
 use crate::service::jobs::serve::HttpAnswer;
 use crate::service::jobs::serve::answer;
 
--- a/src/service/jobs/mod.rs
+++ b/src/service/jobs/mod.rs
@@ -4,6 +4,7 @@
 //! Every entry VM runs the same services. One entry VM at a time owns the shard and
 //! runs its scheduler; the others relay callers' requests to the owner.
 
+pub mod attempts;
 pub mod claim;
 pub mod commit;
 mod election;
--- a/src/service/jobs/relay.rs
+++ b/src/service/jobs/relay.rs
@@ -18,6 +18,9 @@
 use crate::http::CallError;
 use crate::http::CallRequest;
 use crate::keep_alive::KeepAliveClient;
+use crate::service::jobs::attempts::AttemptResult;
+use crate::service::jobs::attempts::RelayOutcome;
+use crate::service::jobs::attempts::RequestAttempts;
 use crate::service::jobs::exchange::address_of;
 use crate::service::jobs::messages::MemberView;
 use crate::service::jobs::messages::OwnerEvent;
@@ -33,17 +36,6 @@
 /// Pause between attempts.
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(40);
 
-/// Outcome of a relayed request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RelayOutcome {
-    /// The owner answered.
-    Answered(RelayReply),
-    /// No owner was reached, so the request was certainly not carried out.
-    NotReached,
-    /// The request was sent and not answered; it may have been carried out.
-    Unknown,
-}
-
 /// Client that relays requests to the owner.
 #[derive(Clone)]
 pub struct RelayClient {
@@ -57,12 +49,6 @@
     pub client: KeepAliveClient,
 }
 
-enum AttemptResult {
-    Answered(RelayReply),
-    NotSent,
-    Unknown,
-}
-
 /// Sends a request to the scheduler of this process and returns its answer; none if the
 /// ownership ends before that.
 pub async fn call_local_owner(
@@ -84,40 +70,36 @@
                 return RelayOutcome::NotReached;
             }
         };
-        let mut maybe_executed = false;
-        let mut attempts = 0_u32;
+        let mut attempts = RequestAttempts::default();
         loop {
-            attempts += 1;
-            let attempt = timeout_at(deadline, self.attempt(request, body.clone())).await;
-            match attempt {
-                Ok(AttemptResult::Answered(RelayReply::NotOwner)) | Ok(AttemptResult::NotSent) => {}
-                Ok(AttemptResult::Answered(RelayReply::Lost)) => maybe_executed = true,
-                Ok(AttemptResult::Answered(reply)) => return RelayOutcome::Answered(reply),
-                Ok(AttemptResult::Unknown) => maybe_executed = true,
-                // The deadline ended the attempt after it may have been sent.
-                Err(_) if self.members.borrow().owner.is_some() => return RelayOutcome::Unknown,
-                Err(_) => {
-                    let owning = self.inbox.borrow().is_some();
-                    log::info!(event = "relay_cut_short", job = request.job.as_str(), attempts = attempts, owning = owning; "");
-                }
+            attempts.begin();
+            let attempt = self.attempt(request, body.clone(), &mut attempts);
+            let result = timeout_at(deadline, attempt).await;
+            if let Ok(result) = result
+                && let Some(outcome) = attempts.end(result)
+            {
+                return outcome;
             }
-            if Instant::now() + ATTEMPT_PAUSE >= deadline {
+            if result.is_err() || Instant::now() + ATTEMPT_PAUSE >= deadline {
+                let outcome = attempts.abandon();
+                let owning = self.inbox.borrow().is_some();
                 log::info!(
-                    event = "relay_ended", job = request.job.as_str(), attempts = attempts,
-                    maybe_executed = maybe_executed; ""
+                    event = "relay_ended", job = request.job.as_str(), attempts = attempts.count,
+                    owning = owning, outcome:? = outcome; ""
                 );
-                return if maybe_executed {
-                    RelayOutcome::Unknown
-                } else {
-                    RelayOutcome::NotReached
-                };
+                return outcome;
             }
             sleep(ATTEMPT_PAUSE).await;
         }
     }
 
     /// Makes one attempt; ends it early if the owner changes.
-    async fn attempt(&self, request: &RelayRequest, body: Bytes) -> AttemptResult {
+    async fn attempt(
+        &self,
+        request: &RelayRequest,
+        body: Bytes,
+        attempts: &mut RequestAttempts,
+    ) -> AttemptResult {
         let mut members = self.members.clone();
         let owner = members.borrow_and_update().owner.clone();
         let Some((owner, _)) = owner else {
@@ -127,6 +109,7 @@
         };
         let sender = self.inbox.borrow().clone();
         if let Some(sender) = sender {
+            attempts.hand_over();
             return match call_local_owner(&sender, request.clone()).await {
                 Some(reply) => AttemptResult::Answered(reply),
                 None => AttemptResult::Unknown,
@@ -142,6 +125,7 @@
                 .as_ref()
                 .is_none_or(|(owner, _)| owner.epoch != epoch)
         });
+        attempts.hand_over();
         tokio::select! {
             result = self.send(address, body) => result,
             _ = replaced => AttemptResult::Unknown,
