A rejected attempt does not speak for an earlier one

Cause: the relay passed on the first answer, whatever had become of the attempts before it. An owner reads two connections in any order; it may refuse the second message while the store is down and accept the first one afterwards.

After an attempt that may have been executed, a rejection (Refused, Invalid, NoQueue, Conflict) now gives the caller a 504 at once, so that it sends the same job again; a further attempt would be rejected as well. An acceptance stays final, since a job is accepted once. So does the answer that a job to cancel is unknown: it states what is, not what an attempt did.

--- a/src/service/jobs/attempts.rs
+++ b/src/service/jobs/attempts.rs
@@ -1,7 +1,9 @@
 //! What is known about a relayed request from the attempts to hand it to an owner.
 //!
 //! The outcome follows from what was handed over, whoever is known as the owner later: a
-//! request that lies in an owner's inbox or socket may be executed at any time.
+//! request that lies in an owner's inbox or socket may be executed at any time. So a later
+//! attempt that is rejected does not speak for an earlier one; one that succeeds does, since
+//! a job is accepted and cancelled once.
 
 use crate::service::jobs::messages::RelayReply;
 
@@ -60,6 +62,10 @@
                 self.maybe_executed = true;
                 None
             }
+            // The earlier message may still be accepted, after this one was rejected.
+            AttemptResult::Answered(reply) if self.maybe_executed && is_rejection(reply) => {
+                Some(RelayOutcome::Unknown)
+            }
             AttemptResult::Answered(reply) => Some(RelayOutcome::Answered(reply)),
         }
     }
@@ -74,3 +80,20 @@
         }
     }
 }
+
+/// Returns whether a reply says that a submission was not accepted.
+fn is_rejection(reply: RelayReply) -> bool {
+    match reply {
+        RelayReply::Refused { .. }
+        | RelayReply::Invalid
+        | RelayReply::NoQueue
+        | RelayReply::Conflict
+        | RelayReply::NotOwner => true,
+        RelayReply::Accepted
+        | RelayReply::Cancelled
+        | RelayReply::State(_)
+        | RelayReply::Pending(_)
+        | RelayReply::Unknown
+        | RelayReply::Lost => false,
+    }
+}
--- a/src/service/jobs/relay.rs
+++ b/src/service/jobs/relay.rs
@@ -78,6 +78,12 @@
             if let Ok(result) = result
                 && let Some(outcome) = attempts.end(result)
             {
+                if outcome == RelayOutcome::Unknown {
+                    log::info!(
+                        event = "relay_rejection_withheld", job = request.job.as_str(),
+                        attempts = attempts.count, result:? = result; ""
+                    );
+                }
                 return outcome;
             }
             if result.is_err() || Instant::now() + ATTEMPT_PAUSE >= deadline {
--- a/tests/jobs_relay.rs
+++ b/tests/jobs_relay.rs
@@ -16,6 +16,9 @@
 use chicorygauge::service::jobs::messages::RelayReply;
 use chicorygauge::service::jobs::messages::RelayRequest;
 use chicorygauge::service::jobs::relay::RelayClient;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -143,3 +146,68 @@
         assert_eq!(attempts.abandon(), RelayOutcome::Unknown);
     }
 }
+
+/// Plays an owner that answers its second connection only; the first request stays unread.
+async fn answer_second_connection(listener: TcpListener, reply: RelayReply) {
+    let first = listener.accept().await.expect("a connection");
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let mut buffer = [0; 4096];
+    let size = stream.read(&mut buffer).await.expect("a request");
+    assert!(size > 0, "the client closed the connection");
+    let body = rmp_serde::to_vec(&reply).expect("encode the reply");
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).await.expect("send");
+    stream.write_all(&body).await.expect("send");
+    drop(first);
+}
+
+/// An owner that had not read the first message refused the second one, and the caller was told
+/// that its job never runs; the first message was still in the owner's socket.
+#[tokio::test]
+async fn relay_refused_after_unanswered_attempt_unknown() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("an address");
+    let relay = TestRelay::new(members_with_owner("entry-1", address, 1));
+    let refused = RelayReply::Refused { retry_ms: 1000 };
+    let owner = tokio::spawn(answer_second_connection(listener, refused));
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let outcome = relay.client.relay(&submission(), deadline).await;
+    assert_eq!(outcome, RelayOutcome::Unknown);
+    owner.await.expect("the owner");
+}
+
+/// A rejection speaks for its own attempt only, an acceptance for all.
+#[test]
+fn attempts_rejected_after_unresolved_unknown() {
+    let rejections = [
+        RelayReply::Refused { retry_ms: 0 },
+        RelayReply::Invalid,
+        RelayReply::NoQueue,
+        RelayReply::Conflict,
+    ];
+    for reply in rejections {
+        let result = AttemptResult::Answered(reply);
+        let mut attempts = RequestAttempts::default();
+        end_attempt(&mut attempts, true, AttemptResult::NotSent);
+        assert_eq!(
+            { attempts }.end(result),
+            Some(RelayOutcome::Answered(reply))
+        );
+        end_attempt(&mut attempts, true, AttemptResult::Unknown);
+        assert_eq!(
+            attempts.end(result),
+            Some(RelayOutcome::Unknown),
+            "{reply:?}"
+        );
+    }
+    for reply in [
+        RelayReply::Accepted,
+        RelayReply::Cancelled,
+        RelayReply::Unknown,
+    ] {
+        let mut attempts = RequestAttempts::default();
+        end_attempt(&mut attempts, true, AttemptResult::Unknown);
+        let outcome = attempts.end(AttemptResult::Answered(reply));
+        assert_eq!(outcome, Some(RelayOutcome::Answered(reply)));
+    }
+}
