--- a/src/service/jobs/mod.rs
+++ b/src/service/jobs/mod.rs
@@ -4,6 +4,7 @@
 //! Every entry VM runs the same services. One entry VM at a time owns the shard and
 //! runs its scheduler; the others relay callers' requests to the owner.
 
+pub mod attempts;
 pub mod claim;
 pub mod commit;
 mod election;
@@ -17,6 +18,7 @@
 pub mod operator;
 pub mod owner;
 pub mod peer;
+mod reclaim;
 pub mod relay;
 pub mod serve;
 pub mod settings;
