Orders for VMs: a confirmation ends no runs that the lists show alive

The platform confirms an order that it has carried out before like a new one. After a lost answer, or a takeover between an order and its record, the order is sent again once the VM is listed as up; its new worker has runs by then, and the order waits for them no longer, as its evacuation began long ago. The confirmation was taken as proof that these runs had ended: their tasks were started elsewhere, and the runs went on.

The order now ends no runs. A worker without runs is forgotten as before; the runs of another one are lost once a list read after its last sign of life shows its VM without it, moving or in maintenance, or once its lease expires. Such a loss still counts as planned. A worker that joined before the confirmation accepts runs again once the order is finished.

The simulated world repeats confirmations as the platform does, and can lose the answers to orders.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -312,6 +312,12 @@
         }
         for machine in finished {
             log::info!(event = "vm_order_finished", vm = machine.as_str(); "");
+            // A worker that joined before the order was confirmed was evacuated for it.
+            if let Some(row) = self.fleet.rows.get(&machine)
+                && let Some(view) = self.workers.get_mut(&row.worker)
+            {
+                view.evacuating = false;
+            }
         }
         self.expire_ended_workers(started_ms, now);
         self.waiting.mark_all_due();
--- a/src/jobs/listed_workers.rs
+++ b/src/jobs/listed_workers.rs
@@ -1,9 +1,9 @@
 //! Workers in the platform's list of VMs, as evidence of which have ended.
 //!
 //! A worker is one incarnation of a VM's process, and the list names the current one. A worker
-//! that does not answer may be cut off and run on; but if its VM is listed without it, it has
-//! ended, and its runs need not be waited for until their lease expires. A list counts only if
-//! its read began after the worker's last sign of life.
+//! that does not answer may be cut off and run on; but if its VM is listed without it, moves or is
+//! in maintenance, it has ended, and its runs need not be waited for until their lease expires. A
+//! list counts only if its read began after the worker's last sign of life.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -12,6 +12,7 @@
 use crate::jobs::lost_workers::LossReason;
 use crate::jobs::worker::WorkerView;
 use crate::ports::fleet::MachineRow;
+use crate::ports::fleet::MachineState;
 
 /// Consecutive lists that must lack a worker and its VM: the pages of one list may be read
 /// while it changes.
@@ -43,7 +44,8 @@
         silent: &[&str],
         is_known: impl Fn(&str) -> bool,
     ) -> Vec<String> {
-        let listed = rows.values().filter(|row| !row.worker.is_empty());
+        let listed = rows.values();
+        let listed = listed.filter(|row| !row.worker.is_empty() && !is_out_of_service(row));
         let listed: HashMap<&str, &str> = listed
             .map(|row| (row.worker.as_str(), row.machine.as_str()))
             .collect();
@@ -69,6 +71,20 @@
         }
         ended
     }
+
+    /// Returns the row of a worker's VM, if the worker was listed before.
+    fn row_of<'a>(
+        &self,
+        worker: &str,
+        rows: &'a BTreeMap<String, MachineRow>,
+    ) -> Option<&'a MachineRow> {
+        rows.get(self.machines.get(worker)?)
+    }
+}
+
+/// Returns whether a VM moves or is in maintenance, which ends its worker.
+fn is_out_of_service(row: &MachineRow) -> bool {
+    matches!(row.state, MachineState::Moving | MachineState::Maintenance)
 }
 
 impl JobEngine {
@@ -87,7 +103,13 @@
             .listed_workers
             .observe(&fleet.rows, &silent, |worker| workers.contains_key(worker));
         for worker in ended {
-            self.worker_superseded(&worker, now);
+            let row = self.fleet.listed_workers.row_of(&worker, &self.fleet.rows);
+            let is_planned = row.is_some_and(is_out_of_service);
+            if let Some(view) = self.workers.get_mut(&worker).filter(|_| is_planned) {
+                view.evacuating = true;
+            } else {
+                self.worker_superseded(&worker, now);
+            }
             self.mark_runs_lost(&worker, LossReason::NotListed, now);
         }
     }
--- a/src/jobs/lost_workers.rs
+++ b/src/jobs/lost_workers.rs
@@ -30,8 +30,6 @@
     Restarted,
     /// It does not answer, and the platform lists its VM without it.
     NotListed,
-    /// Its VM was moved or went into maintenance.
-    VmOrdered,
 }
 
 impl LossReason {
@@ -42,7 +40,6 @@
             Self::LeaseExpired => "lease_expired",
             Self::Restarted => "restarted",
             Self::NotListed => "not_listed",
-            Self::VmOrdered => "vm_ordered",
         }
     }
 }
@@ -68,9 +65,7 @@
         let Some(view) = self.workers.get(worker) else {
             return;
         };
-        let planned = reason == LossReason::VmOrdered
-            || view.evacuating
-            || view.entry.state == WorkerState::Draining;
+        let planned = view.evacuating || view.entry.state == WorkerState::Draining;
         let confirmed = view.is_superseded || reason == LossReason::Restarted;
         let silent_ms = now.saturating_sub(view.contact_ms.unwrap_or(now));
         log::info!(
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -7,9 +7,9 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::fleet::MachineOrder;
 use crate::jobs::fleet::OrderState;
-use crate::jobs::lost_workers::LossReason;
 use crate::jobs::types::TaskId;
 use crate::jobs::types::WorkerState;
+use crate::jobs::worker::WorkerView;
 use crate::ports::FleetCall;
 use crate::ports::FleetReply;
 use crate::ports::fleet::MachineRow;
@@ -249,7 +249,10 @@
         }
     }
 
-    /// Records that a VM is moving or in maintenance: its worker runs nothing any more.
+    /// Records that a VM is moving or in maintenance.
+    ///
+    /// A worker without runs is forgotten. One with runs may have joined since the VM left, as
+    /// an order that was carried out before is confirmed again; lists show whether it has ended.
     pub(crate) fn record_departure(&mut self, machine: &str, order: &MachineOrder, now: u64) {
         let Some(row) = self.fleet.rows.get_mut(machine) else {
             return;
@@ -267,8 +270,8 @@
                 }
             }
         }
-        if !worker.is_empty() {
-            self.mark_runs_lost(&worker, LossReason::VmOrdered, now);
+        let has_runs = |view: &WorkerView| !view.runs.is_empty();
+        if !worker.is_empty() && !self.workers.get(&worker).is_some_and(has_runs) {
             self.workers.remove(&worker);
             // Another worker at its address is no evidence of a crash any more.
             self.lost_workers.remove(&worker);
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -51,6 +51,8 @@
 const HOP_MS: u64 = 2;
 /// Timeout of a call without a reply, in milliseconds.
 const CALL_LIMIT_MS: u64 = 500;
+/// Timeout of a call to the platform's list of VMs, in milliseconds.
+const FLEET_LIMIT_MS: u64 = 1500;
 /// Duration of a commit, in milliseconds.
 const COMMIT_MS: u64 = 6;
 /// Time from the crash of a worker to the removal of its entry, in milliseconds.
@@ -171,6 +173,11 @@
     pub crashes_listed: bool,
     /// Time until a worker that has crashed is replaced, in milliseconds.
     pub crash_down_ms: u64,
+    /// Whether the answers to orders for VMs are lost; the orders are carried out.
+    pub fleet_answers_lost: bool,
+    /// Maintenance that was carried out: VM and number of the wave. A repeated order is
+    /// confirmed and has no effect.
+    maintained: BTreeSet<(String, u64)>,
     /// Times of the crashes by deadly task.
     pub crashes: BTreeMap<String, Vec<u64>>,
     /// Number of starts of a deadly task since three workers crashed under it.
@@ -289,6 +296,8 @@
             silent_crashes: false,
             crashes_listed: false,
             crash_down_ms: 3000,
+            fleet_answers_lost: false,
+            maintained: BTreeSet::new(),
             crashes: BTreeMap::new(),
             late_starts: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -767,7 +776,12 @@
             }
             Event::FleetCallArrives(call) => {
                 let reply = self.execute_fleet_call(&call);
-                self.schedule(HOP_MS, Event::FleetCallEnds(call, Some(reply)));
+                let is_order = !matches!(call, FleetCall::List { .. });
+                if is_order && self.fleet_answers_lost {
+                    self.schedule(FLEET_LIMIT_MS, Event::FleetCallEnds(call, None));
+                } else {
+                    self.schedule(HOP_MS, Event::FleetCallEnds(call, Some(reply)));
+                }
             }
             Event::FleetCallEnds(call, reply) => {
                 self.engine.handle_fleet_reply(&call, reply, self.now)
@@ -1065,9 +1079,17 @@
                 self.moves += 1;
                 self.take_down(machine, MachineState::Moving, pool.clone(), 1500)
             }
-            FleetCall::Maintain { machine, .. } => {
+            FleetCall::Maintain { machine, wave, .. } => {
+                let key = (machine.clone(), *wave);
+                if self.maintained.contains(&key) {
+                    return FleetReply::Done;
+                }
                 let pool = self.machines[machine].pool.clone();
-                self.take_down(machine, MachineState::Maintenance, pool, 2000)
+                let reply = self.take_down(machine, MachineState::Maintenance, pool, 2000);
+                if reply == FleetReply::Done {
+                    self.maintained.insert(key);
+                }
+                reply
             }
         }
     }
