Waves: an order without an answer counts against the VMs that may be down

Users would see more VMs of a wave in maintenance than allowed (LIMIT). An order whose answer was lost was no longer in flight and not confirmed, and the list of VMs was up to 3 s old: nothing counted its VM, and the next one, which is evacuated ahead, was ordered in the 500 ms before the repetition.

An order now counts from its first call until it is confirmed, refused as invalid or no longer listed. Its repetition needs no further room. A VM that is also listed as in maintenance counts once.

Before: "assertion `left == right` failed, left: 2, right: 1" for the most VMs in maintenance at the same time, with one allowed.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -64,6 +64,8 @@
     pub evacuating_since_ms: u64,
     /// Whether the call to the platform is in flight.
     pub call_in_flight: bool,
+    /// Whether a call was not answered; it may have been carried out, or still be.
+    pub unanswered: bool,
     /// Earliest time of the next call.
     pub not_before_ms: u64,
     /// When the platform confirmed the order; none before.
@@ -313,9 +315,8 @@
         for machine in finished {
             log::info!(event = "vm_order_finished", vm = machine.as_str(); "");
             // A worker that joined before the order was confirmed was evacuated for it.
-            if let Some(row) = self.fleet.rows.get(&machine)
-                && let Some(view) = self.workers.get_mut(&row.worker)
-            {
+            let row = self.fleet.rows.get(&machine);
+            if let Some(view) = row.and_then(|row| self.workers.get_mut(&row.worker)) {
                 view.evacuating = false;
             }
         }
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -2,6 +2,7 @@
 //! handling the platform's reply.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::jobs::actions::Action;
 use crate::jobs::engine::JobEngine;
@@ -23,6 +24,13 @@
 /// most end within this time by themselves.
 const EVACUATION_WAIT_MS: u64 = 4000;
 
+impl OrderState {
+    /// Returns whether a call was sent that is not known to have been carried out or refused.
+    fn may_be_carried_out(&self) -> bool {
+        self.done_ms.is_none() && (self.call_in_flight || self.unanswered)
+    }
+}
+
 impl JobEngine {
     /// Records an order for a VM and starts to evacuate its worker.
     pub(crate) fn begin_order(&mut self, machine: &str, order: MachineOrder, now: u64) {
@@ -38,6 +46,7 @@
                 order,
                 evacuating_since_ms: now,
                 call_in_flight: false,
+                unanswered: false,
                 not_before_ms: now,
                 done_ms: None,
             },
@@ -121,17 +130,19 @@
     fn wave_disruptions_allowed(&self, now: u64) -> BTreeMap<u64, usize> {
         let mut allowed = BTreeMap::new();
         for (number, wave) in &self.fleet.waves {
-            let in_flight = self.fleet.orders.values().filter(|order| {
-                order.call_in_flight && order.order == MachineOrder::Maintain(*number)
+            let sent = self.fleet.orders.iter().filter(|(_, order)| {
+                order.may_be_carried_out() && order.order == MachineOrder::Maintain(*number)
             });
+            let sent: BTreeSet<&String> = sent.map(|(machine, _)| machine).collect();
             // A former owner may have ordered VMs that its stored record does not list.
             let maybe_down = wave.due().filter(|machine| {
                 let row = self.fleet.rows.get(*machine);
                 let is_down = row.is_some_and(|row| row.state == MachineState::Maintenance);
                 is_down || self.fleet.permits.is_blocked(machine, now)
             });
-            let maybe_down = maybe_down.filter(|machine| !wave.down.contains(*machine));
-            let used = in_flight.count() + maybe_down.count();
+            let maybe_down = maybe_down
+                .filter(|machine| !wave.down.contains(*machine) && !sent.contains(machine));
+            let used = sent.len() + maybe_down.count();
             allowed.insert(*number, wave.disruptions_allowed().saturating_sub(used));
         }
         allowed
@@ -153,7 +164,10 @@
             if self.fleet.permits.is_blocked(machine, now) {
                 continue;
             }
-            if let MachineOrder::Maintain(wave) = &order.order {
+            // A repeated order is counted already.
+            if let MachineOrder::Maintain(wave) = &order.order
+                && !order.unanswered
+            {
                 let Some(left) = allowed.get_mut(wave).filter(|left| **left > 0) else {
                     continue;
                 };
@@ -212,6 +226,7 @@
             return;
         };
         order.call_in_flight = false;
+        order.unanswered |= reply.is_none();
         let kind = order.order.clone();
         log::info!(event = "vm_order_answered", vm = machine, order:? = kind, reply:? = reply; "");
         match reply {
--- a/tests/jobs_evidence.rs
+++ b/tests/jobs_evidence.rs
@@ -57,3 +57,21 @@
     assert!(world.engine.fleet.waves[&1].record.complete);
     assert!(world.completed.contains_key("j-1") && world.completed.contains_key("j-2"));
 }
+
+/// The answer to an order for maintenance was lost: the next VM of the wave was ordered while the
+/// first was in maintenance.
+#[test]
+fn maintain_unanswered_counts_as_down() {
+    let mut world = World::new(3, 1);
+    world.engine.fleet.enabled = true;
+    world.run(300);
+    let time = world.time();
+    world.engine.add_wave(wave(3), None, time);
+    world.fleet_answers_lost = true;
+    run_until_down(&mut world, "m-00");
+    world.run(100);
+    world.fleet_answers_lost = false;
+    world.run(30_000);
+    assert!(world.engine.fleet.waves[&1].record.complete);
+    assert_eq!(world.max_down, 1);
+}
