Finished jobs: the retention starts again after a takeover

Callers would be told by a new owner that a finished job does not exist (410, LOST), and one that was submitted again would run again (TWICE). The age of a finished job was the wall clock's time less the time of day in its record: on an entry VM whose clock was set ahead by more than the rest of the retention, the job was forgotten at once and its record removed from the store.

No clock shows the age of a record that another process wrote. The retention starts again when the job is loaded, so a record is kept longer by at most one retention a takeover.

Before: "left: Some(Unknown), right: Some(State(Completed))" for the query, and 2 starts instead of 1 for the repeated submission.

--- a/src/jobs/restore.rs
+++ b/src/jobs/restore.rs
@@ -11,14 +11,13 @@
 use crate::jobs::worker::RunFootprint;
 
 impl JobEngine {
-    /// Restores a finished job from its stored record.
+    /// Restores a finished job from its stored record. Its retention starts again: the clock may
+    /// have been set since the record was written.
     pub fn restore_ended(&mut self, id: JobId, record: &ProgressRecord, time: TimePair) {
-        let age_ms = time.unix.saturating_sub(record.written_ms);
-        let ended_ms = time.boot.saturating_sub(age_ms);
-        self.ended_order.push_back((ended_ms, id.clone()));
+        self.ended_order.push_back((time.boot, id.clone()));
         let ended = EndedJob {
             state: record.state,
-            ended_ms,
+            ended_ms: time.boot,
             account: record.account.clone(),
         };
         self.ended.insert(id, ended);
--- a/tests/jobs_evidence.rs
+++ b/tests/jobs_evidence.rs
@@ -4,6 +4,9 @@
 #[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
+use chicorygauge::jobs::actions::CallerAnswer;
+use chicorygauge::jobs::callers::CallerScope;
+use chicorygauge::jobs::types::JobState;
 use chicorygauge::jobs::wave::WaveOrder;
 use chicorygauge::ports::fleet::MachineState;
 
@@ -75,3 +78,31 @@
     assert!(world.engine.fleet.waves[&1].record.complete);
     assert_eq!(world.max_down, 1);
 }
+
+/// The clock was set ahead before a takeover: the new owner forgot the finished jobs, told their
+/// callers that they do not exist, and ran one again that was submitted again.
+#[test]
+fn restore_ended_clock_ahead_keeps_state() {
+    let mut world = World::new(2, 1);
+    world.run(300);
+    let spec = job(&[step(1, 1000, 200)]);
+    world.submit("j-1", &spec, 1);
+    world.run(3000);
+    assert!(world.completed.contains_key("j-1"));
+    world.clock_ahead_ms = 3_600_000;
+    world.engine.settings.ended_retention_ms = 4000;
+    world.take_over();
+    world.run(1000);
+    world
+        .engine
+        .query(&"j-1".into(), &CallerScope::Unrestricted, 2);
+    world.step();
+    assert_eq!(
+        world.answers.get(&2),
+        Some(&CallerAnswer::State(JobState::Completed))
+    );
+    world.submit("j-1", &spec, 3);
+    world.run(2000);
+    assert_eq!(world.running(), 0);
+    assert_eq!(world.starts(), 1);
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -173,6 +173,8 @@
     pub crashes_listed: bool,
     /// Time until a worker that has crashed is replaced, in milliseconds.
     pub crash_down_ms: u64,
+    /// Time by which the wall clock was set ahead, in milliseconds.
+    pub clock_ahead_ms: u64,
     /// Whether the answers to orders for VMs are lost; the orders are carried out.
     pub fleet_answers_lost: bool,
     /// Maintenance that was carried out: VM and number of the wave. A repeated order is
@@ -296,6 +298,7 @@
             silent_crashes: false,
             crashes_listed: false,
             crash_down_ms: 3000,
+            clock_ahead_ms: 0,
             fleet_answers_lost: false,
             maintained: BTreeSet::new(),
             crashes: BTreeMap::new(),
@@ -506,7 +509,7 @@
     pub fn time(&self) -> TimePair {
         TimePair {
             boot: self.now,
-            unix: 1_000_000 + self.now,
+            unix: 1_000_000 + self.now + self.clock_ahead_ms,
         }
     }
 
