Waves: a VM that one list lacks still belongs to its wave

A single list without a VM was taken as proof that the VM no longer exists: it was dropped from its wave for good, or counted as back in service. The pages of a list are read one after the other, while VMs change.

A VM now counts as removed after two lists in a row without it, as workers do. Reading and applying lists has moved into a module of its own.

Before: "assertion `left == right` failed, left: 2, right: 3" for the workers that are not from before the wave, as m-01 was never maintained.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -7,11 +7,9 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use crate::jobs::actions::Action;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
 use crate::jobs::listed_workers::ListedWorkers;
-use crate::jobs::listed_workers::REQUESTED_LIST_GAP_MS;
 use crate::jobs::permits::OrderPermits;
 use crate::jobs::record::EncodeError;
 use crate::jobs::record::ShardKeys;
@@ -27,13 +25,6 @@
 use crate::ports::fleet::MachineRow;
 use crate::ports::fleet::MachineState;
 
-/// Time between two reads of the list of VMs while no VM moves or is in maintenance,
-/// in milliseconds.
-const LIST_PERIOD_MS: u64 = 3000;
-
-/// Time between two reads while a VM moves or is in maintenance, in milliseconds.
-const BUSY_LIST_PERIOD_MS: u64 = 400;
-
 /// How long a worker's entry in the store is ignored after its VM was moved or went
 /// into maintenance, in milliseconds; longer than three of its heartbeats.
 const IGNORE_ENTRY_MS: u64 = 15_000;
@@ -99,6 +90,8 @@
     pub permits: OrderPermits,
     /// Workers as the lists of VMs have shown them.
     pub(crate) listed_workers: ListedWorkers,
+    /// Number of consecutive lists without a VM that has an order or is in a wave.
+    pub(crate) absences: BTreeMap<String, u32>,
     /// When a read of the list was last requested because a worker did not answer; none once
     /// a read has begun since.
     pub(crate) list_requested_ms: Option<u64>,
@@ -221,34 +214,6 @@
         self.send_orders(now);
     }
 
-    /// Starts a read of the list of VMs, if one is due.
-    fn list_machines(&mut self, now: u64) {
-        let busy = self
-            .fleet
-            .orders
-            .values()
-            .any(|order| order.done_ms.is_some())
-            || self.fleet.waves.values().any(|wave| !wave.down.is_empty());
-        let period_ms = if busy {
-            BUSY_LIST_PERIOD_MS
-        } else {
-            LIST_PERIOD_MS
-        };
-        let period_ms = if self.fleet.list_requested_ms.is_some() {
-            period_ms.min(REQUESTED_LIST_GAP_MS)
-        } else {
-            period_ms
-        };
-        let stale = self.fleet.listed_ms.is_none_or(|at| now >= at + period_ms);
-        if stale && self.fleet.listing_ms.is_none() {
-            self.fleet.listing_ms = Some(now);
-            self.fleet.list_requested_ms = None;
-            self.fleet.partial_rows.clear();
-            let page = String::new();
-            self.actions.push(Action::Fleet(FleetCall::List { page }));
-        }
-    }
-
     /// Handles the platform's reply to a call about VMs; none if there was no answer.
     pub fn handle_fleet_reply(&mut self, call: &FleetCall, reply: Option<FleetReply>, now: u64) {
         match call {
@@ -259,71 +224,6 @@
         }
     }
 
-    /// Handles a page of the list of VMs; after the last page, removes finished orders.
-    fn handle_machine_page(&mut self, reply: Option<FleetReply>, now: u64) {
-        let Some(FleetReply::Page { rows, next }) = reply else {
-            log::info!(event = "vm_list_failed", reply:? = reply; "");
-            self.fleet.listing_ms = None;
-            self.fleet.listed_ms = self.fleet.listed_ms.map(|_| now);
-            return;
-        };
-        self.fleet.partial_rows.extend(rows);
-        if !next.is_empty() {
-            self.actions
-                .push(Action::Fleet(FleetCall::List { page: next }));
-            return;
-        }
-        let started_ms = self.fleet.listing_ms.take().unwrap_or(now);
-        let rows = std::mem::take(&mut self.fleet.partial_rows);
-        self.fleet.rows = rows
-            .into_iter()
-            .map(|row| (row.machine.clone(), row))
-            .collect();
-        self.fleet.listed_ms = Some(now);
-        let (move_ms, maintenance_ms) = (self.settings.move_ms, self.settings.maintenance_ms);
-        let rows = &self.fleet.rows;
-        let mut finished = Vec::new();
-        self.fleet.orders.retain(|machine, order| {
-            let Some(done_ms) = order.done_ms else {
-                return rows.contains_key(machine);
-            };
-            let duration_ms = match order.order {
-                MachineOrder::Move(_) => move_ms,
-                MachineOrder::Maintain(_) => maintenance_ms,
-            };
-            let up = rows
-                .get(machine)
-                .is_none_or(|row| row.state == MachineState::Up);
-            // A list read soon after the order may still show the VM in its former state.
-            let is_finished = up && started_ms > done_ms + duration_ms / 2;
-            if is_finished {
-                finished.push(machine.clone());
-            }
-            !is_finished
-        });
-        let orders = &self.fleet.orders;
-        for wave in self.fleet.waves.values_mut() {
-            wave.down.retain(|machine| {
-                let in_progress = orders.contains_key(machine);
-                let up = rows
-                    .get(machine)
-                    .is_none_or(|row| row.state == MachineState::Up);
-                in_progress || !up
-            });
-            wave.remaining.retain(|machine| rows.contains_key(machine));
-        }
-        for machine in finished {
-            log::info!(event = "vm_order_finished", vm = machine.as_str(); "");
-            // A worker that joined before the order was confirmed was evacuated for it.
-            let row = self.fleet.rows.get(&machine);
-            if let Some(view) = row.and_then(|row| self.workers.get_mut(&row.worker)) {
-                view.evacuating = false;
-            }
-        }
-        self.expire_ended_workers(started_ms, now);
-        self.waiting.mark_all_due();
-    }
-
     /// Marks finished waves as complete.
     fn complete_waves(&mut self) {
         for (number, wave) in &mut self.fleet.waves {
--- a/src/jobs/listed_workers.rs
+++ b/src/jobs/listed_workers.rs
@@ -14,9 +14,9 @@
 use crate::ports::fleet::MachineRow;
 use crate::ports::fleet::MachineState;
 
-/// Consecutive lists that must lack a worker and its VM: the pages of one list may be read
+/// Consecutive lists that must lack a VM, or a worker and its VM: the pages of one list may be read
 /// while it changes.
-const REMOVED_LISTS: u32 = 2;
+pub(crate) const REMOVED_LISTS: u32 = 2;
 
 /// Consecutive failed calls to a worker with runs that each make a read of the list due; a
 /// worker that is still listed then is probably cut off.
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -59,6 +59,7 @@
 pub mod turns;
 pub mod types;
 pub mod unresponsive;
+pub mod vm_list;
 pub mod waiting;
 pub mod wave;
 pub mod worker;
--- a/tests/jobs_evidence.rs
+++ b/tests/jobs_evidence.rs
@@ -106,3 +106,26 @@
     assert_eq!(world.running(), 0);
     assert_eq!(world.starts(), 1);
 }
+
+/// One list lacked a VM, as its pages were read while it changed: the VM was dropped from its wave,
+/// which was completed without its maintenance.
+#[test]
+fn wave_vm_missing_in_one_list_is_maintained() {
+    let mut world = World::new(3, 1);
+    world.engine.fleet.enabled = true;
+    world.run(300);
+    let time = world.time();
+    world.engine.add_wave(wave(2), None, time);
+    world.unlisted_machines.insert("m-01".to_owned());
+    let was_listed = world.engine.fleet.listed_ms;
+    while world.engine.fleet.listed_ms == was_listed || world.engine.fleet.listed_ms.is_none() {
+        world.run(1);
+    }
+    world.unlisted_machines.clear();
+    world.run(20_000);
+    assert!(world.engine.fleet.waves[&1].record.complete);
+    let first = ["w-0001", "w-0002"];
+    let machines = world.machines.values();
+    let maintained = machines.filter(|row| !first.contains(&row.worker.as_str()));
+    assert_eq!(maintained.count(), 3);
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -173,6 +173,8 @@
     pub crashes_listed: bool,
     /// Time until a worker that has crashed is replaced, in milliseconds.
     pub crash_down_ms: u64,
+    /// VMs that the platform's list leaves out.
+    pub unlisted_machines: BTreeSet<String>,
     /// Time by which the wall clock was set ahead, in milliseconds.
     pub clock_ahead_ms: u64,
     /// Whether the answers to orders for VMs are lost; the orders are carried out.
@@ -298,6 +300,7 @@
             silent_crashes: false,
             crashes_listed: false,
             crash_down_ms: 3000,
+            unlisted_machines: BTreeSet::new(),
             clock_ahead_ms: 0,
             fleet_answers_lost: false,
             maintained: BTreeSet::new(),
@@ -1075,7 +1078,12 @@
     fn execute_fleet_call(&mut self, call: &FleetCall) -> FleetReply {
         match call {
             FleetCall::List { .. } => FleetReply::Page {
-                rows: self.machines.values().cloned().collect(),
+                rows: self
+                    .machines
+                    .values()
+                    .filter(|row| !self.unlisted_machines.contains(&row.machine))
+                    .cloned()
+                    .collect(),
                 next: String::new(),
             },
             FleetCall::Move { machine, pool, .. } => {
