Pool loads: only workers that have answered set the size of a VM

Callers would see a pool without VMs in a peak: one entry with a large capacity, of a worker that does not exist, made a single VM seem enough for all work. No VM was moved to the pool in a peak, its idle VMs were lent to others or rested, and each VM on its way counted for admission as much as the odd entry claims.

Cause: the CPU of the largest worker of a pool, by which work is divided into VMs, came from all entries, also from those whose worker never answered a call.

The largest worker is now taken from those that have answered in this epoch. Until the first has answered in a pool, as after a takeover, the entries count as before.

--- a/src/jobs/load.rs
+++ b/src/jobs/load.rs
@@ -25,7 +25,7 @@
     pub capacity: f64,
     /// Unreserved CPU of the schedulable workers, in millicores.
     pub free: f64,
-    /// CPU of the largest worker, in millicores.
+    /// CPU of the largest worker that has answered, in millicores.
     pub largest_worker: f64,
     /// Remaining work of accepted jobs, in millicore-milliseconds.
     pub backlog: f64,
@@ -86,16 +86,7 @@
         for pool in self.config.pools.iter().filter(|pool| !pool.standby) {
             loads.insert(pool.name.clone(), PoolLoad::default());
         }
-        for view in self.workers.values() {
-            let Some(load) = loads.get_mut(&view.entry.pool) else {
-                continue;
-            };
-            load.largest_worker = load.largest_worker.max(view.entry.capacity.cpu as f64);
-            if view.is_schedulable(now) {
-                load.capacity += view.entry.capacity.cpu as f64;
-                load.free += view.free().cpu as f64;
-            }
-        }
+        self.add_workers(&mut loads, now);
         let mut inputs: BTreeMap<String, PriceInput> = BTreeMap::new();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             let pool = self.pool_of(job);
@@ -132,6 +123,36 @@
         true
     }
 
+    /// Adds the CPU of the workers of each pool. An entry whose worker has never answered may be
+    /// from another writer; it only counts in a pool of which no worker has answered yet.
+    fn add_workers(&self, loads: &mut BTreeMap<String, PoolLoad>, now: u64) {
+        let mut largest_unconfirmed: BTreeMap<&str, f64> = BTreeMap::new();
+        for view in self.workers.values() {
+            let Some(load) = loads.get_mut(&view.entry.pool) else {
+                continue;
+            };
+            let cpu = view.entry.capacity.cpu as f64;
+            let largest = if view.contact_ms.is_some() {
+                &mut load.largest_worker
+            } else {
+                largest_unconfirmed.entry(&view.entry.pool).or_default()
+            };
+            *largest = largest.max(cpu);
+            if view.is_schedulable(now) {
+                load.capacity += cpu;
+                load.free += view.free().cpu as f64;
+            }
+        }
+        for (pool, largest) in largest_unconfirmed {
+            if let Some(load) = loads
+                .get_mut(pool)
+                .filter(|load| load.largest_worker == 0.0)
+            {
+                load.largest_worker = largest;
+            }
+        }
+    }
+
     /// Adds the CPU of the VMs that are being moved to each pool; that of a VM is taken to
     /// be that of the pool's largest worker.
     fn add_arriving(&self, loads: &mut BTreeMap<String, PoolLoad>) {
