Capacities: sums are bounded

With client accounts, two workers whose entries claim 2^63 or more of a resource made the sum of their pool's capacities overflow: a debug build ends (attempt to add with overflow), a release build went on with a small sum, so that the shares of all accounts were those of a tiny pool.

ResourceVector::add stops at the largest number.

--- a/src/jobs/types.rs
+++ b/src/jobs/types.rs
@@ -36,11 +36,11 @@
         need.cpu <= self.cpu && need.memory_mb <= self.memory_mb && need.gpu <= self.gpu
     }
 
-    /// Adds the amounts of `other`.
+    /// Adds the amounts of `other`; no amount goes above the largest number.
     pub fn add(&mut self, other: &Self) {
-        self.cpu += other.cpu;
-        self.memory_mb += other.memory_mb;
-        self.gpu += other.gpu;
+        self.cpu = self.cpu.saturating_add(other.cpu);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.gpu = self.gpu.saturating_add(other.gpu);
     }
 
     /// Subtracts the amounts of `other`; no amount goes below 0.
