Waves: a time limit of any length

A wave with a very large deadlineS, such as 1e300, has a limit of u64::MAX seconds. In milliseconds it overflowed: a debug build of the owner ends when it learns of the wave, and each successor too; a release build went on with a short limit and took VMs at full pace.

Evidence, failing before: wave_longest_limit_completed, src/jobs/wave.rs:111, "attempt to multiply with overflow".

The limit in milliseconds and the end of the wave stop at the largest number.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -368,8 +368,8 @@
 
     /// Returns what the pace of a wave depends on; `away` VMs are evacuated or down now.
     fn wave_pace(&self, wave: &WaveProgress, away: usize, now: u64) -> WavePace {
-        let end_ms =
-            wave.first_seen_ms + (wave.order.limit_s * 1000).saturating_sub(WAVE_MARGIN_MS);
+        let limit_ms = wave.order.limit_ms().saturating_sub(WAVE_MARGIN_MS);
+        let end_ms = wave.first_seen_ms.saturating_add(limit_ms);
         WavePace {
             left: wave.due().count() + wave.down.len(),
             away,
--- a/src/jobs/wave.rs
+++ b/src/jobs/wave.rs
@@ -71,6 +71,14 @@
     pub most: usize,
 }
 
+impl WaveOrder {
+    /// Returns the time limit of the whole wave, in milliseconds.
+    #[must_use]
+    pub fn limit_ms(&self) -> u64 {
+        self.limit_s.saturating_mul(1000)
+    }
+}
+
 /// Progress of a wave as a former owner stored it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoredWave {
@@ -108,7 +116,7 @@
         let seen_unix_ms = stored.extension.map(|extension| extension.seen_unix_ms);
         let age_ms = seen_unix_ms.map_or(0, |seen_ms| time.unix.saturating_sub(seen_ms));
         // The clock may have been changed since.
-        let age_ms = age_ms.min(order.limit_s * 1000);
+        let age_ms = age_ms.min(order.limit_ms());
         let record = stored.record;
         let ordered: BTreeSet<String> = record.ordered.iter().cloned().collect();
         let machines = order.machines.iter();
--- a/tests/jobs_odd_entries.rs
+++ b/tests/jobs_odd_entries.rs
@@ -12,6 +12,7 @@
 use chicorygauge::jobs::types::ResourceVector;
 use chicorygauge::jobs::types::StepSpec;
 use chicorygauge::jobs::types::WorkerState;
+use chicorygauge::jobs::wave::WaveOrder;
 use chicorygauge::ports::WorkerEntry;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -107,6 +108,24 @@
     assert_eq!(world.completed.len(), 2);
 }
 
+/// The time limit of a wave overflowed.
+#[test]
+fn wave_longest_limit_completed() {
+    let mut world = World::new(4, 1);
+    world.engine.fleet.enabled = true;
+    world.run(1000);
+    let order = WaveOrder {
+        wave: 1,
+        machines: vec!["m-00".to_owned(), "m-01".to_owned()],
+        limit_s: u64::MAX,
+        most: usize::MAX,
+    };
+    let time = world.time();
+    world.engine.add_wave(order, None, time);
+    world.run(20_000);
+    assert!(world.engine.fleet.waves[&1].record.complete);
+}
+
 fn any_amount() -> impl Strategy<Value = u64> {
     prop_oneof![
         Just(0),
