Leases: a worker's clock of any value

A worker, or whatever answers at the address of an entry, that reports a clockMs near 2^64 ended a debug build of the owner; in a release build the end of the lease wrapped round to a time long past.

Evidence, failing before: hold_latest_clock_answered, src/jobs/worker.rs:230, "attempt to add with overflow".

Ends of leases stop at the largest number. A successor waits no longer than the longest lease, as before.

--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -227,7 +227,8 @@
     pub fn lease_end(&self, now: u64, lease_ms: u64) -> Option<u64> {
         let clock = self.clock?;
         let since_ms = now.saturating_sub(clock.received_ms);
-        Some(clock.clock_ms + since_ms + lease_ms)
+        let clock_ms = clock.clock_ms.saturating_add(since_ms);
+        Some(clock_ms.saturating_add(lease_ms))
     }
 
     /// Records a reading of the worker's clock.
@@ -242,8 +243,9 @@
     pub fn lease_expiry_ms(&self) -> Option<u64> {
         let clock = self.clock?;
         let left_ms = self.lease_until_ms.saturating_sub(clock.clock_ms);
-        let max_left_ms = left_ms * 1000 / (1000 - CLOCK_DRIFT_PER_MILLE) + 1;
-        Some(clock.received_ms + max_left_ms + LEASE_SLACK_MS)
+        let drifted_ms = left_ms.saturating_mul(1000) / (1000 - CLOCK_DRIFT_PER_MILLE);
+        let max_left_ms = drifted_ms + 1 + LEASE_SLACK_MS;
+        Some(clock.received_ms.saturating_add(max_left_ms))
     }
 
     /// Returns whether the worker has a label.
--- a/tests/jobs_odd_entries.rs
+++ b/tests/jobs_odd_entries.rs
@@ -8,12 +8,15 @@
 use std::net::SocketAddr;
 
 use chicorygauge::jobs::account::AccountConfig;
+use chicorygauge::jobs::actions::CallToken;
 use chicorygauge::jobs::config::JobConfig;
+use chicorygauge::jobs::orders::CallResult;
 use chicorygauge::jobs::types::ResourceVector;
 use chicorygauge::jobs::types::StepSpec;
 use chicorygauge::jobs::types::WorkerState;
 use chicorygauge::jobs::wave::WaveOrder;
 use chicorygauge::ports::WorkerEntry;
+use chicorygauge::ports::WorkerReply;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -126,6 +129,33 @@
     assert!(world.engine.fleet.waves[&1].record.complete);
 }
 
+/// The end of a lease on the clock of a worker overflowed.
+#[test]
+fn hold_latest_clock_answered() {
+    let mut world = World::new(2, 1);
+    world.run(20);
+    world.submit(JOB, &job(&[step(2, 32_000, 5000)]), 1);
+    world.run(100);
+    let id = world.workers.keys().next().cloned().expect("a worker");
+    let reply = WorkerReply::Held {
+        clock_ms: u64::MAX,
+        born_ms: 0,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    let token = CallToken::Hold { worker: id.clone() };
+    let result = CallResult::Answered(reply);
+    let now = world.now;
+    world.engine.handle_call_result(token, result, 0, now);
+    world.run(4000);
+    // The successor waits no longer for its runs than for those of any other worker.
+    world.workers.get_mut(&id).expect("a worker").up = false;
+    world.run(2000);
+    world.take_over();
+    world.run(20_000);
+    assert!(world.completed.contains_key(JOB));
+}
+
 fn any_amount() -> impl Strategy<Value = u64> {
     prop_oneof![
         Just(0),
