--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,12 +6,14 @@
 pub mod cluster;
 pub mod entry;
 pub mod fleet;
+mod group;
 
 use std::fs;
 use std::future::Future;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -104,6 +106,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_chicoryd"))
             .arg("run")
             .arg(&settings)
+            .process_group(group::daemon_group())
             .spawn()
             .expect("daemon");
         Self {
@@ -122,6 +125,11 @@
         let _ = self.child.wait();
     }
 
+    /// Returns the process identifier.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal, given by its name without `SIG`: `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, signal: &str) {
         let status = Command::new("kill")
