Controller: the fleet record is claimed only while the lease is held

What operators can see: while the platform answers slowly, or after a pause of a process, a process whose lease has expired still claims the fleet record. If there is a successor by then, its term ends ("no longer the controller" in its log), and it has to claim again and wait for all acknowledgements again. No two terms act on the record: the claim is fenced. That a successor is thrown out follows from the code; the test shows the claim without the lease.

Cause: the lease was checked before the claim began. The claim then reads the record and writes it; a process that was delayed before the read sees the successor's record and claims over it.

Fix: the lease is checked between the read and the write. A successor claims only after the lease has expired, so after the read, and the write then fails on the revision.

Evidence: claim_lease_expired, with calls that take 750 ms and a lease of 2 s.

--- a/src/service/fleet/round.rs
+++ b/src/service/fleet/round.rs
@@ -94,7 +94,8 @@
     /// the term.
     ///
     /// The claim changes the revision of the record, so that late writes of former
-    /// controllers fail.
+    /// controllers fail. The lease must still be held once the record has been read: a
+    /// successor claims the record after that, and so makes the write fail.
     pub async fn claim(context: &TermContext<'_>, lease: &HeldLease) -> Result<Self, FleetError> {
         let dc = &context.settings.dc;
         let before = store::read_record(context.client, dc).await?;
@@ -102,6 +103,7 @@
         record.epoch += 1;
         record.sequence += 1;
         record.nonce = rand::random();
+        check_lease(context, &lease.id, record.epoch)?;
         store::write_record(context.client, dc, before.revision, &record).await?;
         // This read also shows whether a write of unknown result took effect.
         let stored = store::read_record(context.client, dc).await?;
@@ -359,7 +361,7 @@
     ) -> Result<bool, FleetError> {
         let mut wrote = false;
         for action in actions {
-            self.check_lease(context)?;
+            check_lease(context, &self.lease_id, self.epoch())?;
             match action {
                 ControllerAction::WriteLedger { pool, ledger } => {
                     self.ledgers_stale = true;
@@ -383,19 +385,6 @@
         Ok(wrote)
     }
 
-    /// Returns an error if the lease of the term may have expired, by the clock of this
-    /// process.
-    fn check_lease(&self, context: &TermContext<'_>) -> Result<(), FleetError> {
-        let lease = context.lease.borrow();
-        let now = Instant::now();
-        let held = lease
-            .as_ref()
-            .is_some_and(|lease| lease.id == self.lease_id && now < lease.expires_at);
-        let epoch = self.epoch();
-        snafu::ensure!(held, NotControllerSnafu { epoch });
-        Ok(())
-    }
-
     /// Starts an operation or queries its state, at most once per list period.
     async fn operate(
         &mut self,
@@ -419,3 +408,14 @@
         Ok(())
     }
 }
+
+/// Returns an error if the lease of a term may have expired, by the clock of this process.
+fn check_lease(context: &TermContext<'_>, id: &str, epoch: u64) -> Result<(), FleetError> {
+    let lease = context.lease.borrow();
+    let now = Instant::now();
+    let held = lease
+        .as_ref()
+        .is_some_and(|lease| lease.id == id && now < lease.expires_at);
+    snafu::ensure!(held, NotControllerSnafu { epoch });
+    Ok(())
+}
