Watch of workers: an event with a foreign key is ignored

An event of the watch whose key does not begin with the prefix, or is missing, ended the owner (release builds abort), and each successor at its first such event; in a debug build the owner no longer followed the list of workers.

Cause: the identifier was cut out of the key by its length.

Evidence, failing before: malformed_row_others_followed, "completion took longer than 20s" after the next worker had registered; the daemon panicked at owner.rs:251, "start byte index 8 is out of bounds".

The prefix is now stripped; an event without it is logged as foreign_key and ignored.

--- a/src/service/jobs/owner.rs
+++ b/src/service/jobs/owner.rs
@@ -239,21 +239,25 @@
 /// dropped.
 async fn watch_workers(context: OwnerContext, events: mpsc::UnboundedSender<OwnerEvent>) {
     let prefix = context.client.dialect.keys.workers;
+    let unlisted = |key: &str| {
+        let id = key.strip_prefix(prefix);
+        id.map(|id| OwnerEvent::WorkerUnlisted(id.to_owned()))
+    };
     let report_update = |update: PrefixUpdate| {
         let event = match update {
             PrefixUpdate::Snapshot(items) => {
                 let entries = items.iter().filter_map(|item| decode_entry(&context, item));
-                OwnerEvent::WorkersSynced(entries.collect())
+                Some(OwnerEvent::WorkersSynced(entries.collect()))
             }
             PrefixUpdate::Change(StoreEvent::Written(item)) => {
-                match decode_entry(&context, &item) {
-                    Some(entry) => OwnerEvent::WorkerListed(entry),
-                    None => OwnerEvent::WorkerUnlisted(item.key[prefix.len()..].to_owned()),
-                }
-            }
-            PrefixUpdate::Change(StoreEvent::Removed { key, .. }) => {
-                OwnerEvent::WorkerUnlisted(key[prefix.len()..].to_owned())
+                let listed = decode_entry(&context, &item).map(OwnerEvent::WorkerListed);
+                listed.or_else(|| unlisted(&item.key))
             }
+            PrefixUpdate::Change(StoreEvent::Removed { key, .. }) => unlisted(&key),
+        };
+        let Some(event) = event else {
+            log::warn!(event = "foreign_key", prefix = prefix; "");
+            return true;
         };
         events.send(event).is_ok()
     };
