Jobs: amounts of any size

A submission with a very large cpu or estimateMs ended a debug build of the owner; a release build went on with a small amount of work for it, so that it was admitted and ranked as if it were small.

Cause: products and sums of the amounts of a job overflowed (its work, its critical path, what is left of both, its objective, the limits of stragglers and of the wait for the data's rack). The amounts are not refused, since fillers may request any CPU.

Evidence, failing before: submit_largest_amounts_answered, "attempt to multiply with overflow" at src/jobs/place.rs:353, then "attempt to add with overflow" at place.rs:167 and :267.

These sums and products stop at the largest number. The simulation of the tests does the same for the end of a run; what it asserts is unchanged.

--- a/src/jobs/copies.rs
+++ b/src/jobs/copies.rs
@@ -39,7 +39,7 @@
         let limit_ms = straggler_limit_ms(spec);
         let is_late = |run: &TaskRun| {
             let view = self.workers.get(&run.worker);
-            view.is_some_and(|view| view.observed_ms(now) > run.started_ms + limit_ms)
+            view.is_some_and(|view| view.observed_ms(now) > run.started_ms.saturating_add(limit_ms))
         };
         let is_straggling = |task: &TaskState| match task.placed.as_slice() {
             // A copy of a task that may have crashed a worker could crash another one.
@@ -72,5 +72,5 @@
 /// Returns the time after which a run of a step counts as a straggler, in milliseconds.
 #[must_use]
 pub fn straggler_limit_ms(spec: &StepSpec) -> u64 {
-    (spec.estimate_ms as f64 * STRAGGLER_FACTOR) as u64 + STRAGGLER_SLACK_MS
+    (spec.estimate_ms as f64 * STRAGGLER_FACTOR + STRAGGLER_SLACK_MS as f64) as u64
 }
--- a/src/jobs/load.rs
+++ b/src/jobs/load.rs
@@ -63,9 +63,9 @@
     let open = steps.filter(|(_, step)| step.open_ms.is_some());
     let cpu = open.map(|(spec, step)| {
         let tasks = step.tasks.iter().filter(|task| !task.done).count();
-        tasks as u64 * spec.reserved().cpu
+        (tasks as u64).saturating_mul(spec.reserved().cpu)
     });
-    cpu.sum()
+    cpu.fold(0, u64::saturating_add)
 }
 
 impl JobEngine {
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -171,7 +171,9 @@
                     continue;
                 };
                 let observed_ms = view.map_or(0, |view| view.observed_ms(now));
-                if spec.speculative && observed_ms > run.started_ms + straggler_limit_ms(spec) {
+                if spec.speculative
+                    && observed_ms > run.started_ms.saturating_add(straggler_limit_ms(spec))
+                {
                     straggling.push(job.id.clone());
                 }
                 // A long-running task at 100 percent has started up and is in service.
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -119,8 +119,8 @@
 
     fn rank(&self, job: &JobEntry, now: u64) -> JobRank {
         let (work, critical_path_ms) = remaining_work(job);
-        let due_ms = job.submitted_ms + self.objective_ms(job);
-        let timely = now + critical_path_ms <= due_ms;
+        let due_ms = job.submitted_ms.saturating_add(self.objective_ms(job));
+        let timely = now.saturating_add(critical_path_ms) <= due_ms;
         let rank = self.rank_of_work(&job.body.queue, &job.body.spec, work, timely);
         preferred_rank(rank, job.preferred)
     }
@@ -164,7 +164,8 @@
             return 0;
         };
         let critical_path_ms = job.body.spec.critical_path_ms() as f64;
-        (critical_path_ms * queue.slack.max(1.0)) as u64 + queue.target_ms
+        let path_ms = (critical_path_ms * queue.slack.max(1.0)) as u64;
+        path_ms.saturating_add(queue.target_ms)
     }
 
     /// Returns the moving average of the work of a queue's jobs, in millicore-milliseconds.
@@ -263,7 +264,7 @@
             return waiting > 0;
         }
         let rack_local_until_ms =
-            open_ms + (spec.estimate_ms as f64 * RACK_LOCAL_WAIT_FACTOR) as u64;
+            open_ms.saturating_add((spec.estimate_ms as f64 * RACK_LOCAL_WAIT_FACTOR) as u64);
         let rack_local_only = now < rack_local_until_ms;
         for index in ready {
             let task = TaskId {
@@ -334,6 +335,14 @@
     }
 }
 
+/// Returns the estimated time until a run that has progressed this far is done, in
+/// milliseconds.
+pub(crate) fn rest_ms(spec: &StepSpec, percent: u32) -> u64 {
+    spec.estimate_ms
+        .saturating_mul(u64::from(100 - percent.min(100)))
+        / 100
+}
+
 /// Returns the remaining work of a job in millicore-milliseconds, and its remaining
 /// critical path in milliseconds.
 ///
@@ -350,13 +359,15 @@
             let (mut left_work, mut left_ms) = (0, 0);
             for task in left {
                 let percent = task.placed.iter().map(|run| run.percent).max().unwrap_or(0);
-                let rest_ms = spec.estimate_ms * u64::from(100 - percent.min(100)) / 100;
-                left_work += rest_ms * spec.need.cpu;
+                let rest_ms = rest_ms(spec, percent);
+                left_work = rest_ms
+                    .saturating_mul(spec.need.cpu)
+                    .saturating_add(left_work);
                 left_ms = left_ms.max(rest_ms);
             }
             let before = spec.after.iter().map(|after| ends[*after as usize]).max();
-            ends.push(before.unwrap_or(0) + left_ms);
-            work += left_work;
+            ends.push(before.unwrap_or(0).saturating_add(left_ms));
+            work = left_work.saturating_add(work);
         }
         longest = longest.max(ends.into_iter().max().unwrap_or(0));
     }
--- a/src/jobs/price_input.rs
+++ b/src/jobs/price_input.rs
@@ -4,6 +4,7 @@
 use crate::jobs::job::JobEntry;
 use crate::jobs::load::PoolLoad;
 use crate::jobs::place::remaining_work;
+use crate::jobs::place::rest_ms;
 use crate::jobs::price::LATE_FACTOR;
 use crate::jobs::price::PoolSupply;
 use crate::jobs::price::PriceTable;
@@ -21,25 +22,25 @@
 #[must_use]
 pub fn starting_cpu(spec: &JobSpec) -> f64 {
     let first = spec.steps.iter().filter(|step| step.after.is_empty());
-    let cpu = first.map(|step| u64::from(step.tasks) * step.reserved().cpu);
-    cpu.sum::<u64>() as f64
+    let cpu = first.map(|step| f64::from(step.tasks) * step.reserved().cpu as f64);
+    cpu.sum()
 }
 
 /// Returns the remaining work of a job's tasks that have a run, in millicore-milliseconds,
 /// and the millicores that its ready tasks without a run need.
 fn running_and_ready(job: &JobEntry) -> (u64, u64) {
-    let (mut running, mut ready) = (0, 0);
+    let (mut running, mut ready): (u64, u64) = (0, 0);
     for steps in job.open.values() {
         let steps = job.body.spec.steps.iter().zip(steps);
         for (spec, step) in steps.filter(|(_, step)| step.open_ms.is_some()) {
             for task in step.tasks.iter().filter(|task| !task.done) {
                 let percent = task.placed.iter().map(|run| run.percent).max();
                 let Some(percent) = percent else {
-                    ready += spec.reserved().cpu;
+                    ready = ready.saturating_add(spec.reserved().cpu);
                     continue;
                 };
-                let rest_ms = spec.estimate_ms * u64::from(100 - percent.min(100)) / 100;
-                running += rest_ms * spec.need.cpu;
+                let work = rest_ms(spec, percent).saturating_mul(spec.need.cpu);
+                running = running.saturating_add(work);
             }
         }
     }
--- a/src/jobs/types.rs
+++ b/src/jobs/types.rs
@@ -243,8 +243,8 @@
     #[must_use]
     pub fn work(&self) -> u64 {
         let steps = self.steps.iter().filter(|step| !step.lasting);
-        let work = steps.map(|step| u64::from(step.tasks) * step.need.cpu * step.estimate_ms);
-        work.sum()
+        let work = steps.map(|step| step.total_need().cpu.saturating_mul(step.estimate_ms));
+        work.fold(0, u64::saturating_add)
     }
 
     /// Returns the estimated length of one occurrence's critical path, its longest
@@ -258,7 +258,7 @@
                 .iter()
                 .map(|after| ends_ms[*after as usize])
                 .max();
-            ends_ms.push(ready_ms.unwrap_or(0) + step.estimate_ms);
+            ends_ms.push(ready_ms.unwrap_or(0).saturating_add(step.estimate_ms));
         }
         ends_ms.into_iter().max().unwrap_or(0)
     }
--- a/tests/jobs_odd_entries.rs
+++ b/tests/jobs_odd_entries.rs
@@ -156,6 +156,31 @@
     assert!(world.completed.contains_key(JOB));
 }
 
+/// The work of a job overflowed.
+#[test]
+fn submit_largest_amounts_answered() {
+    let amounts = [0, 1, u64::from(u32::MAX), u64::MAX];
+    let mut world = World::new(2, 1);
+    world.run(20);
+    let mut number = 0;
+    for cpu in amounts {
+        for estimate_ms in amounts {
+            let id = format!("{number:016x}");
+            let near_data = StepSpec {
+                speculative: true,
+                data_rack: "r-0".to_owned(),
+                ..step(64, cpu, estimate_ms)
+            };
+            let spec = job(&[near_data, step(64, cpu, estimate_ms)]);
+            world.submit(&id, &spec, number);
+            world.run(200);
+            assert!(world.answers.contains_key(&number), "{id}");
+            number += 1;
+        }
+    }
+    world.run(2000);
+}
+
 fn any_amount() -> impl Strategy<Value = u64> {
     prop_oneof![
         Just(0),
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -1032,7 +1032,8 @@
                 .runs
                 .iter()
                 .filter(|(_, run)| {
-                    expired || (!run.long_running && now >= run.started_ms + run.work_ms)
+                    expired
+                        || (!run.long_running && now >= run.started_ms.saturating_add(run.work_ms))
                 })
                 .map(|(task, _)| task.clone())
                 .collect();
