Workers: answers say which incarnation runs, not the order of their starts

Callers would see tasks that never run again (LOST), and ends of a worker that are never taken note of. The start in a worker's reports is a time of its clock. If the clock is set back before the worker restarts under the same id, the later incarnation has the earlier start. It was taken for the earlier one for good: its answers were ignored and the next call sent at once, no call counted as missed, so that the runs that were gone never expired, and further starts went to it. In the other direction, an entry that the earlier incarnation had written, or its delayed answer, was taken as a restart, and the tasks of live runs were started elsewhere (TWICE).

An answer to a call that was sent since the incarnation was found now decides, whichever started first. An entry of another incarnation is set aside while the known one answers. It is dropped once that answers a later call, takes effect once another incarnation answers, and replaces a worker that does not answer only if its start is later, as before.

Before: both tests end with "assertion failed: world.completed.contains_key("j-1")".

--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -30,6 +30,10 @@
     ///
     /// Entries of workers whose VM was ordered to move or into maintenance are ignored,
     /// since they may outlive the worker.
+    ///
+    /// Which incarnation of a worker runs is known from its answers. Starts are times of its
+    /// clock, which may be set between two incarnations, and entries may be written late: only
+    /// a worker that does not answer is replaced because its entry shows a later start.
     pub fn worker_listed(&mut self, entry: WorkerEntry, now: u64) {
         self.waiting.mark_all_due();
         if self.fleet.departed.contains_key(&entry.id) {
@@ -47,9 +51,15 @@
             self.send_hold(&id, now);
             return;
         };
-        let restarted = entry.born_ms > view.entry.born_ms && view.entry.born_ms > 0;
-        if entry.born_ms < view.entry.born_ms {
-            // The entry is of an earlier incarnation, such as a delayed write.
+        let is_other = view.entry.born_ms > 0 && entry.born_ms != view.entry.born_ms;
+        let answers = view.contact_ms.is_some() && view.missed_calls == 0;
+        let is_earlier = entry.born_ms < view.entry.born_ms;
+        if is_other && (answers || is_earlier) {
+            // It may also be a delayed write of an earlier incarnation.
+            if !answers {
+                view.entry.address = entry.address;
+            }
+            view.other_entry = Some((entry, now));
             return;
         }
         if entry.state != view.entry.state {
@@ -60,7 +70,7 @@
         }
         view.unlisted_ms = None;
         let id = entry.id.clone();
-        if restarted {
+        if is_other {
             self.replace_incarnation(&id, entry, now);
         } else {
             view.entry = entry;
@@ -111,6 +121,54 @@
         }
     }
 
+    /// Returns whether the answer to a hold that was sent at `sent_ms` is from the known
+    /// incarnation of a worker. If not, and the hold was sent since that was found, the one that
+    /// answers has replaced it.
+    pub(crate) fn confirm_incarnation(
+        &mut self,
+        worker: &str,
+        born_ms: u64,
+        sent_ms: u64,
+        now: u64,
+    ) -> bool {
+        let Some(view) = self.workers.get_mut(worker) else {
+            return false;
+        };
+        view.hold_in_flight = false;
+        let is_known = born_ms == 0 || view.entry.born_ms == 0 || born_ms == view.entry.born_ms;
+        if is_known {
+            view.other_entry.take_if(|(_, seen_ms)| *seen_ms < sent_ms);
+            return true;
+        }
+        if sent_ms > view.found_ms {
+            let other = view.other_entry.take().map(|(entry, _)| entry);
+            let entry = other.filter(|entry| entry.born_ms == born_ms);
+            let entry = entry.unwrap_or_else(|| WorkerEntry {
+                born_ms,
+                ..view.entry.clone()
+            });
+            self.replace_incarnation(worker, entry, now);
+        }
+        false
+    }
+
+    /// Replaces the workers that do not answer and whose entry shows a later start.
+    fn replace_restarted_workers(&mut self, now: u64) {
+        let mut restarted = Vec::new();
+        for (id, view) in &mut self.workers {
+            let born_ms = view.entry.born_ms;
+            let is_later = |(entry, _): &mut (WorkerEntry, u64)| entry.born_ms > born_ms;
+            if view.missed_calls > 0
+                && let Some((entry, _)) = view.other_entry.take_if(is_later)
+            {
+                restarted.push((id.clone(), entry));
+            }
+        }
+        for (worker, entry) in restarted {
+            self.replace_incarnation(&worker, entry, now);
+        }
+    }
+
     /// Handles the restart of a worker: no run of the earlier incarnation is alive.
     pub(crate) fn replace_incarnation(&mut self, worker: &str, entry: WorkerEntry, now: u64) {
         log::info!(event = "worker_restarted", worker = worker, born_ms = entry.born_ms; "");
@@ -237,6 +295,7 @@
     /// workers whose entry stays missing, that do not answer, and that have neither runs
     /// nor ends to be stored.
     pub(crate) fn expire_worker_leases(&mut self, now: u64) {
+        self.replace_restarted_workers(now);
         let grace = self.settings.entry_grace_ms;
         let mut expired = Vec::new();
         let mut gone = Vec::new();
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -14,7 +14,6 @@
 use crate::jobs::types::TaskId;
 use crate::jobs::worker::ClockSample;
 use crate::jobs::worker::PendingEnd;
-use crate::ports::WorkerEntry;
 use crate::ports::WorkerReply;
 use crate::ports::worker::EndedRow;
 use crate::ports::worker::RefusalReason;
@@ -119,7 +118,8 @@
                 running,
                 ended,
             } => {
-                if self.record_contact(worker, clock_ms, born_ms, now) {
+                let is_current = self.confirm_incarnation(worker, born_ms, sent_ms, now);
+                if is_current && self.record_contact(worker, clock_ms, now) {
                     self.apply_ended(worker, &ended, now);
                     self.apply_running(worker, &running, sent_ms, now);
                 }
@@ -132,22 +132,11 @@
         self.send_hold(worker, now);
     }
 
-    /// Records an answer of a worker; false if it is from another incarnation.
-    fn record_contact(&mut self, worker: &str, clock_ms: u64, born_ms: u64, now: u64) -> bool {
+    /// Records an answer of a worker.
+    fn record_contact(&mut self, worker: &str, clock_ms: u64, now: u64) -> bool {
         let Some(view) = self.workers.get_mut(worker) else {
             return false;
         };
-        view.hold_in_flight = false;
-        if born_ms > 0 && view.entry.born_ms > 0 && born_ms != view.entry.born_ms {
-            if born_ms > view.entry.born_ms {
-                let entry = WorkerEntry {
-                    born_ms,
-                    ..view.entry.clone()
-                };
-                self.replace_incarnation(worker, entry, now);
-            }
-            return false;
-        }
         if view.missed_calls > 0 || view.contact_ms.is_none() {
             let born_ms = view.entry.born_ms;
             self.unresponsive.remove(worker);
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -83,6 +83,9 @@
 pub struct WorkerView {
     /// Its latest entry in the store.
     pub entry: WorkerEntry,
+    /// Its latest entry in the store that shows another incarnation, and when it was found;
+    /// none once the known one has answered since.
+    pub other_entry: Option<(WorkerEntry, u64)>,
     /// When it was found in the store.
     pub found_ms: u64,
     /// When its entry disappeared from the store; none while the entry exists.
@@ -136,6 +139,7 @@
     pub fn new(entry: WorkerEntry, now: u64) -> Self {
         Self {
             entry,
+            other_entry: None,
             found_ms: now,
             unlisted_ms: None,
             cursor: 0,
--- a/tests/jobs_evidence.rs
+++ b/tests/jobs_evidence.rs
@@ -129,3 +129,37 @@
     let maintained = machines.filter(|row| !first.contains(&row.worker.as_str()));
     assert_eq!(maintained.count(), 3);
 }
+
+/// A worker's clock was set back before its restart: the earlier start made the owner ignore the new
+/// incarnation, renew the lease of runs that were gone and start others that it never heard of.
+#[test]
+fn restart_with_earlier_start_loses_runs() {
+    let mut world = World::new(1, 1);
+    world.run(300);
+    world.submit("j-1", &job(&[step(4, 1000, 2000)]), 1);
+    world.run(500);
+    assert_eq!(world.running(), 4);
+    let entry = world.restart("w-0001", 1);
+    let now = world.now;
+    world.engine.worker_listed(entry, now);
+    world.run(6000);
+    assert!(world.completed.contains_key("j-1"));
+}
+
+/// A worker's clock was set back before its restart: the entry of its earlier incarnation, which was
+/// still in the store, was taken as another restart, and its runs were started elsewhere.
+#[test]
+fn entry_of_earlier_incarnation_keeps_runs() {
+    let mut world = World::new(2, 1);
+    world.run(300);
+    let former = world.workers["w-0001"].entry.clone();
+    world.restart("w-0001", 1);
+    world.run(2500);
+    world.submit("j-1", &job(&[step(40, 1000, 3000)]), 1);
+    world.run(500);
+    assert!(!world.tasks_at("w-0001").is_empty());
+    let now = world.now;
+    world.engine.worker_listed(former, now);
+    world.run(8000);
+    assert!(world.completed.contains_key("j-1"));
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -407,6 +407,20 @@
         }
     }
 
+    /// Restarts a worker's process under the same id, with the start that its clock shows, and
+    /// returns its entry, which is not listed yet.
+    pub fn restart(&mut self, id: &str, born_ms: u64) -> WorkerEntry {
+        let worker = self.workers.get_mut(id).expect("a worker");
+        worker.entry.born_ms = born_ms;
+        worker.epoch = 0;
+        worker.lease_until_ms = 0;
+        worker.runs.clear();
+        worker.highest_runs.clear();
+        worker.ended.clear();
+        worker.last_end = 0;
+        worker.entry.clone()
+    }
+
     /// Ends the runs of the other members of a task's gang.
     fn break_gang(&mut self, task: &str) {
         let name = TaskId::parse(task).expect("a task");
