Holds: a truncated list of ends does not show that other runs are gone

A worker lists up to 500 ends in an answer. With more that are not acknowledged, as after an outage of the store in which over 500 small runs ended, the others are in neither list, and their tasks were queued again as not listed.

Runs that are not listed are removed only if the list of ends is not full. The ends that were left out follow once the listed ones are stored.

The simulated worker lists up to 500 ends, as the platform's do.

--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -4,7 +4,7 @@
 //! and those that have ended since the worker's cursor. Like a long poll, it waits at
 //! the worker until a run ends or the wait is over.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::jobs::actions::CallToken;
 use crate::jobs::engine::JobEngine;
@@ -31,6 +31,9 @@
 /// milliseconds; the listed loads cover the last half second.
 const SHARED_WAIT_MS: u64 = 500;
 
+/// Number of ends from which on a worker's answer may leave out further ones.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// Maximum delay of a hold while the last ends are being stored, in milliseconds. The
 /// worker would list them again at once, because its cursor has not moved.
 const STORE_WAIT_MS: u64 = 150;
@@ -121,7 +124,11 @@
                 let is_current = self.confirm_incarnation(worker, born_ms, sent_ms, now);
                 if is_current && self.record_contact(worker, clock_ms, now) {
                     self.apply_ended(worker, &ended, now);
-                    self.apply_running(worker, &running, sent_ms, now);
+                    let unlisted = self.apply_running(worker, &running, now);
+                    // The ends that were left out are listed once these are stored.
+                    if ended.len() < MAX_LISTED_ENDS {
+                        self.remove_unlisted_runs(worker, unlisted, sent_ms, now);
+                    }
                 }
             }
             WorkerReply::Refused { reason } => {
@@ -306,13 +313,10 @@
         }
     }
 
-    /// Compares the runs that a worker lists as alive with those known here.
-    ///
-    /// Unknown runs are stopped. A known run that is not listed is removed if it was
-    /// inherited, or was running or stopped before the hold was sent at `sent_ms`. Other
-    /// runs have a start or stop without an answer, which may take effect later.
-    fn apply_running(&mut self, worker: &str, rows: &[RunningRow], sent_ms: u64, now: u64) {
-        let mut listed = BTreeMap::new();
+    /// Applies the runs that a worker lists as alive; returns those known here that it does not
+    /// list. Unknown runs are stopped.
+    fn apply_running(&mut self, worker: &str, rows: &[RunningRow], now: u64) -> Vec<(TaskId, u32)> {
+        let mut listed = BTreeSet::new();
         for row in rows {
             let task = TaskId::parse(&row.task);
             let known = task.filter(|task| self.run_phase(task, worker, row.run).is_some());
@@ -324,17 +328,24 @@
                 continue;
             };
             self.update_running(&task, worker, row, now);
-            listed.insert((task, row.run), ());
+            listed.insert((task, row.run));
         }
-        let Some(view) = self.workers.get(worker) else {
-            return;
-        };
-        let runs: Vec<_> = view
-            .runs
-            .iter()
-            .filter(|key| !listed.contains_key(*key))
-            .cloned()
-            .collect();
+        let view = self.workers.get(worker).into_iter();
+        let runs = view.flat_map(|view| &view.runs);
+        let unlisted = runs.filter(|key| !listed.contains(*key));
+        unlisted.cloned().collect()
+    }
+
+    /// Removes runs that neither run nor have ended according to the answer to a hold that was
+    /// sent at `sent_ms`, if they were inherited, or were running or stopped before. Other runs
+    /// have a start or stop without an answer, which may take effect later.
+    fn remove_unlisted_runs(
+        &mut self,
+        worker: &str,
+        runs: Vec<(TaskId, u32)>,
+        sent_ms: u64,
+        now: u64,
+    ) {
         for (task, run) in runs {
             let ended = match self.run_phase(&task, worker, run) {
                 Some(RunPhase::Inherited) => true,
--- a/tests/jobs_evidence.rs
+++ b/tests/jobs_evidence.rs
@@ -163,3 +163,21 @@
     world.run(8000);
     assert!(world.completed.contains_key("j-1"));
 }
+
+/// A worker lists a limited number of ends in an answer: runs whose end was left out, and which were
+/// no longer listed as running, were started again although they were done.
+#[test]
+fn more_ends_than_listed_keep_their_runs() {
+    let mut world = World::new(1, 1);
+    world.run(300);
+    world.submit("j-1", &job(&[step(600, 50, 2000)]), 1);
+    while world.running() < 600 {
+        world.run(1);
+    }
+    world.store_up = false;
+    world.run(4000);
+    world.store_up = true;
+    world.run(10_000);
+    assert!(world.completed.contains_key("j-1"));
+    assert_eq!(world.starts(), 600);
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -59,6 +59,8 @@
 const COMMIT_MS: u64 = 6;
 /// Time from the crash of a worker to the removal of its entry, in milliseconds.
 const ENTRY_EXPIRY_MS: u64 = 3500;
+/// Maximum number of ends that a worker lists in an answer.
+const MAX_LISTED_ENDS: usize = 500;
 /// Interval between two ticks of the scheduler, in milliseconds.
 const TICK_MS: u64 = 50;
 /// Name of the pool that serves the queue.
@@ -893,7 +895,7 @@
                 .iter()
                 .map(|(task, run)| running_row(task, run, self.now))
                 .collect(),
-            ended: worker.ended.clone(),
+            ended: worker.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
         };
         self.send_reply(token, reply, sent_ms);
     }
