Losses: a run that is not known to have begun crashes no worker

Its first start, at a worker that was just crashing, was never answered and never carried out; a second worker crashed during the isolated run by another cause.

A start that was sent counted as a run that had begun, and so as the cause of the crash of its worker.

Change: a run counts as begun once its worker has confirmed or listed it; inherited ones do.

Evidence: give_up_unconfirmed_start_not_counted failed ("left: Some(Failed), right: Some(Completed)") and passes; so do the other 20 tests of jobs_losses.

--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -162,6 +162,7 @@
             born_ms,
             run,
             phase: RunPhase::Reserved(version),
+            began: false,
             last_progress_ms: now,
             started_ms: now,
             percent: 0,
--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -5,6 +5,7 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::lost_workers::LossReason;
 use crate::jobs::task::RunPhase;
+use crate::jobs::task::TaskRun;
 use crate::jobs::types::TaskId;
 use crate::jobs::unresponsive::UnresponsiveLease;
 use crate::jobs::worker::RunFootprint;
@@ -227,10 +228,15 @@
 
     /// Returns the phase of a run, if it may be alive at the worker.
     pub(crate) fn run_phase(&self, task: &TaskId, worker: &str, run: u32) -> Option<RunPhase> {
+        self.placed_run(task, worker, run)
+            .map(|placed| placed.phase)
+    }
+
+    /// Returns a run, if it may be alive at the worker.
+    pub(crate) fn placed_run(&self, task: &TaskId, worker: &str, run: u32) -> Option<&TaskRun> {
         let state = self.jobs.get(&task.job)?.task(task)?;
         let mut placed = state.placed.iter();
-        let placed = placed.find(|placed| placed.run == run && placed.worker == worker);
-        placed.map(|placed| placed.phase)
+        placed.find(|placed| placed.run == run && placed.worker == worker)
     }
 
     /// Returns when the lease of a worker has certainly expired.
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -380,6 +380,7 @@
             if row.percent != placed.percent {
                 placed.last_progress_ms = now;
             }
+            placed.began = true;
             placed.percent = row.percent;
             placed.load = row.load;
             match placed.phase {
--- a/src/jobs/loss_record.rs
+++ b/src/jobs/loss_record.rs
@@ -56,6 +56,7 @@
             born_ms: self.born_ms,
             isolated: self.isolated,
             confirmed: self.confirmed,
+            began: true,
             outlasted_trial: false,
         };
         (task, loss)
--- a/src/jobs/losses.rs
+++ b/src/jobs/losses.rs
@@ -43,6 +43,9 @@
     pub isolated: bool,
     /// Whether the worker is known to have crashed.
     pub confirmed: bool,
+    /// Whether the run is known to have begun; its task has not crashed the worker otherwise.
+    /// Not stored: a successor takes it to have begun.
+    pub began: bool,
     /// Whether the run had been alive for as long as a first trial lasts. Not stored: a successor
     /// takes the task for a suspect.
     pub outlasted_trial: bool,
@@ -123,6 +126,7 @@
             born_ms,
             isolated: false,
             confirmed: crashed,
+            began: true,
             outlasted_trial: false,
         };
         self.add_loss(task, loss);
--- a/src/jobs/lost_workers.rs
+++ b/src/jobs/lost_workers.rs
@@ -85,6 +85,9 @@
         let mut tasks = Vec::new();
         for (task, run) in runs {
             let phase = self.run_phase(&task, worker, run);
+            let began = self
+                .placed_run(&task, worker, run)
+                .is_some_and(|run| run.began);
             let is_cleared = isolated
                 .as_ref()
                 .is_some_and(|other| *other != (task.clone(), run));
@@ -95,7 +98,8 @@
                 worker: worker.to_owned(),
                 born_ms,
                 isolated: isolated.is_some(),
-                confirmed,
+                confirmed: confirmed && began,
+                began,
                 outlasted_trial: phase.is_some_and(|phase| has_outlasted_trial(phase, alive_ms)),
             };
             self.add_loss(&task, loss);
@@ -148,7 +152,7 @@
         for task in &lost.tasks {
             self.change_losses(task, now, |losses| {
                 let own = losses.iter_mut().filter(|loss| loss.worker == worker);
-                own.for_each(|loss| loss.confirmed = true);
+                own.for_each(|loss| loss.confirmed = loss.began);
             });
         }
         self.give_up_tasks(&lost.tasks, now);
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -349,6 +349,7 @@
         let placed = state.into_iter().flat_map(|state| state.placed.iter_mut());
         for placed in placed.filter(|placed| placed.run == run && placed.worker == worker) {
             placed.phase = phase;
+            placed.began |= matches!(phase, RunPhase::Running(_));
         }
     }
 
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -44,6 +44,8 @@
     pub run: u32,
     /// Progress of its start or stop.
     pub phase: RunPhase,
+    /// Whether it may have begun, as far as its worker has told, or the former owner knew.
+    pub began: bool,
     /// When its completed share last changed, or when it was placed or its start sent.
     pub last_progress_ms: u64,
     /// When it was placed, or taken over from a former owner.
@@ -149,6 +151,7 @@
         born_ms: placed.born_ms,
         run: placed.run,
         phase: RunPhase::Inherited,
+        began: true,
         last_progress_ms: now,
         started_ms: now,
         percent: 0,
--- a/tests/jobs_losses.rs
+++ b/tests/jobs_losses.rs
@@ -104,6 +104,28 @@
     assert_only_deadly_failed(&world);
 }
 
+/// A run whose start was never confirmed counted as the cause of its worker's crash, so that a
+/// sound task was given up after a second crash (LOST).
+#[test]
+fn give_up_unconfirmed_start_not_counted() {
+    let mut world = World::new(1, 1);
+    world.run(20);
+    let first = world.workers.keys().next().expect("a worker").clone();
+    world.workers.get_mut(&first).expect("a worker").reachable = false;
+    world.submit(DEADLY, &job(&[step(1, 1800, 600)]), 1);
+    world.run(20);
+    assert_eq!(world.starts(), 1);
+    world.crash(&first);
+    while world.running() == 0 {
+        world.run(1);
+    }
+    let second = busy_worker(&world);
+    world.run(20);
+    world.crash(&second);
+    world.run(30_000);
+    assert_eq!(state_of(&world, DEADLY), Some(JobState::Completed));
+}
+
 /// A successor did not know of the losses that its predecessors had seen.
 #[test]
 fn take_over_deadly_task_bounded() {
@@ -196,6 +218,7 @@
         born_ms: 7,
         isolated,
         confirmed,
+        began: true,
         outlasted_trial: false,
     }
 }
--- a/tests/jobs_occurrences.rs
+++ b/tests/jobs_occurrences.rs
@@ -94,6 +94,7 @@
         born_ms: 1,
         run,
         phase: RunPhase::Running(0),
+        began: true,
         last_progress_ms: 0,
         started_ms: 0,
         percent: 0,
