Controller: entry VMs have time to acknowledge a drain that is read back late

What operators see: while the platform answers slowly and drain_limit_s is short, a wave makes no progress. Every drain is "postponed, in use by" entry VMs that are idle and answer at once.

Cause: the drain limit runs from the decision. The entry VMs get the record only once the controller has read it back, and the controller uses their acknowledgements in the round after that. If the two rounds take longer than the limit, each drain is postponed before it could be acknowledged.

Fix: a drain is postponed 1 s after the term has first read it at the earliest, besides the limit. A drain that a new term takes over gets this second too, so changes of the controller extend it by at most 1 s each.

--- a/src/decide/controller/acks.rs
+++ b/src/decide/controller/acks.rs
@@ -16,20 +16,19 @@
     /// answer keeps its last acknowledgement, and so blocks every drain that it has
     /// not acknowledged.
     pub(super) fn blockers(&self, view: &StepView<'_>, vm: &VmName) -> Vec<EntryName> {
-        let Some(sequence) = self.drain_sequences.get(vm) else {
+        let Some(sight) = self.drains.get(vm) else {
             return view.acks.keys().cloned().collect();
         };
         let blocking = view.acks.iter().filter(|(_, ack)| {
-            ack.fleet_sequence < *sequence || ack.in_use.get(vm).is_some_and(|count| *count > 0)
+            ack.fleet_sequence < sight.sequence
+                || ack.in_use.get(vm).is_some_and(|count| *count > 0)
         });
         blocking.map(|(entry, _)| entry.clone()).collect()
     }
 
     /// Returns whether no entry VM can have requests in progress on a draining VM.
     pub(super) fn is_idle(&self, view: &StepView<'_>, vm: &VmName) -> bool {
-        !view.acks.is_empty()
-            && self.drain_sequences.contains_key(vm)
-            && self.blockers(view, vm).is_empty()
+        !view.acks.is_empty() && self.drains.contains_key(vm) && self.blockers(view, vm).is_empty()
     }
 }
 
--- a/src/decide/controller/drains.rs
+++ b/src/decide/controller/drains.rs
@@ -25,6 +25,9 @@
 use crate::names::PoolName;
 use crate::names::VmName;
 
+/// Minimum time for acknowledgements of a drain that this term has read, in milliseconds.
+const MIN_ACK_MS: u64 = 1000;
+
 impl ControllerState {
     pub(super) fn change_draining(
         &mut self,
@@ -83,7 +86,9 @@
 
     /// Returns a VM to service if its drain has exceeded the drain limit.
     ///
-    /// A drain for an operator's hold has no limit.
+    /// Entry VMs cannot acknowledge a drain before the controller has read it back, so
+    /// they have [`MIN_ACK_MS`] from then on, also in a new term. A drain for an
+    /// operator's hold has no limit.
     fn postpone(
         &mut self,
         view: &StepView<'_>,
@@ -92,7 +97,10 @@
         purpose: &DrainPurpose,
     ) -> Option<VmChange> {
         let limit_ms = view.config.maintenance.drain_limit_s * SECOND_MS;
-        let overdue = view.now_ms >= vm.since_ms + limit_ms;
+        let end_ms = vm.since_ms + limit_ms;
+        let sight = self.drains.get(name);
+        let overdue =
+            sight.is_some_and(|sight| view.now_ms >= end_ms.max(sight.seen_ms + MIN_ACK_MS));
         if !overdue || *purpose == DrainPurpose::Hold {
             return None;
         }
--- a/src/decide/controller/mod.rs
+++ b/src/decide/controller/mod.rs
@@ -53,6 +53,7 @@
 use crate::platform::OperationState;
 
 use draft::RecordDraft;
+use observations::DrainSight;
 use observations::ProbeCount;
 
 /// Input of one step of the controller.
@@ -122,8 +123,8 @@
 /// State that a controller keeps in memory during its term.
 #[derive(Clone, Debug, Default)]
 pub struct ControllerState {
-    /// Sequence of the fleet record in which this term first saw each drain.
-    drain_sequences: BTreeMap<VmName, u64>,
+    /// When this term first saw each drain.
+    drains: BTreeMap<VmName, DrainSight>,
     /// Postponed stops by VM.
     postponed: BTreeMap<VmName, PostponedStop>,
     /// Last state of each operation that the platform has reported in this term.
--- a/src/decide/controller/observations.rs
+++ b/src/decide/controller/observations.rs
@@ -33,6 +33,15 @@
     failed: u32,
 }
 
+/// The first fleet record in which a term has seen a drain.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DrainSight {
+    /// Sequence of the record.
+    pub sequence: u64,
+    /// When it was seen, in milliseconds since the Unix epoch.
+    pub seen_ms: u64,
+}
+
 impl ControllerState {
     /// Counts the result of a probe of a VM.
     pub fn handle_probe_result(&mut self, vm: &VmName, answered: bool) {
@@ -126,10 +135,12 @@
             let vm = vms.get(vm);
             vm.is_some_and(|vm| matches!(vm.state, VmState::Draining(_)))
         };
-        self.drain_sequences.retain(|vm, _| draining(vm));
+        self.drains.retain(|vm, _| draining(vm));
         for vm in vms.keys().filter(|vm| draining(vm)) {
-            let sequence = view.fleet.sequence;
-            self.drain_sequences.entry(vm.clone()).or_insert(sequence);
+            self.drains.entry(vm.clone()).or_insert(DrainSight {
+                sequence: view.fleet.sequence,
+                seen_ms: view.now_ms,
+            });
         }
         self.probe_counts.retain(|vm, _| vms.contains_key(vm));
         for (name, vm) in vms {
--- a/tests/controller_step.rs
+++ b/tests/controller_step.rs
@@ -777,6 +777,48 @@
     replay(&events);
 }
 
+/// Guards against a wave without progress: the controller took longer than the drain limit to
+/// read a drain back, and postponed it before any entry VM could acknowledge it.
+#[test]
+fn drain_read_late() {
+    let mut world = wave_world();
+    let is_draining = |world: &World| {
+        let mut vms = world.fleet.vms.values();
+        vms.any(|vm| matches!(vm.state, VmState::Draining(_)))
+    };
+    for _ in 0..3 {
+        if !is_draining(&world) {
+            world.run_round(0);
+        }
+    }
+    assert!(is_draining(&world));
+    world.now_ms += 20_000;
+    world.run_round(0);
+    assert!(is_draining(&world), "{:?}", world.fleet.vms);
+    world.sync_entries();
+    world.run_round(0);
+    let mut vms = world.fleet.vms.values();
+    assert!(vms.any(|vm| matches!(vm.state, VmState::Stopped(_))));
+}
+
+/// Guards against a drain without end: an entry VM that does not answer postpones it after the
+/// drain limit.
+#[test]
+fn drain_unanswered() {
+    let mut world = wave_world();
+    let postponed = |world: &World| {
+        let mut rows = world.audit.iter();
+        rows.any(|row| row.reason.contains("postponed, in use by e-0,e-1"))
+    };
+    for _ in 0..4 {
+        world.run_round(0);
+    }
+    assert!(!postponed(&world));
+    world.now_ms += 15_000;
+    world.run_round(0);
+    assert!(postponed(&world));
+}
+
 /// A VM of a data centre with a stale roster counts against the budget of its pool.
 #[test]
 fn unseen_dc_counts() {
