Known failure: move_follows_home, once; a failed test prints its processes

move_follows_home timed out once in 60 s at the start of its entry VMs ("entry VM knows all VMs and shares their slots"), in a run of all tests of controller_drain. Its log was not kept, so it is not traced.

A test of TestFleet that fails now prints the state of each process, the roster and the fleet record (tried with an entry VM that was killed: "process Z (zombie)"), which tells a process that has ended from one that is not admitted. process_group uses the same; it still fails without the group.

--- a/tests/process_group.rs
+++ b/tests/process_group.rs
@@ -5,6 +5,7 @@
 
 use std::env;
 use std::fs;
+use std::os::unix::process::parent_id;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
@@ -23,14 +24,6 @@
 /// Time for the signals of an orphaned process group to take effect.
 const SIGNAL_TIME: Duration = Duration::from_millis(500);
 
-/// Returns a field of a process's status, such as `State` or `PPid`.
-fn status_field(process: &str, field: &str) -> String {
-    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let mut lines = status.lines();
-    let value = lines.find_map(|line| line.strip_prefix(field)?.strip_prefix(':'));
-    value.unwrap_or_default().trim().to_owned()
-}
-
 fn write(path: &Path, text: &str) {
     let new = path.with_extension("new");
     fs::write(&new, text).expect("file");
@@ -50,19 +43,15 @@
     })
     .await;
     daemon.signal("STOP");
-    let id = daemon.id().to_string();
     support::eventually("daemon stopped", || async {
-        status_field(&id, "State").starts_with('T')
-    })
-    .await;
-    let shell = status_field("self", "PPid");
-    write(&folder.join("shell"), &shell);
-    support::eventually("shell gone", || async {
-        status_field("self", "PPid") != shell
+        daemon.process_state().starts_with('T')
     })
     .await;
+    let shell = parent_id();
+    write(&folder.join("shell"), "");
+    support::eventually("shell gone", || async { parent_id() != shell }).await;
     sleep(SIGNAL_TIME).await;
-    write(&folder.join("state"), &status_field(&id, "State"));
+    write(&folder.join("state"), &daemon.process_state());
 }
 
 /// A stopped daemon was ended by `SIGHUP` when the shell of a test run exited, and its
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -1,6 +1,7 @@
 //! A data centre with daemons, backend servers and a platform, for tests of maintenance
 //! waves and drains.
 
+use std::thread;
 use std::time::Duration;
 
 use chicorygauge::service::unix_ms;
@@ -29,6 +30,24 @@
     pub daemons: Vec<DaemonProcess>,
 }
 
+impl Drop for TestFleet {
+    /// Prints what a failed test does not show: the state of each process and the roster.
+    fn drop(&mut self) {
+        if !thread::panicking() {
+            return;
+        }
+        for daemon in &self.daemons {
+            eprintln!(
+                "entry VM {}: process {}",
+                daemon.name,
+                daemon.process_state()
+            );
+        }
+        eprintln!("roster: {}", self.value("entries/dc-1"));
+        eprintln!("fleet record: {}", self.record());
+    }
+}
+
 impl TestFleet {
     /// Starts all processes and waits until all VMs serve and every entry VM knows them.
     pub async fn start(entries: usize, maintenance: Value, budget: u32) -> Self {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -125,9 +125,12 @@
         let _ = self.child.wait();
     }
 
-    /// Returns the process identifier.
-    pub fn id(&self) -> u32 {
-        self.child.id()
+    /// Returns the state of the process, such as `S (sleeping)` or `Z (zombie)`.
+    pub fn process_state(&self) -> String {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("State:"));
+        line.map_or_else(|| "unknown".to_owned(), |state| state.trim().to_owned())
     }
 
     /// Sends a signal, given by its name without `SIG`: `TERM`, `STOP` or `CONT`.
