Leases: the assumed end of a lease does not overflow

An answer with a clock near 2^64 ended a debug build of a new owner; by reading, a release build would have taken the lease to be over. New with the assumed lease of this incident; the sum stops at the largest number. assume_lease_late_clock_bounded failed ("attempt to add with overflow").

--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -239,7 +239,8 @@
     /// Assumes that former owners have granted a lease of `max_lease_ms` up to a first answer
     /// with this reading of the worker's clock; after it, the worker rejects their orders.
     pub fn assume_lease(&mut self, clock_ms: u64, max_lease_ms: u64) {
-        self.lease_until_ms = self.lease_until_ms.max(clock_ms + max_lease_ms);
+        let until_ms = clock_ms.saturating_add(max_lease_ms);
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
     }
 
     /// Records a reading of the worker's clock.
