Orders for VMs: a worker without an entry is not evacuated

After a takeover with the entry of a worker missing, its VM counted as empty and went into maintenance under the long-running tasks there.

Cause: "not known" was taken for "runs nothing", although the owner holds the inherited runs of such a worker. They count now, until they are adopted or their lease has expired.

Evidence: maintain_worker_without_entry_not_evacuated failed ("m-00 is taken down while long-running tasks run on it") and passes.

--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -205,7 +205,9 @@
     /// waited long enough and only runs are left that are not long-running.
     pub(crate) fn is_evacuated(&self, row: &MachineRow, order: &OrderState, now: u64) -> bool {
         let Some(view) = self.workers.get(&row.worker) else {
-            return true;
+            // Inherited runs may be alive at a worker without an entry.
+            let mut orphaned = self.orphaned_runs.iter();
+            return !orphaned.any(|(_, worker, _)| *worker == row.worker);
         };
         if view.runs.is_empty() {
             return true;
