Adopted runs: an entry older than a run does not name its incarnation

What callers would see: a task twice. A former owner may learn of a restart from the worker before its entry is written again. A successor without an entry that then found the old one took the first answer for a restart, and placed the live runs elsewhere.

A worker that adopts runs now has at least their incarnation, as one with an entry at the load had already.

--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -89,7 +89,10 @@
             let footprint = job
                 .and_then(|job| job.step_spec(&task))
                 .map(RunFootprint::from);
+            let run_born_ms = self.run_born_ms(&task, worker, run);
             if let Some(view) = self.workers.get_mut(worker) {
+                // The entry may be that of an earlier incarnation.
+                view.entry.born_ms = view.entry.born_ms.max(run_born_ms);
                 log::info!(event = "run_adopted", task:% = task, run = run, worker = worker, born_ms = born_ms; "");
                 view.add_run(task, run, footprint.unwrap_or_default());
             }
--- a/src/jobs/restore.rs
+++ b/src/jobs/restore.rs
@@ -94,11 +94,9 @@
         }
     }
 
-    fn run_born_ms(&self, task: &TaskId, worker: &str, run: u32) -> u64 {
-        let job = self.jobs.get(&task.job);
-        let state = job.and_then(|job| job.task(task));
-        let mut placed = state.into_iter().flat_map(|state| &state.placed);
-        let placed = placed.find(|placed| placed.run == run && placed.worker == worker);
+    /// Returns the incarnation at which a run was placed, 0 if that is not known.
+    pub(crate) fn run_born_ms(&self, task: &TaskId, worker: &str, run: u32) -> u64 {
+        let placed = self.placed_run(task, worker, run);
         placed.map_or(0, |placed| placed.born_ms)
     }
 }
