Restarts: runs that the new incarnation may have are not lost

What callers would see: a task twice. Orders name a worker, not its incarnation. A start that reaches a worker after its restart is carried out there; the next hold told of the restart, all runs of the worker counted as lost, and the task was placed elsewhere, although the same answer listed its run.

Change: the runs that the answer lists, and those with a start or a stop that was not answered before the hold, pass to the new incarnation, and the answer is applied to it. The others are lost as before. What decides between incarnations stands in src/jobs/incarnations.rs.

Open: an entry alone of a worker that does not answer still ends all its runs, so a start that is carried out late at its next incarnation, cut off all the while, is not excluded.

--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -125,62 +125,6 @@
         }
     }
 
-    /// Returns whether the answer to a hold that was sent at `sent_ms` is from the known
-    /// incarnation of a worker. If not, and the hold was sent since that was found, the one that
-    /// answers has replaced it.
-    pub(crate) fn confirm_incarnation(
-        &mut self,
-        worker: &str,
-        born_ms: u64,
-        sent_ms: u64,
-        now: u64,
-    ) -> bool {
-        let Some(view) = self.workers.get_mut(worker) else {
-            return false;
-        };
-        view.hold_in_flight = false;
-        let is_known = born_ms == 0 || view.entry.born_ms == 0 || born_ms == view.entry.born_ms;
-        if is_known {
-            view.other_entry.take_if(|(_, seen_ms)| *seen_ms < sent_ms);
-            return true;
-        }
-        if sent_ms > view.found_ms {
-            let other = view.other_entry.take().map(|(entry, _)| entry);
-            let entry = other.filter(|entry| entry.born_ms == born_ms);
-            let entry = entry.unwrap_or_else(|| WorkerEntry {
-                born_ms,
-                ..view.entry.clone()
-            });
-            self.replace_incarnation(worker, entry, now);
-        }
-        false
-    }
-
-    /// Replaces the workers that do not answer and whose entry shows a later start.
-    fn replace_restarted_workers(&mut self, now: u64) {
-        let mut restarted = Vec::new();
-        for (id, view) in &mut self.workers {
-            let born_ms = view.entry.born_ms;
-            let is_later = |(entry, _): &mut (WorkerEntry, u64)| entry.born_ms > born_ms;
-            if view.missed_calls > 0
-                && let Some((entry, _)) = view.other_entry.take_if(is_later)
-            {
-                restarted.push((id.clone(), entry));
-            }
-        }
-        for (worker, entry) in restarted {
-            self.replace_incarnation(&worker, entry, now);
-        }
-    }
-
-    /// Handles the restart of a worker: no run of the earlier incarnation is alive.
-    pub(crate) fn replace_incarnation(&mut self, worker: &str, entry: WorkerEntry, now: u64) {
-        log::info!(event = "worker_restarted", worker = worker, born_ms = entry.born_ms; "");
-        self.mark_runs_lost(worker, LossReason::Restarted, now);
-        self.workers
-            .insert(worker.to_owned(), WorkerView::new(entry, now));
-    }
-
     /// Removes all runs at a worker and lets their tasks run again.
     ///
     /// Call this only when no run can be alive: the lease has expired, the worker has
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -121,7 +121,8 @@
                 running,
                 ended,
             } => {
-                let is_current = self.confirm_incarnation(worker, born_ms, sent_ms, now);
+                let is_current =
+                    self.confirm_incarnation(worker, (born_ms, &running), sent_ms, now);
                 if is_current && self.record_contact(worker, clock_ms, now) {
                     self.apply_ended(worker, &ended, now);
                     let unlisted = self.apply_running(worker, &running, now);
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -24,6 +24,7 @@
 pub mod fleet;
 pub mod gang;
 pub mod holds;
+pub mod incarnations;
 pub mod isolation;
 pub mod job;
 pub mod lanes;
