Wording after the read-through

Three doc comments that a newcomer would misread: what is known of a run's begin, commits that have failed, whose answers are recorded. No code is changed; formatter and compiler pass.

--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -140,7 +140,7 @@
         self.send_hold(worker, now);
     }
 
-    /// Records an answer of a worker.
+    /// Records an answer of the known incarnation of a worker.
     fn record_contact(&mut self, worker: &str, clock_ms: u64, now: u64) -> bool {
         let Some(view) = self.workers.get_mut(worker) else {
             return false;
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -44,7 +44,7 @@
     pub run: u32,
     /// Progress of its start or stop.
     pub phase: RunPhase,
-    /// Whether it may have begun, as far as its worker has told, or the former owner knew.
+    /// Whether it is known to have begun; a run of a former owner is taken to have.
     pub began: bool,
     /// When its completed share last changed, or when it was placed or its start sent.
     pub last_progress_ms: u64,
--- a/src/jobs/unresponsive.rs
+++ b/src/jobs/unresponsive.rs
@@ -106,7 +106,7 @@
     storing: Option<BTreeMap<String, UnresponsiveLease>>,
     /// Leases in the last commit that succeeded.
     stored: BTreeMap<String, UnresponsiveLease>,
-    /// Workers in commits that have failed since.
+    /// Workers in commits that have failed since; these may still be carried out.
     maybe_stored: BTreeSet<String>,
     /// When the record was last written, on the boot clock in milliseconds.
     written_ms: u64,
