--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+folder=$(cd "$(dirname "$0")" && pwd)
+exec "$folder/../script.sh" "$folder" route-removed
