--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 folder=$(cd "$(dirname "$0")" && pwd)
-exec "$folder/../script.sh" "$folder" blocked
+exec "$folder/../script.sh" "$folder" reborn
--- a/review/standins/src/cloud.rs
+++ b/review/standins/src/cloud.rs
@@ -14,6 +14,7 @@
 use crate::record::Record;
 use crate::store::Store;
 use crate::worker::Gangs;
+use crate::worker::Life;
 use crate::worker::Worker;
 use crate::worker::WorkerSettings;
 
@@ -26,7 +27,7 @@
     state: &'static str,
     /// Waves of which it has had its upkeep.
     waves: Vec<u64>,
-    life: Option<(Worker, Server)>,
+    life: Option<Life>,
 }
 
 #[derive(Default)]
@@ -68,7 +69,15 @@
         state.lives += 1;
         let id = format!("i-{:08x}", state.lives);
         let local = ([127, 0, 0, 1], 0).into();
-        let life = Worker::start(&id, local, settings, &self.store, &self.record, &self.gangs);
+        let life = Worker::start(
+            &id,
+            local,
+            settings,
+            &self.store,
+            &self.record,
+            &self.gangs,
+            None,
+        );
         let life = life.expect("start a worker");
         let machine = state.machines.entry(name.to_owned()).or_insert(Machine {
             settings: settings.clone(),
@@ -84,10 +93,10 @@
     /// Ends the worker of a machine; `state` is the machine's from then on.
     fn take_down(&self, machine: &mut Machine, state: &'static str) {
         machine.state = state;
-        if let Some((worker, server)) = machine.life.take() {
-            worker.crash();
-            server.stop();
-            self.store.remove(&format!("servers/{}", worker.id));
+        if let Some(life) = machine.life.take() {
+            life.worker.crash();
+            life.server.stop();
+            self.store.remove(&format!("servers/{}", life.worker.id));
         }
     }
 
@@ -99,14 +108,15 @@
                 return;
             };
             machine.state = "down";
-            let Some((worker, server)) = machine.life.take() else {
+            let Some(life) = machine.life.take() else {
                 return;
             };
+            let id = life.worker.id.clone();
             self.record
-                .write(&format!("crash machine={name} worker={}", worker.id));
-            worker.crash();
-            server.stop();
-            let (store, id) = (self.store.clone(), worker.id.clone());
+                .write(&format!("crash machine={name} worker={id}"));
+            life.worker.crash();
+            life.server.stop();
+            let store = self.store.clone();
             // A worker that crashes sends nothing: its entry goes after three heartbeats.
             let silence = Duration::from_millis(3 * machine.settings.heartbeat_ms);
             thread::spawn(move || {
@@ -118,6 +128,46 @@
         self.come_back(name.to_owned(), settings, down);
     }
 
+    /// The worker of a machine crashes silently and starts again under the id that it had.
+    pub fn restart_silently(&self, name: &str, down: Duration) {
+        let mut state = self.state.lock().expect("lock the machines");
+        let Some(machine) = state.machines.get_mut(name) else {
+            return;
+        };
+        let Some(life) = machine.life.clone() else {
+            return;
+        };
+        self.record.write(&format!(
+            "silent crash machine={name} worker={}",
+            life.worker.id
+        ));
+        life.link.go_silent();
+        life.worker.crash();
+        let (own, settings, name) = (self.clone(), machine.settings.clone(), name.to_owned());
+        thread::spawn(move || {
+            thread::sleep(down);
+            let (id, local) = (&life.worker.id, ([127, 0, 0, 1], 0).into());
+            let next = Worker::start(
+                id,
+                local,
+                &settings,
+                &own.store,
+                &own.record,
+                &own.gangs,
+                Some(&life.link),
+            );
+            let next = next.expect("start a worker");
+            own.record.write(&format!(
+                "up again machine={name} worker={id} born={}",
+                next.worker.born
+            ));
+            let mut state = own.state.lock().expect("lock the machines");
+            if let Some(machine) = state.machines.get_mut(&name) {
+                machine.life = Some(next);
+            }
+        });
+    }
+
     fn come_back(&self, name: String, settings: WorkerSettings, after: Duration) {
         let own = self.clone();
         thread::spawn(move || {
@@ -131,8 +181,8 @@
         let state = self.state.lock().expect("lock the machines");
         let machines = state.machines.iter();
         let up = machines.filter_map(|(name, machine)| {
-            let (worker, _) = machine.life.as_ref()?;
-            Some((name.clone(), worker.clone()))
+            let life = machine.life.as_ref()?;
+            Some((name.clone(), life.worker.clone()))
         });
         up.collect()
     }
@@ -161,11 +211,11 @@
                     ("labels", labels.collect::<Vec<Json>>().into()),
                     (
                         "capacity",
-                        life.map_or(Json::Null, |(worker, _)| worker.capacity()),
+                        life.map_or(Json::Null, |life| life.worker.capacity()),
                     ),
                     (
                         "id",
-                        life.map_or(Json::Null, |(worker, _)| worker.id.as_str().into()),
+                        life.map_or(Json::Null, |life| life.worker.id.as_str().into()),
                     ),
                 ])
             });
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod http;
 mod json;
+mod link;
 mod record;
 mod store;
 mod worker;
@@ -13,6 +14,7 @@
 mod blocked;
 mod crashes;
 mod gang;
+mod reborn;
 mod route_removed;
 
 use std::path::Path;
@@ -44,6 +46,7 @@
         "crashes" => crashes::play(program, folder, &record, trouble),
         "gang" => gang::play(program, folder, &record, trouble),
         "route-removed" => route_removed::play(program, folder, &record, trouble),
+        "reborn" => reborn::play(program, folder, &record, trouble),
         _ => Err(format!("unknown case {case}").into()),
     };
     match outcome {
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -16,6 +16,7 @@
 use crate::http::Server;
 use crate::json::Json;
 use crate::json::table;
+use crate::link::Link;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -33,6 +34,9 @@
 /// How long a member of a gang waits for the others.
 const GANG_TIMEOUT: Duration = Duration::from_millis(3000);
 
+/// Time that a stop takes; at most `stopTimeoutMs`, 200 ms in a small deployment.
+const STOP: Duration = Duration::from_millis(150);
+
 /// Interval in which runs progress.
 const TICK: Duration = Duration::from_millis(5);
 
@@ -108,6 +112,8 @@
     worked_ms: f64,
     /// Newest checkpoint.
     saved: String,
+    /// When it was told to stop.
+    stopping: Option<Instant>,
 }
 
 struct End {
@@ -151,6 +157,14 @@
     pub heartbeat_ms: u64,
 }
 
+/// A worker with its server and the link in front of it.
+#[derive(Clone)]
+pub struct Life {
+    pub worker: Worker,
+    pub server: Server,
+    pub link: Link,
+}
+
 /// One life of a worker; clones share their state.
 #[derive(Clone)]
 pub struct Worker {
@@ -175,7 +189,8 @@
         store: &Store,
         record: &Record,
         gangs: &Gangs,
-    ) -> std::io::Result<(Worker, Server)> {
+        link: Option<&Link>,
+    ) -> std::io::Result<Life> {
         let worker = Worker {
             id: id.to_owned(),
             born: unix_ms(),
@@ -198,7 +213,12 @@
                 thread::sleep(TICK);
             }
         });
-        let (beating, store, address) = (worker.clone(), store.clone(), server.address);
+        let link = match link {
+            Some(link) => link.clone(),
+            None => Link::start(server.address)?,
+        };
+        link.lead_to(server.address);
+        let (beating, store, address) = (worker.clone(), store.clone(), link.address);
         thread::spawn(move || {
             let mut sequence = 0;
             while beating.is_alive() {
@@ -210,7 +230,11 @@
                 thread::sleep(Duration::from_millis(beating.settings.heartbeat_ms));
             }
         });
-        Ok((worker, server))
+        Ok(Life {
+            worker,
+            server,
+            link,
+        })
     }
 
     fn entry(&self, address: SocketAddr, sequence: u64) -> Json {
@@ -339,6 +363,9 @@
 
     /// Lets a run work; returns how it ends, if it does.
     fn step(&self, task: &str, run: &mut Run) -> Option<&'static str> {
+        if run.stopping.is_some_and(|since| since.elapsed() >= STOP) {
+            return Some("stopped");
+        }
         let passed_ms = run.stepped.elapsed().as_secs_f64() * 1000.0;
         run.stepped = Instant::now();
         if run.plan.gang > 0 {
@@ -465,6 +492,7 @@
                 },
                 worked_ms: done_ms.unwrap_or(0) as f64,
                 saved: saved.clone(),
+                stopping: None,
             };
             state.runs.insert(task.clone(), started);
             if plan.gang > 0 {
@@ -497,8 +525,10 @@
         self.with(|state| {
             let highest = state.highest.entry(task.clone()).or_default();
             *highest = (*highest).max(run);
-            if state.runs.get(&task).is_some_and(|known| known.run <= run) {
-                self.end(state, &task, "stopped");
+            if let Some(known) = state.runs.get_mut(&task)
+                && known.run <= run
+            {
+                known.stopping.get_or_insert_with(Instant::now);
             }
         });
         self.answer(200, table([]))
