--- a/review/standins/src/cloud.rs
+++ b/review/standins/src/cloud.rs
@@ -141,7 +141,7 @@
             "silent crash machine={name} worker={}",
             life.worker.id
         ));
-        life.link.go_silent();
+        life.link.go_dark();
         life.worker.crash();
         let (own, settings, name) = (self.clone(), machine.settings.clone(), name.to_owned());
         thread::spawn(move || {
--- a/review/standins/src/link.rs
+++ b/review/standins/src/link.rs
@@ -1,4 +1,4 @@
-//! A proxy in front of a worker, whose open channels can go silent for good.
+//! A proxy in front of a worker, which can go dark.
 
 use std::io::Read;
 use std::io::Write;
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -23,6 +24,8 @@
     server: Arc<Mutex<SocketAddr>>,
     /// Channels that were opened in an earlier round are silent.
     round: Arc<AtomicU64>,
+    /// Whether new channels are silent too.
+    dark: Arc<AtomicBool>,
 }
 
 impl Link {
@@ -33,10 +36,17 @@
             address: listener.local_addr()?,
             server: Arc::new(Mutex::new(server)),
             round: Arc::default(),
+            dark: Arc::default(),
         };
         let own = link.clone();
         thread::spawn(move || {
+            let mut unanswered = Vec::new();
             for client in listener.incoming().flatten() {
+                if own.dark.load(Ordering::SeqCst) {
+                    // Stays open and is never answered.
+                    unanswered.push(client);
+                    continue;
+                }
                 let server = *own.server.lock().expect("lock the link");
                 let Ok(upstream) = TcpStream::connect(server) else {
                     continue;
@@ -57,13 +67,16 @@
         Ok(link)
     }
 
-    /// Leads new channels to another server.
+    /// Leads new channels to a server.
     pub fn lead_to(&self, server: SocketAddr) {
         *self.server.lock().expect("lock the link") = server;
+        self.dark.store(false, Ordering::SeqCst);
     }
 
-    /// Lets all open channels go silent, without a reset; new ones work.
-    pub fn go_silent(&self) {
+    /// Lets all channels go silent, without a reset, and new ones until the link leads to a
+    /// server again.
+    pub fn go_dark(&self) {
+        self.dark.store(true, Ordering::SeqCst);
         self.round.fetch_add(1, Ordering::SeqCst);
     }
 
