Stops: each stop of a long-running task's run says why, and what its step lacks

Cause: the end of a run as Stopped was logged alike for evictions, starts without an answer, stuck runs and ended jobs, so a log could not tell the hypotheses of the incident apart.

Change: stops have a module and a reason; run_stopping has the reason and the unavailable tasks of the step, chicory_runs_stopped_total counts by reason. No change of logic.

--- a/src/jobs/ending.rs
+++ b/src/jobs/ending.rs
@@ -6,6 +6,7 @@
 
 use crate::jobs::engine::EndedJob;
 use crate::jobs::engine::JobEngine;
+use crate::jobs::stops::StopReason;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
 use crate::jobs::types::TaskId;
@@ -55,7 +56,7 @@
                 // Its start was never sent.
                 self.release_run(task, &run.worker, run.run);
             } else if !run.phase.is_stopping() {
-                self.stop_run(task, &run.worker, run.run, now);
+                self.stop_run(task, &run.worker, run.run, StopReason::JobEnded, now);
             }
         }
         let Some(job) = self.jobs.get(id) else {
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -9,6 +9,7 @@
 use crate::jobs::actions::CallToken;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::EndedRun;
+use crate::jobs::stops::StopReason;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::RunEnd;
 use crate::jobs::types::TaskId;
@@ -292,28 +293,6 @@
         state.is_some_and(|state| state.failed == 0)
     }
 
-    /// Stops the other runs of a task that is done.
-    fn stop_redundant_runs(&mut self, task: &TaskId, now: u64) {
-        let Some(state) = self.jobs.get(&task.job).and_then(|job| job.task(task)) else {
-            return;
-        };
-        if !state.done {
-            return;
-        }
-        let runs: Vec<_> = state
-            .placed
-            .iter()
-            .map(|run| (run.worker.clone(), run.run, run.phase))
-            .collect();
-        for (worker, run, phase) in runs {
-            match phase {
-                RunPhase::Reserved(_) => self.release_run(task, &worker, run),
-                phase if phase.is_stopping() => {}
-                _ => self.stop_run(task, &worker, run, now),
-            }
-        }
-    }
-
     /// Applies the runs that a worker lists as alive; returns those known here that it does not
     /// list. Unknown runs are stopped.
     fn apply_running(&mut self, worker: &str, rows: &[RunningRow], now: u64) -> Vec<(TaskId, u32)> {
@@ -376,7 +355,12 @@
         }
         let done = state.done;
         let placed = state.placed.iter_mut();
-        let mut stop = false;
+        let stop_reason = match (ended, done) {
+            (true, _) => Some(StopReason::JobEnded),
+            (false, true) => Some(StopReason::Redundant),
+            (false, false) => None,
+        };
+        let mut is_found = false;
         for placed in placed.filter(|placed| placed.run == row.run && placed.worker == worker) {
             if row.percent != placed.percent {
                 placed.last_progress_ms = now;
@@ -387,15 +371,14 @@
             match placed.phase {
                 RunPhase::Ordered | RunPhase::Inherited => {
                     placed.phase = RunPhase::Running(now);
-                    stop = done || ended;
+                    is_found = true;
                 }
                 _ => {}
             }
         }
-        if stop {
-            self.stop_run(task, worker, row.run, now);
-        } else {
-            self.mark_started(&task.job);
+        match stop_reason.filter(|_| is_found) {
+            Some(reason) => self.stop_run(task, worker, row.run, reason, now),
+            None => self.mark_started(&task.job),
         }
     }
 }
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -8,6 +8,7 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::fleet::MachineOrder;
 use crate::jobs::fleet::OrderState;
+use crate::jobs::stops::StopReason;
 use crate::jobs::types::TaskId;
 use crate::jobs::types::WorkerState;
 use crate::jobs::worker::WorkerView;
@@ -80,8 +81,7 @@
             let runs: Vec<_> = view.runs.iter().cloned().collect();
             for (task, run) in runs {
                 if self.may_evict(&task, &worker, run, now) {
-                    log::info!(event = "run_evicted", task:% = task, run = run, worker = worker.as_str(); "");
-                    self.stop_run(&task, &worker, run, now);
+                    self.stop_run(&task, &worker, run, StopReason::Evicted, now);
                 }
             }
         }
@@ -100,25 +100,7 @@
         if phase.is_none_or(crate::jobs::task::RunPhase::is_stopping) {
             return false;
         }
-        let steps = job.open.get(&task.occurrence);
-        let Some(step) = steps.and_then(|steps| steps.get(task.step as usize)) else {
-            return false;
-        };
-        let others = step
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(index, _)| *index as u32 != task.index);
-        let unavailable = others.filter(|(_, state)| {
-            !state.placed.iter().any(|run| {
-                let responsive = self
-                    .workers
-                    .get(&run.worker)
-                    .is_some_and(|view| view.missed_calls == 0);
-                run.percent >= 100 && responsive && !run.phase.is_stopping()
-            })
-        });
-        let unavailable = unavailable.count() as u32;
+        let unavailable = self.unavailable_others(task);
         if spec.may_miss.is_some_and(|max| unavailable >= max) {
             return false;
         }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -56,6 +56,7 @@
 pub mod share;
 pub mod size_guard;
 pub mod stable_map;
+pub mod stops;
 pub mod task;
 pub mod turns;
 pub mod types;
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -1,12 +1,11 @@
-//! Starts and stops of runs, and the workers' answers to them.
+//! Starts of runs, and the workers' answers to them.
 //!
 //! An order without an answer may still be carried out later. A start is sent again
-//! with the same run number, which a worker carries out only once. A stop ends its run,
-//! or forbids the run for good if it has not started: once the stop is answered, the run
-//! is certainly not alive.
+//! with the same run number, which a worker carries out only once.
 
 use crate::jobs::actions::CallToken;
 use crate::jobs::engine::JobEngine;
+use crate::jobs::stops::StopReason;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
@@ -92,7 +91,7 @@
             // An earlier attempt may still be carried out.
             return match retries {
                 0 => self.requeue_run(task, worker, run, now),
-                _ => self.stop_run(task, worker, run, now),
+                _ => self.stop_run(task, worker, run, StopReason::StartWithheld, now),
             };
         }
         let ticket = self.ticket_for(task, worker, now);
@@ -189,7 +188,7 @@
                     self.send_start(task, worker, run, retries + 1, now);
                 } else {
                     self.record_run_outcome(worker, RunEnd::Failed, true, now);
-                    self.stop_run(task, worker, run, now);
+                    self.stop_run(task, worker, run, StopReason::StartUnanswered, now);
                 }
             }
         }
@@ -242,104 +241,12 @@
             self.set_phase(task, worker, run, RunPhase::Running(now));
         } else if retries > 0 {
             // An earlier attempt may still arrive; only a stop prevents that.
-            self.stop_run(task, worker, run, now);
+            self.stop_run(task, worker, run, StopReason::StartRefused, now);
         } else {
             self.requeue_run(task, worker, run, now);
         }
     }
 
-    fn handle_stop_result(
-        &mut self,
-        worker: &str,
-        name: String,
-        run: u32,
-        result: CallResult,
-        now: u64,
-    ) {
-        match result {
-            CallResult::Answered(WorkerReply::Done { .. }) => {
-                let Some(task) = TaskId::parse(&name) else {
-                    return;
-                };
-                if self.run_phase(&task, worker, run) == Some(RunPhase::Stopping) {
-                    // If the run had started, the next run lists hold its end.
-                    self.set_phase(&task, worker, run, RunPhase::Stopped(now));
-                    self.make_hold_due(worker, now);
-                }
-            }
-            CallResult::Answered(WorkerReply::Refused { reason }) => {
-                log::info!(event = "stop_refused", task = name.as_str(), run = run, worker = worker, reason:? = reason; "");
-                if reason == RefusalReason::Epoch {
-                    self.deposed = true;
-                }
-                if reason == RefusalReason::Unhealthy {
-                    self.retry_stop_later(worker, name, run, now);
-                }
-            }
-            CallResult::Answered(_) => {}
-            CallResult::NotSent | CallResult::Unknown => {
-                self.retry_stop_later(worker, name, run, now)
-            }
-        }
-    }
-
-    /// Marks a run as stopping and sends its stop.
-    pub(crate) fn stop_run(&mut self, task: &TaskId, worker: &str, run: u32, now: u64) {
-        if let Some(job) = self.jobs.get_mut(&task.job)
-            && let Some(state) = job.task_mut(task)
-        {
-            let placed = state.placed.iter_mut();
-            for placed in placed.filter(|placed| placed.run == run && placed.worker == worker) {
-                placed.phase = RunPhase::Stopping;
-            }
-        }
-        self.send_stop(worker, task.to_string(), run, now);
-    }
-
-    /// Sends a stop. If the worker has no entry, the stop is retried until it has one.
-    pub(crate) fn send_stop(&mut self, worker: &str, task: String, run: u32, now: u64) {
-        if !self.workers.contains_key(worker) {
-            return self.retry_stop_later(worker, task, run, now);
-        }
-        let token = CallToken::Stop {
-            worker: worker.to_owned(),
-            task: task.clone(),
-            run,
-        };
-        self.send_order(worker, WorkerOrder::Stop { task, run }, token);
-    }
-
-    /// Schedules a retry of a stop, if the run is still to be stopped.
-    pub(crate) fn retry_stop_later(&mut self, worker: &str, name: String, run: u32, now: u64) {
-        let stopping = TaskId::parse(&name)
-            .is_some_and(|task| self.run_phase(&task, worker, run) == Some(RunPhase::Stopping));
-        if !stopping {
-            return;
-        }
-        self.stop_retries.push((
-            now + self.settings.hold_retry_ms,
-            worker.to_owned(),
-            name,
-            run,
-        ));
-    }
-
-    /// Sends the stops again whose retry is due, if their runs are still to be stopped.
-    pub(crate) fn retry_due_stops(&mut self, now: u64) {
-        let due: Vec<_> = self
-            .stop_retries
-            .extract_if(.., |(at, ..)| *at <= now)
-            .collect();
-        for (_, worker, name, run) in due {
-            let stopping = TaskId::parse(&name).is_some_and(|task| {
-                self.run_phase(&task, &worker, run) == Some(RunPhase::Stopping)
-            });
-            if stopping {
-                self.send_stop(&worker, name, run, now);
-            }
-        }
-    }
-
     /// Sets the phase of a run at a worker.
     pub(crate) fn set_phase(&mut self, task: &TaskId, worker: &str, run: u32, phase: RunPhase) {
         let state = self
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -4,6 +4,7 @@
 use crate::jobs::actions::CallToken;
 use crate::jobs::copies::straggler_limit_ms;
 use crate::jobs::engine::JobEngine;
+use crate::jobs::stops::StopReason;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::RunEnd;
 use crate::jobs::types::TaskId;
@@ -203,7 +204,7 @@
                 event = "run_unconfirmed", task:% = task, run = run, worker = worker.as_str(),
                 phase:? = self.run_phase(&task, &worker, run); ""
             );
-            self.stop_run(&task, &worker, run, now);
+            self.stop_run(&task, &worker, run, StopReason::Unconfirmed, now);
         }
         for (task, worker, run) in untracked {
             log::warn!(
@@ -215,7 +216,7 @@
         for (task, worker, run) in stuck {
             log::info!(event = "run_stuck", task:% = task, run = run, worker = worker.as_str(); "");
             self.record_run_outcome(&worker, RunEnd::Failed, true, now);
-            self.stop_run(&task, &worker, run, now);
+            self.stop_run(&task, &worker, run, StopReason::Stuck, now);
         }
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -30,6 +30,8 @@
 pub const REFUSED_JOBS: &str = "chicory_jobs_refused_total";
 /// Runs lost with their workers, by reason.
 pub const LOST_RUNS: &str = "chicory_runs_lost_total";
+/// Stops of runs, by reason.
+pub const STOPPED_RUNS: &str = "chicory_runs_stopped_total";
 /// Tasks given up because they crash their workers.
 pub const GIVEN_UP_TASKS: &str = "chicory_tasks_given_up_total";
 /// Utility that the waiting jobs of a pool lose by a core-second of further work.
@@ -69,6 +71,7 @@
     metrics::describe_counter!(PEER_MESSAGES, "Messages between entry VMs, by direction.");
     metrics::describe_counter!(REFUSED_JOBS, "Refused submissions, by pool and reason.");
     metrics::describe_counter!(LOST_RUNS, "Runs lost with their workers, by reason.");
+    metrics::describe_counter!(STOPPED_RUNS, "Stops of runs, by reason.");
     metrics::describe_counter!(
         GIVEN_UP_TASKS,
         "Tasks given up because they crash their workers."
