--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -6,6 +6,9 @@
 //! A hold is the call that renews a worker's lease. The worker replies with its run lists
 //! as soon as it has ended runs to report, or at the call's deadline.
 
+#[path = "in_service.rs"]
+mod in_service;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -48,6 +51,7 @@
 use chicorygauge::ports::worker::RefusalReason;
 use chicorygauge::ports::worker::RunningRow;
 use chicorygauge::ports::worker::WorkerOrder;
+use in_service::ServiceTracker;
 
 /// One-way latency between the scheduler and a worker, in milliseconds.
 const HOP_MS: u64 = 2;
@@ -90,6 +94,13 @@
     long_running: bool,
 }
 
+impl FakeRun {
+    /// Returns whether the run is long-running and has started up.
+    fn is_in_service(&self, now: u64) -> bool {
+        self.long_running && now >= self.started_ms.saturating_add(self.work_ms)
+    }
+}
+
 /// A simulated worker.
 #[derive(Clone, Debug)]
 pub struct FakeWorker {
@@ -186,6 +197,8 @@
     /// Maintenance that was carried out: VM and number of the wave. A repeated order is
     /// confirmed and has no effect.
     maintained: BTreeSet<(String, u64)>,
+    /// Which long-running tasks are in service.
+    service: ServiceTracker,
     /// Times of the crashes by deadly task.
     pub crashes: BTreeMap<String, Vec<u64>>,
     /// Number of starts of a deadly task since three workers crashed under it.
@@ -308,6 +321,7 @@
             unlisted_machines: BTreeSet::new(),
             fleet_answers_lost: false,
             maintained: BTreeSet::new(),
+            service: ServiceTracker::default(),
             crashes: BTreeMap::new(),
             late_starts: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -700,6 +714,7 @@
         while self.now < end {
             self.now += 1;
             self.finish_runs();
+            self.observe_service();
             if !self.engine.fleet.waves.is_empty() {
                 let up = self.workers.values().filter(|worker| worker.up);
                 let runs = up.flat_map(|worker| worker.runs.values());
@@ -845,6 +860,9 @@
     }
 
     fn deliver_call(&mut self, call: WorkerCall, token: CallToken, sent_ms: u64) {
+        if let WorkerOrder::Stop { task, run } = &call.order {
+            self.check_stop(&call.worker, task, *run);
+        }
         let Some(reply) = self.execute_order(&call) else {
             return self.schedule(
                 CALL_LIMIT_MS,
@@ -1064,6 +1082,56 @@
         );
     }
 
+    /// Records which long-running tasks are in service.
+    fn observe_service(&mut self) {
+        let up = self.workers.values().filter(|worker| worker.up);
+        for (task, run) in up.flat_map(|worker| &worker.runs) {
+            if run.is_in_service(self.now) {
+                self.service.observe(task, self.now);
+            }
+        }
+    }
+
+    /// Checks that a stop of a task in service at a sound worker leaves enough others of its
+    /// step in service, unless its job is cancelled.
+    fn check_stop(&mut self, id: &str, task: &str, run: u32) {
+        let name = TaskId::parse(task).expect("a task");
+        let Some(worker) = self.workers.get(id).filter(|worker| worker.up) else {
+            return;
+        };
+        let own = worker.runs.get(task).filter(|own| own.run <= run);
+        if !own.is_some_and(|own| own.is_in_service(self.now)) {
+            return;
+        }
+        let view = self.engine.workers.get(id);
+        let is_draining = view.is_some_and(|view| view.entry.state == WorkerState::Draining);
+        let is_cancelled = self.cancelled.contains_key(&*name.job);
+        let is_counted = worker.reachable && !is_draining && !is_cancelled;
+        let (away, may_miss) = self.away_others(&name);
+        assert!(
+            !is_counted || may_miss.is_none_or(|max| away < max),
+            "{task} is stopped at {id} while {away} others of its step are away, t={}",
+            self.now
+        );
+        self.service.record_stop(task);
+    }
+
+    /// Returns how many other tasks of a task's step are away, and how many may be.
+    fn away_others(&self, task: &TaskId) -> (u32, Option<u32>) {
+        let step = &self.specs[&*task.job].steps[task.step as usize];
+        let submitted_ms = self.submitted.get(&*task.job).copied().unwrap_or(self.now);
+        let others = (0..step.tasks).filter(|index| *index != task.index);
+        let others = others.map(|index| TaskId {
+            index,
+            ..task.clone()
+        });
+        let away = others.filter(|other| {
+            let other = other.to_string();
+            self.service.is_away(&other, submitted_ms, self.now)
+        });
+        (away.count() as u32, step.may_miss)
+    }
+
     fn finish_runs(&mut self) {
         let now = self.now;
         for worker in self.workers.values_mut().filter(|worker| worker.up) {
