Losses: a long-running task is held back, never given up

What callers saw: sound tasks of a long-running job are stopped together (AVAIL), and the job is shown as failed and never runs again (LOST), after one of its tasks has lost its workers four times by crashes of any cause.

Cause: losses are evidence against the worker as much as against the task, but four of them were taken for proof against the task, and giving it up failed the whole job. A long-running job has no limit of attempts and ends only when it is cancelled.

Change: a loss counts only if the run had not outlasted the trial that its task was due, and a long-running task waits before its next start instead of being given up: 1 s after its second early crash, 5 s at most. It waits for an isolated start for 2 s at most, since waiting for one for ever keeps it away as well. A task keeps its last eight losses.

--- a/src/jobs/isolation.rs
+++ b/src/jobs/isolation.rs
@@ -14,6 +14,8 @@
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
 use crate::jobs::limits::StartKind;
+use crate::jobs::losses::early_losses;
+use crate::jobs::losses::restart_delay_ms;
 use crate::jobs::task::RunPhase;
 use crate::jobs::task::StepState;
 use crate::jobs::task::TaskRun;
@@ -38,8 +40,9 @@
 /// Maximum time for which a claim holds without a start, in milliseconds.
 const CLAIM_MS: u64 = 1500;
 
-/// How long a gang with a suspect waits for an isolated start, in milliseconds.
-const GANG_WAIT_MS: u64 = 2000;
+/// How long a gang with a suspect, or a long-running suspect, waits for an isolated start, in
+/// milliseconds.
+const ISOLATION_WAIT_MS: u64 = 2000;
 
 /// Reservation of a worker for the isolated start of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,10 +61,10 @@
     TRIAL_MS * TRIAL_GROWTH.pow(further)
 }
 
-/// Returns whether a run was alive for as long as a first trial lasts: it ran at its worker
-/// before, which was alive at `alive_ms`.
-pub(crate) fn has_outlasted_trial(phase: RunPhase, alive_ms: u64) -> bool {
-    matches!(phase, RunPhase::Running(since_ms) if alive_ms >= since_ms + TRIAL_MS)
+/// Returns whether a run was alive for as long as the trial of a task with `losses` lasts: it ran
+/// at its worker before, which was alive at `alive_ms`.
+pub(crate) fn has_outlasted_trial(phase: RunPhase, alive_ms: u64, losses: usize) -> bool {
+    matches!(phase, RunPhase::Running(since_ms) if alive_ms >= since_ms + trial_ms(losses))
 }
 
 impl JobEngine {
@@ -83,13 +86,20 @@
     }
 
     fn is_suspect_state(&self, state: &TaskState) -> bool {
-        let mut losses = state.losses.iter();
-        let has_crashed = losses.any(|loss| loss.confirmed && !loss.outlasted_trial);
+        let mut losses = early_losses(&state.losses);
+        let is_repeated = losses.clone().count() > 1;
+        let has_crashed = losses.any(|loss| loss.confirmed);
         let is_superseded = |run: &TaskRun| {
             let view = self.workers.get(&run.worker);
             view.is_some_and(|view| view.is_superseded)
         };
-        has_crashed || state.losses.len() > 1 || state.placed.iter().any(is_superseded)
+        has_crashed || is_repeated || state.placed.iter().any(is_superseded)
+    }
+
+    /// Returns the number of a task's own losses.
+    pub(crate) fn task_losses(&self, task: &TaskId) -> usize {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        state.map_or(0, |state| state.losses.len())
     }
 
     /// Returns the number of a task's losses; for a gang, the highest of its members.
@@ -98,7 +108,7 @@
             return 0;
         };
         if !job.step_spec(task).is_some_and(|spec| spec.gang) {
-            return job.task(task).map_or(0, |state| state.losses.len());
+            return self.task_losses(task);
         }
         let members = step_of(job, task).into_iter().flat_map(|step| &step.tasks);
         members.map(|state| state.losses.len()).max().unwrap_or(0)
@@ -114,7 +124,7 @@
     }
 
     /// Chooses a worker for a task; for a suspect, one for an isolated start. If none is ready
-    /// for that, claims one.
+    /// for that, claims one. A long-running suspect does not wait long for it.
     pub(crate) fn find_worker(
         &mut self,
         task: &TaskId,
@@ -130,7 +140,8 @@
             return None;
         }
         let worker = self.choose_worker(task, pool, spec, rack_local_only, now)?;
-        if self.is_quiet(task, &worker, now) {
+        let has_waited = spec.lasting && !self.may_await_isolation(task, now);
+        if has_waited || self.is_quiet(task, &worker, now) {
             return Some(worker);
         }
         if self.may_claim(pool, now) {
@@ -151,7 +162,18 @@
         }
     }
 
-    /// Reserves capacity for a run; for a suspect, claims the worker for its trial.
+    /// Returns whether a task that need not wait for its losses any more may still wait for an
+    /// isolated start.
+    fn may_await_isolation(&self, task: &TaskId, now: u64) -> bool {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        state.is_some_and(|state| {
+            let ready_ms = state.last_end_ms + restart_delay_ms(&state.losses);
+            now < ready_ms + ISOLATION_WAIT_MS
+        })
+    }
+
+    /// Reserves capacity for a run; for a suspect, claims the worker for its trial if no other
+    /// run has started there.
     pub(crate) fn reserve_worker(
         &mut self,
         task: &TaskId,
@@ -159,9 +181,9 @@
         spec: &StepSpec,
         now: u64,
     ) {
-        let is_suspect = self.is_suspect(task);
+        let is_isolated = self.is_suspect(task) && self.is_quiet(task, worker, now);
         self.reserve(task, worker, spec, now);
-        if !is_suspect {
+        if !is_isolated {
             return;
         }
         let job = self.jobs.get(&task.job);
@@ -299,7 +321,7 @@
         let step = self.jobs.get(&task.job).and_then(|job| step_of(job, task));
         let members = step.into_iter().flat_map(|step| &step.tasks);
         let last_end_ms = members.map(|state| state.last_end_ms).max().unwrap_or(0);
-        now < last_end_ms + GANG_WAIT_MS
+        now < last_end_ms + ISOLATION_WAIT_MS
     }
 
     /// Returns whether a member of a gang waits until more is known of its losses.
--- a/src/jobs/losses.rs
+++ b/src/jobs/losses.rs
@@ -3,8 +3,10 @@
 //! A task that crashes each worker that starts it must not be started without end, and
 //! tasks that only ran beside it must not be given up. Each task keeps its losses, also
 //! across takeovers. They decide whether it is a suspect, which is started in isolation (see
-//! [`isolation`](crate::jobs::isolation)). It is given up once it has crashed workers often
-//! enough, and its job fails. A run that lasts for long clears its task.
+//! [`isolation`](crate::jobs::isolation)). A loss counts only if it came soon after the start of
+//! its run, within the trial that the task was due. A task with enough of them is given up, and
+//! its job fails; a long-running one is started again after growing delays instead, as its job
+//! ends only when it is cancelled. A run that lasts for long clears its task.
 
 use crate::jobs::engine::JobEngine;
 use crate::jobs::task::RunPhase;
@@ -13,6 +15,7 @@
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
 use crate::metrics::GIVEN_UP_TASKS;
+use crate::metrics::HELD_BACK_TASKS;
 
 /// Number of workers known to have crashed from which on a task may be given up.
 const MIN_CRASHES: usize = 2;
@@ -28,6 +31,16 @@
 /// milliseconds; workers that have crashed return within seconds.
 const EVIDENCE_DELAY_MS: u64 = 10_000;
 
+/// Delay before a long-running task is started again after its second early crash, in
+/// milliseconds; doubles with each further one.
+const RESTART_DELAY_MS: u64 = 1000;
+
+/// Maximum delay before a long-running task is started again, in milliseconds.
+const MAX_RESTART_DELAY_MS: u64 = 5000;
+
+/// Number of losses that a task keeps; more do not change how it is handled.
+const MAX_KEPT_LOSSES: usize = 8;
+
 /// Time for which a run has to last for the earlier losses of its task to be forgotten, in
 /// milliseconds.
 const SURVIVAL_MS: u64 = 30_000;
@@ -46,19 +59,37 @@
     /// Whether the run is known to have begun; its task has not crashed the worker otherwise.
     /// Not stored: a successor takes it to have begun.
     pub began: bool,
-    /// Whether the run had been alive for as long as a first trial lasts. Not stored: a successor
-    /// takes the task for a suspect.
+    /// Whether the run had been alive for as long as the trial that its task was due lasts. Not
+    /// stored: a successor takes the task for a suspect.
     pub outlasted_trial: bool,
 }
 
+/// Returns the losses that the task may have caused: those soon after the start of its run.
+pub(crate) fn early_losses(losses: &[WorkerLoss]) -> impl Iterator<Item = &WorkerLoss> + Clone {
+    losses.iter().filter(|loss| !loss.outlasted_trial)
+}
+
 /// Returns whether a task with these losses is to be given up.
 #[must_use]
 pub fn is_given_up(losses: &[WorkerLoss]) -> bool {
-    let crashes = losses.iter().filter(|loss| loss.confirmed);
+    let early = early_losses(losses);
+    let mut crashes = early.clone().filter(|loss| loss.confirmed);
     if crashes.clone().count() < MIN_CRASHES {
-        return losses.len() >= MAX_LOSSES;
+        return early.count() >= MAX_LOSSES;
     }
-    losses.len() >= MAX_UNISOLATED_LOSSES || crashes.into_iter().any(|loss| loss.isolated)
+    early.count() >= MAX_UNISOLATED_LOSSES || crashes.any(|loss| loss.isolated)
+}
+
+/// Returns how long a long-running task with these losses waits after the last one before it is
+/// started again, in milliseconds.
+#[must_use]
+pub fn restart_delay_ms(losses: &[WorkerLoss]) -> u64 {
+    let crashes = early_losses(losses).filter(|loss| loss.confirmed).count();
+    let Some(further) = crashes.checked_sub(MIN_CRASHES) else {
+        return 0;
+    };
+    let delay_ms = RESTART_DELAY_MS.saturating_mul(1 << further.min(MAX_KEPT_LOSSES));
+    delay_ms.min(MAX_RESTART_DELAY_MS)
 }
 
 /// A worker and its incarnation.
@@ -73,8 +104,7 @@
 /// Returns the crashes that a task with these losses has caused: those soon after its start,
 /// once one of its isolated runs has crashed a worker as soon.
 fn explained_crashes(losses: &[WorkerLoss]) -> Vec<WorkerIncarnation> {
-    let crashes = losses.iter();
-    let crashes = crashes.filter(|loss| loss.confirmed && !loss.outlasted_trial);
+    let crashes = early_losses(losses).filter(|loss| loss.confirmed);
     if crashes.clone().any(|loss| loss.isolated) {
         crashes.map(WorkerLoss::incarnation).collect()
     } else {
@@ -87,6 +117,9 @@
     pub(crate) fn add_loss(&mut self, task: &TaskId, loss: WorkerLoss) {
         let job = self.jobs.get_mut(&task.job);
         if let Some(state) = job.and_then(|job| job.task_mut(task)) {
+            if state.losses.len() >= MAX_KEPT_LOSSES {
+                state.losses.remove(0);
+            }
             state.losses.push(loss);
             self.tasks_with_losses.insert(task.clone());
         }
@@ -136,12 +169,14 @@
         self.give_up_tasks(std::slice::from_ref(task), now);
     }
 
-    /// Fails the jobs of those of the tasks that are to be given up.
+    /// Fails the jobs of those of the tasks that are to be given up. The long-running ones among
+    /// them wait before their next start instead.
     pub(crate) fn give_up_tasks(&mut self, tasks: &[TaskId], now: u64) {
         for task in tasks {
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
+            let is_long_running = job.step_spec(task).is_some_and(|spec| spec.lasting);
             let Some(state) = job.task(task).filter(|state| !state.done) else {
                 continue;
             };
@@ -151,6 +186,16 @@
             let crashes = state.losses.iter().filter(|loss| loss.confirmed).count();
             let losses = state.losses.len();
             let explained = explained_crashes(&state.losses);
+            if is_long_running {
+                let delay_ms = restart_delay_ms(&state.losses);
+                log::warn!(
+                    event = "task_held_back", task:% = task, losses = losses, crashes = crashes,
+                    delay_ms = delay_ms; ""
+                );
+                metrics::counter!(HELD_BACK_TASKS).increment(1);
+                self.withdraw_explained(&explained, now);
+                continue;
+            }
             job.state = JobState::Failed;
             job.bump_version();
             log::warn!(
@@ -179,13 +224,22 @@
         }
     }
 
-    /// Returns whether a task that has lost many runs waits until more is known of the
-    /// workers.
+    /// Returns whether a task that has lost many runs waits: until more is known of the workers,
+    /// or, if it is long-running, for its delay.
     pub(crate) fn awaits_evidence(&self, task: &TaskId, now: u64) -> bool {
-        let job = self.jobs.get(&task.job);
-        job.and_then(|job| job.task(task)).is_some_and(|state| {
-            state.losses.len() >= MAX_UNISOLATED_LOSSES
-                && now < state.last_end_ms + EVIDENCE_DELAY_MS
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let is_long_running = job.step_spec(task).is_some_and(|spec| spec.lasting);
+        job.task(task).is_some_and(|state| {
+            let delay_ms = if is_long_running {
+                restart_delay_ms(&state.losses)
+            } else if early_losses(&state.losses).count() >= MAX_UNISOLATED_LOSSES {
+                EVIDENCE_DELAY_MS
+            } else {
+                0
+            };
+            now < state.last_end_ms + delay_ms
         })
     }
 
--- a/src/jobs/lost_workers.rs
+++ b/src/jobs/lost_workers.rs
@@ -88,6 +88,7 @@
             let began = self
                 .placed_run(&task, worker, run)
                 .is_some_and(|run| run.began);
+            let losses = self.task_losses(&task);
             let is_cleared = isolated
                 .as_ref()
                 .is_some_and(|other| *other != (task.clone(), run));
@@ -100,7 +101,8 @@
                 isolated: isolated.is_some(),
                 confirmed: confirmed && began,
                 began,
-                outlasted_trial: phase.is_some_and(|phase| has_outlasted_trial(phase, alive_ms)),
+                outlasted_trial: phase
+                    .is_some_and(|phase| has_outlasted_trial(phase, alive_ms, losses + 1)),
             };
             self.add_loss(&task, loss);
             tasks.push(task);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -34,6 +34,8 @@
 pub const STOPPED_RUNS: &str = "chicory_runs_stopped_total";
 /// Tasks given up because they crash their workers.
 pub const GIVEN_UP_TASKS: &str = "chicory_tasks_given_up_total";
+/// Delays of long-running tasks that crash their workers.
+pub const HELD_BACK_TASKS: &str = "chicory_tasks_held_back_total";
 /// Utility that the waiting jobs of a pool lose by a core-second of further work.
 pub const ROOM_PRICE: &str = "chicory_pool_room_price";
 /// Configuration version in force.
@@ -76,6 +78,10 @@
         GIVEN_UP_TASKS,
         "Tasks given up because they crash their workers."
     );
+    metrics::describe_counter!(
+        HELD_BACK_TASKS,
+        "Delays of long-running tasks that crash their workers."
+    );
     metrics::describe_gauge!(
         ROOM_PRICE,
         "Utility lost by a core-second of further work, by pool."
