Starts: without an answer, a run is stopped only if its step may miss it

What callers saw: long-running tasks end soon after their start, several of a step at once (AVAIL), while answers of workers are lost or late.

Cause: a start without an answer after two attempts was stopped. The run may be in service by then, and all tasks of a step meet the same loss of answers. Only evictions asked what the step lacks.

Change: evictions and abandoned starts ask the same question. If the step lacks as many as it may, the worker's next report decides: a run that it lists goes on, any other one is stopped. Otherwise it is stopped at once as before.

--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -317,8 +317,9 @@
     }
 
     /// Removes runs that neither run nor have ended according to the answer to a hold that was
-    /// sent at `sent_ms`, if they were inherited, or were running or stopped before. Other runs
-    /// have a start or stop without an answer, which may take effect later.
+    /// sent at `sent_ms`, if they were inherited, or were running or stopped before. Runs whose
+    /// start had stayed unanswered before are stopped. Other runs have a start or stop without an
+    /// answer, which may take effect later.
     fn remove_unlisted_runs(
         &mut self,
         worker: &str,
@@ -328,6 +329,10 @@
     ) {
         for (task, run) in runs {
             let ended = match self.run_phase(&task, worker, run) {
+                Some(RunPhase::Unanswered(since)) if sent_ms > since => {
+                    self.stop_run(&task, worker, run, StopReason::StartUnanswered, now);
+                    false
+                }
                 Some(RunPhase::Inherited) => true,
                 Some(RunPhase::Running(since) | RunPhase::Stopped(since)) => sent_ms > since,
                 _ => false,
@@ -369,7 +374,7 @@
             placed.percent = row.percent;
             placed.load = row.load;
             match placed.phase {
-                RunPhase::Ordered | RunPhase::Inherited => {
+                RunPhase::Ordered | RunPhase::Unanswered(_) | RunPhase::Inherited => {
                     placed.phase = RunPhase::Running(now);
                     is_found = true;
                 }
--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -70,7 +70,7 @@
         let runs = self.workers.get(worker).into_iter();
         let runs = runs.flat_map(|view| &view.runs);
         let possible = runs.filter(|(task, run)| match self.run_phase(task, worker, *run) {
-            Some(RunPhase::Ordered | RunPhase::Stopping) => true,
+            Some(RunPhase::Ordered | RunPhase::Unanswered(_) | RunPhase::Stopping) => true,
             Some(RunPhase::Running(since) | RunPhase::Stopped(since)) if since >= sent_ms => true,
             _ => listed.contains(&(task.clone(), *run)),
         });
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -100,8 +100,7 @@
         if phase.is_none_or(crate::jobs::task::RunPhase::is_stopping) {
             return false;
         }
-        let unavailable = self.unavailable_others(task);
-        if spec.may_miss.is_some_and(|max| unavailable >= max) {
+        if self.is_at_disruption_limit(task) {
             return false;
         }
         let pool = self.pool_of(job).to_owned();
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -91,7 +91,7 @@
             // An earlier attempt may still be carried out.
             return match retries {
                 0 => self.requeue_run(task, worker, run, now),
-                _ => self.stop_run(task, worker, run, StopReason::StartWithheld, now),
+                _ => self.abandon_start(task, worker, run, StopReason::StartWithheld, now),
             };
         }
         let ticket = self.ticket_for(task, worker, now);
@@ -169,7 +169,7 @@
                 self.resolve_refused_start(worker, task, run, reason, retries, now);
             }
             CallResult::Answered(_) => {
-                if phase == RunPhase::Ordered {
+                if matches!(phase, RunPhase::Ordered | RunPhase::Unanswered(_)) {
                     self.set_phase(task, worker, run, RunPhase::Running(now));
                 }
                 self.mark_started(&task.job);
@@ -188,12 +188,36 @@
                     self.send_start(task, worker, run, retries + 1, now);
                 } else {
                     self.record_run_outcome(worker, RunEnd::Failed, true, now);
-                    self.stop_run(task, worker, run, StopReason::StartUnanswered, now);
+                    self.abandon_start(task, worker, run, StopReason::StartUnanswered, now);
                 }
             }
         }
     }
 
+    /// Handles a run whose start is not to be sent again, after an attempt without an answer.
+    ///
+    /// It may be in service. If its step lacks as many others as it may, the worker's next report
+    /// decides; any other run is stopped, so that its task is placed elsewhere sooner.
+    fn abandon_start(
+        &mut self,
+        task: &TaskId,
+        worker: &str,
+        run: u32,
+        reason: StopReason,
+        now: u64,
+    ) {
+        if self.is_at_disruption_limit(task) {
+            log::info!(
+                event = "start_unconfirmed", task:% = task, run = run, worker = worker,
+                reason = reason.as_str(); ""
+            );
+            self.set_phase(task, worker, run, RunPhase::Unanswered(now));
+            self.make_hold_due(worker, now);
+        } else {
+            self.stop_run(task, worker, run, reason, now);
+        }
+    }
+
     /// Handles what a refused start says about the worker, the owner or the ticket.
     fn record_refusal(
         &mut self,
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -160,7 +160,10 @@
                     untracked.push((task, run.worker.clone(), run.run));
                     continue;
                 }
-                let starting = matches!(run.phase, RunPhase::Reserved(_) | RunPhase::Ordered);
+                let starting = matches!(
+                    run.phase,
+                    RunPhase::Reserved(_) | RunPhase::Ordered | RunPhase::Unanswered(_)
+                );
                 if starting
                     && job.stored_version >= job.version
                     && reported_ms > run.last_progress_ms + UNCONFIRMED_MS
--- a/src/jobs/stops.rs
+++ b/src/jobs/stops.rs
@@ -78,6 +78,16 @@
             .count() as u32
     }
 
+    /// Returns whether a task is long-running and its step lacks as many other tasks as it may.
+    pub(crate) fn is_at_disruption_limit(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let spec = job.and_then(|job| job.step_spec(task));
+        let max = spec
+            .filter(|spec| spec.lasting)
+            .and_then(|spec| spec.may_miss);
+        max.is_some_and(|max| self.unavailable_others(task) >= max)
+    }
+
     /// Logs a stop of a long-running task's run with what its step lacks without it.
     fn log_stop(&self, task: &TaskId, worker: &str, run: u32, reason: StopReason) {
         let job = self.jobs.get(&task.job);
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -15,6 +15,9 @@
     Reserved(u64),
     /// Its start was sent and is not answered yet.
     Ordered,
+    /// No attempt at its start was answered, the last one until this time; the worker's next
+    /// report tells whether it runs.
+    Unanswered(u64),
     /// Runs; the worker confirmed it at this time.
     Running(u64),
     /// Placed by a former owner; the worker has not confirmed it to this owner.
