--- a/tests/jobs_availability.rs
+++ b/tests/jobs_availability.rs
@@ -94,6 +94,20 @@
     });
 }
 
+/// A finite task that ran for long was given up after four crashes by other causes (LOST).
+#[test]
+fn lose_runs_long_finite_task_completed() {
+    let mut world = listed_world(1);
+    world.submit(JOB, &job(&[step(1, 1800, 20_000)]), 1);
+    for _ in 0..4 {
+        world.run(4000);
+        let worker = worker_of(&world, 0).expect("a run");
+        world.crash(&worker);
+    }
+    world.run(40_000);
+    assert!(world.completed.contains_key(JOB));
+}
+
 /// A long-running task that crashes each worker soon after its start was given up with all its
 /// sound neighbours.
 #[test]
