Restarts: an order without an answer may be carried out by the next incarnation

Seen: a subtask ran twice (TWICE). A worker crashes silently and starts again under its identifier; a start that was sent during the silence has no answer, is sent again and carried out by the new incarnation. The owner then notices the restart, takes that run for lost with the former incarnation and starts it elsewhere.

Cause: the end of an incarnation was taken for the end of all runs that were ordered at its worker. Orders name the worker, so that any without an answer may be carried out later by another incarnation. Only the first hold of a new incarnation asked which runs it may have.

Change: replace_incarnation alone replaces an incarnation and keeps what the new one may have: runs with an order without an answer, and runs confirmed since the last report, unless the clock of the answer shows the known incarnation. The first report of the new one decides; a run that it does not have was lost with the former one and counts against its task. At a takeover, too, the first report decides. A VM that is down, and an expired lease, end only runs without an open start.

Ruled out: that the repeated start is wrong in itself (the number of the run is the same, a worker carries it out once); that a wait before the second placement suffices (the run lasts as long as the new incarnation's lease).

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -51,6 +51,8 @@
     /// longer outages of the store; with a shorter one, tasks run again sooner after a
     /// crash of a worker that shows only as unanswered calls.
     pub lease_ms: u64,
+    /// Longest lease that a worker grants, in milliseconds; it shortens longer ones.
+    pub max_hold_ms: u64,
     /// Maximum wait of a hold call at a worker with runs, in milliseconds; short
     /// enough that several calls fit into a lease.
     pub hold_wait_ms: u64,
@@ -87,6 +89,7 @@
     fn default() -> Self {
         Self {
             lease_ms: 4500,
+            max_hold_ms: 10_000,
             hold_wait_ms: 1000,
             hold_retry_ms: 200,
             flush_ms: 25,
--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -21,8 +21,8 @@
 struct LeaseBound {
     /// On the boot clock, in milliseconds.
     expires_ms: u64,
-    /// What shows it: `granted` by this owner, `stored` by a former one, or the `longest`
-    /// that a former owner may have granted.
+    /// What shows it: `granted` by this owner, `stored` by a former one, the `longest` that a
+    /// former owner may have granted, or that of `orders` to an earlier incarnation.
     source: &'static str,
 }
 
@@ -72,7 +72,7 @@
         view.unlisted_ms = None;
         let id = entry.id.clone();
         if is_other {
-            self.replace_incarnation(&id, entry, now);
+            self.replace_incarnation(&id, entry, None, now);
         } else {
             view.entry = entry;
         }
@@ -186,8 +186,34 @@
         placed.find(|placed| placed.run == run && placed.worker == worker)
     }
 
+    /// Returns a run to be changed, if it may be alive at the worker.
+    pub(crate) fn placed_run_mut(
+        &mut self,
+        task: &TaskId,
+        worker: &str,
+        run: u32,
+    ) -> Option<&mut TaskRun> {
+        let state = self.jobs.get_mut(&task.job)?.task_mut(task)?;
+        let mut placed = state.placed.iter_mut();
+        placed.find(|placed| placed.run == run && placed.worker == worker)
+    }
+
     /// Returns when the lease of a worker has certainly expired.
     fn lease_bound(&self, view: &WorkerView) -> LeaseBound {
+        let orders = LeaseBound {
+            expires_ms: view.orders_expiry_ms,
+            source: "orders",
+        };
+        let lease = self.known_lease_bound(view);
+        if orders.expires_ms > lease.expires_ms {
+            orders
+        } else {
+            lease
+        }
+    }
+
+    /// Returns when the lease that a worker's known incarnation was granted has certainly expired.
+    fn known_lease_bound(&self, view: &WorkerView) -> LeaseBound {
         // A worker that has not answered under this epoch may hold a lease that the
         // former owner renewed until the end of its ownership.
         let longest = LeaseBound {
@@ -237,7 +263,7 @@
             {
                 let lease = UnresponsiveLease {
                     born_ms: view.entry.born_ms,
-                    expires_ms,
+                    expires_ms: expires_ms.max(view.orders_expiry_ms),
                 };
                 self.unresponsive.insert(id, lease);
             }
@@ -269,7 +295,7 @@
             }
         }
         for worker in expired {
-            self.mark_runs_lost(&worker, LossReason::LeaseExpired, now);
+            self.lose_expired_runs(&worker, now);
         }
         for worker in gone {
             log::info!(event = "worker_gone", worker = worker.as_str(); "");
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -152,12 +152,19 @@
             self.waiting.mark_all_due();
             self.withdraw_losses(worker, born_ms, now);
         }
-        let max_lease_ms = self.settings.max_lease_ms();
+        let (max_lease_ms, max_hold_ms) = (self.settings.max_lease_ms(), self.settings.max_hold_ms);
         let Some(view) = self.workers.get_mut(worker) else {
             return false;
         };
         if view.contact_ms.is_none() && !view.runs.is_empty() {
-            view.assume_lease(clock_ms, max_lease_ms);
+            // A start for an earlier incarnation names a time of that one's clock.
+            let is_restarted = view.orders_expiry_ms > 0;
+            let longest_ms = if is_restarted {
+                max_hold_ms
+            } else {
+                max_lease_ms
+            };
+            view.assume_lease(clock_ms, longest_ms);
         }
         let wait_ms = if self.unresponsive.may_grant_lease(worker) {
             0
@@ -339,6 +346,7 @@
             };
             if ended {
                 log::info!(event = "run_not_listed", task:% = task, run = run, worker = worker; "");
+                self.record_former_loss(&task, worker, run, now);
                 self.requeue_run(&task, worker, run, now);
             }
         }
@@ -348,6 +356,7 @@
     ///
     /// A run found alive is stopped if its job has ended or its task is done.
     fn update_running(&mut self, task: &TaskId, worker: &str, row: &RunningRow, now: u64) {
+        let born_ms = self.workers.get(worker).map(|view| view.entry.born_ms);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -371,6 +380,8 @@
                 placed.last_progress_ms = now;
             }
             placed.began = true;
+            placed.born_ms = born_ms.unwrap_or(placed.born_ms);
+            placed.is_attributed = true;
             placed.percent = row.percent;
             placed.load = row.load;
             match placed.phase {
--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -3,18 +3,66 @@
 //! A worker may start again under its identifier. Its start is a time of its clock, which may
 //! be set between two incarnations, so that the order of two starts proves nothing. An answer
 //! shows which incarnation runs.
+//!
+//! Orders name the worker, not the incarnation. One without an answer may be carried out by an
+//! incarnation that starts after it was sent, so that the end of an incarnation does not end
+//! the runs that it has not confirmed. These stay with the worker until an answer of the new
+//! incarnation shows whether they are alive there.
 
 use std::collections::HashSet;
 
 use crate::jobs::engine::JobEngine;
+use crate::jobs::engine::SchedulerSettings;
+use crate::jobs::isolation::has_outlasted_trial;
+use crate::jobs::losses::WorkerLoss;
 use crate::jobs::lost_workers::LossReason;
+use crate::jobs::stops::StopReason;
 use crate::jobs::task::RunPhase;
+use crate::jobs::task::TaskRun;
 use crate::jobs::types::TaskId;
 use crate::jobs::worker::RunFootprint;
 use crate::jobs::worker::WorkerView;
 use crate::ports::WorkerEntry;
 use crate::ports::worker::RunningRow;
 
+/// How long after it was sent an order may be carried out, in milliseconds. The incarnation to
+/// which it was sent refuses a start once its lease is over; the clock of a later one starts
+/// anew.
+const MAX_ORDER_DELAY_MS: u64 = 5000;
+
+/// Margin for readings of a worker's clock, in milliseconds; they are rounded.
+const CLOCK_SLACK_MS: u64 = 10;
+
+impl SchedulerSettings {
+    /// Returns when a run whose start was sent at `sent_ms` has certainly ended, whichever
+    /// incarnation has carried it out, if nothing has extended its lease; both on the boot clock,
+    /// in milliseconds. A later incarnation may take the lease for the longest one.
+    pub(crate) fn start_expiry_ms(&self, sent_ms: u64) -> u64 {
+        sent_ms + MAX_ORDER_DELAY_MS + self.max_hold_ms * 21 / 20
+    }
+}
+
+/// Run lists of the incarnation that replaces another one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FirstReport<'a> {
+    /// When the hold that it answers was sent.
+    pub sent_ms: u64,
+    /// Runs that are alive.
+    pub rows: &'a [RunningRow],
+}
+
+/// Returns whether an incarnation that starts later may have a run: an order for it may have no
+/// answer.
+fn is_unsettled(run: &TaskRun) -> bool {
+    match run.phase {
+        RunPhase::Reserved(_) => false,
+        RunPhase::Running(_) | RunPhase::Stopped(_) => run.has_unanswered_start,
+        RunPhase::Ordered | RunPhase::Unanswered(_) | RunPhase::Stopping | RunPhase::Inherited => {
+            true
+        }
+    }
+}
+
 impl JobEngine {
     /// Returns whether the answer to a hold that was sent at `sent_ms`, which lists these runs,
     /// is from the incarnation of a worker that runs now. If it is another one than the known
@@ -33,6 +81,7 @@
         let is_known = born_ms == 0 || view.entry.born_ms == 0 || born_ms == view.entry.born_ms;
         if is_known {
             view.other_entry.take_if(|(_, seen_ms)| *seen_ms < sent_ms);
+            view.reported_ms = view.reported_ms.max(sent_ms);
             return true;
         }
         if sent_ms <= view.found_ms {
@@ -44,88 +93,222 @@
             born_ms,
             ..view.entry.clone()
         });
-        let kept = self.detach_possible_runs(worker, rows, sent_ms);
-        self.replace_incarnation(worker, entry, now);
-        for (task, run) in kept {
-            self.attach_run(worker, task, run, born_ms);
-        }
+        let report = FirstReport { sent_ms, rows };
+        self.replace_incarnation(worker, entry, Some(report), now);
         true
     }
 
-    /// Removes from a worker's view, and returns, the runs that may be alive at the incarnation
-    /// that has answered a hold with these rows: those that it lists, and those with a start or
-    /// a stop that was not answered before the hold. Orders name the worker, not the
-    /// incarnation, so that the new one may have carried them out, or may yet.
-    fn detach_possible_runs(
+    /// Replaces the workers that do not answer and whose entry shows a later start.
+    pub(crate) fn replace_restarted_workers(&mut self, now: u64) {
+        let mut restarted = Vec::new();
+        for (id, view) in &mut self.workers {
+            let born_ms = view.entry.born_ms;
+            let is_later = |(entry, _): &mut (WorkerEntry, u64)| entry.born_ms > born_ms;
+            if view.missed_calls > 0
+                && let Some((entry, _)) = view.other_entry.take_if(is_later)
+            {
+                restarted.push((id.clone(), entry));
+            }
+        }
+        for (worker, entry) in restarted {
+            self.replace_incarnation(&worker, entry, None, now);
+        }
+    }
+
+    /// Handles the restart of a worker, which its entry or a first report shows. The runs that
+    /// the new incarnation may have are kept, the others are lost.
+    pub(crate) fn replace_incarnation(
         &mut self,
         worker: &str,
-        rows: &[RunningRow],
-        sent_ms: u64,
-    ) -> Vec<(TaskId, u32)> {
-        let listed = rows.iter().filter_map(|row| {
-            let task = TaskId::parse(&row.task)?;
-            Some((task, row.run))
-        });
+        entry: WorkerEntry,
+        report: Option<FirstReport<'_>>,
+        now: u64,
+    ) {
+        let (address, born_ms) = (entry.address, entry.born_ms);
+        let kept = self.possible_runs(worker, report);
+        log::info!(
+            event = "worker_restarted", worker = worker, born_ms = born_ms, address:% = address,
+            kept = kept.len(), reported = report.is_some(); ""
+        );
+        self.detach_runs(worker, &kept);
+        self.mark_runs_lost(worker, LossReason::Restarted, now);
+        let former = self.workers.get(worker);
+        let view = WorkerView {
+            former_alive_ms: former.map_or(0, |view| view.alive_ms),
+            ..WorkerView::new(entry, now)
+        };
+        self.workers.insert(worker.to_owned(), view);
+        self.attach_runs(worker, kept, now);
+        if report.is_none() {
+            self.send_hold(worker, now);
+        }
+    }
+
+    /// Records what the answer to the start of a run shows of the incarnation that gave it. One
+    /// that is later than the known one has started since that was asked for its last report, and
+    /// its clock shows at most the time since then.
+    pub(crate) fn attribute_start(
+        &mut self,
+        task: &TaskId,
+        worker: &str,
+        run: u32,
+        clock_ms: u64,
+        now: u64,
+    ) {
+        let Some(view) = self.workers.get(worker) else {
+            return;
+        };
+        let is_known = clock_ms > now.saturating_sub(view.reported_ms) + CLOCK_SLACK_MS;
+        let born_ms = view.entry.born_ms;
+        if let Some(placed) = self.placed_run_mut(task, worker, run)
+            && placed.born_ms == born_ms
+        {
+            placed.is_attributed |= is_known;
+        }
+    }
+
+    /// Returns the runs that the incarnation which replaces the known one may have: those that
+    /// it lists, those with an order that is not answered, and those that are not known to have
+    /// begun at the known one and were answered after its last report.
+    fn possible_runs(&self, worker: &str, report: Option<FirstReport<'_>>) -> Vec<(TaskId, u32)> {
+        let Some(view) = self.workers.get(worker) else {
+            return Vec::new();
+        };
+        let rows = report.map_or(&[][..], |report| report.rows);
+        let listed = rows
+            .iter()
+            .filter_map(|row| Some((TaskId::parse(&row.task)?, row.run)));
         let listed: HashSet<(TaskId, u32)> = listed.collect();
-        let runs = self.workers.get(worker).into_iter();
-        let runs = runs.flat_map(|view| &view.runs);
-        let possible = runs.filter(|(task, run)| match self.run_phase(task, worker, *run) {
-            Some(RunPhase::Ordered | RunPhase::Unanswered(_) | RunPhase::Stopping) => true,
-            Some(RunPhase::Running(since) | RunPhase::Stopped(since)) if since >= sent_ms => true,
-            _ => listed.contains(&(task.clone(), *run)),
-        });
-        let possible: Vec<(TaskId, u32)> = possible.cloned().collect();
-        for (task, run) in &possible {
+        let answered_ms = report.map_or(view.reported_ms, |report| report.sent_ms);
+        let is_possible = |(task, run): &&(TaskId, u32)| {
+            let Some(placed) = self.placed_run(task, worker, *run) else {
+                return false;
+            };
+            let is_known = placed.is_attributed && placed.born_ms == view.entry.born_ms;
+            let is_open = match placed.phase {
+                RunPhase::Running(since_ms) | RunPhase::Stopped(since_ms) => {
+                    !is_known && since_ms >= answered_ms || is_unsettled(placed)
+                }
+                // The new incarnation has seen this owner's epoch and refuses the former ones'.
+                RunPhase::Inherited => report.is_none(),
+                _ => is_unsettled(placed),
+            };
+            is_open || listed.contains(&(task.clone(), *run))
+        };
+        view.runs.iter().filter(is_possible).cloned().collect()
+    }
+
+    /// Removes runs from a worker's view, but not from their tasks.
+    fn detach_runs(&mut self, worker: &str, runs: &[(TaskId, u32)]) {
+        for (task, run) in runs {
             let footprint = self.footprint_of(task);
             if let Some(view) = self.workers.get_mut(worker) {
                 view.remove_run(task, *run, footprint);
             }
         }
-        possible
     }
 
-    /// Adds a run to a worker whose incarnation started at `born_ms`.
-    fn attach_run(&mut self, worker: &str, task: TaskId, run: u32, born_ms: u64) {
-        let footprint = self.footprint_of(&task);
-        let job = self.jobs.get_mut(&task.job);
-        let state = job.and_then(|job| job.task_mut(&task));
-        let placed = state.into_iter().flat_map(|state| &mut state.placed);
-        for placed in placed.filter(|placed| placed.run == run && placed.worker == worker) {
-            placed.born_ms = born_ms;
-        }
-        if let Some(view) = self.workers.get_mut(worker) {
-            view.add_run(task, run, footprint);
+    /// Adds detached runs to a worker whose incarnation has not confirmed them.
+    fn attach_runs(&mut self, worker: &str, runs: Vec<(TaskId, u32)>, now: u64) {
+        for (task, run) in runs {
+            let footprint = self.footprint_of(&task);
+            let Some(placed) = self.placed_run(&task, worker, run) else {
+                continue;
+            };
+            let (phase, may_start) = (placed.phase, placed.has_unanswered_start);
+            let Some(view) = self.workers.get_mut(worker) else {
+                return;
+            };
+            view.add_run(task.clone(), run, footprint);
+            view.orders_expiry_ms = self.settings.start_expiry_ms(now);
+            match phase {
+                RunPhase::Running(_) if may_start => {
+                    self.set_phase(&task, worker, run, RunPhase::Unanswered(now));
+                }
+                RunPhase::Stopped(_) if may_start => {
+                    // The stop was answered by the former incarnation.
+                    self.stop_run(&task, worker, run, StopReason::StartUnanswered, now);
+                }
+                _ => {}
+            }
         }
     }
 
-    fn footprint_of(&self, task: &TaskId) -> RunFootprint {
-        let job = self.jobs.get(&task.job);
-        let spec = job.and_then(|job| job.step_spec(task));
-        spec.map(RunFootprint::from).unwrap_or_default()
+    /// Marks the runs as lost at a worker whose VM the platform lists as down. It may start again
+    /// under its identifier, so that runs with an order that is not answered are kept.
+    pub(crate) fn lose_settled_runs(&mut self, worker: &str, now: u64) {
+        self.lose_runs_except(worker, is_unsettled, LossReason::NotListed, now);
     }
 
-    /// Replaces the workers that do not answer and whose entry shows a later start.
-    pub(crate) fn replace_restarted_workers(&mut self, now: u64) {
-        let mut restarted = Vec::new();
-        for (id, view) in &mut self.workers {
-            let born_ms = view.entry.born_ms;
-            let is_later = |(entry, _): &mut (WorkerEntry, u64)| entry.born_ms > born_ms;
-            if view.missed_calls > 0
-                && let Some((entry, _)) = view.other_entry.take_if(is_later)
-            {
-                restarted.push((id.clone(), entry));
+    /// Marks the runs as lost at a worker that does not answer and whose lease has expired. One
+    /// with an attempt at its start that is not answered may have been started by a later
+    /// incarnation, whose lease ends later.
+    pub(crate) fn lose_expired_runs(&mut self, worker: &str, now: u64) {
+        let view = self.workers.get(worker);
+        let is_replaced = view.is_some_and(|view| view.is_replaced);
+        let settings = self.settings.clone();
+        let is_kept = |run: &TaskRun| {
+            let has_open_start = run.has_unanswered_start || run.phase == RunPhase::Ordered;
+            has_open_start && !is_replaced && now <= settings.start_expiry_ms(run.ordered_ms)
+        };
+        self.lose_runs_except(worker, is_kept, LossReason::LeaseExpired, now);
+    }
+
+    fn lose_runs_except(
+        &mut self,
+        worker: &str,
+        is_kept: impl Fn(&TaskRun) -> bool,
+        reason: LossReason,
+        now: u64,
+    ) {
+        let view = self.workers.get(worker).into_iter();
+        let runs = view.flat_map(|view| &view.runs);
+        let kept = runs.filter(|(task, run)| {
+            let placed = self.placed_run(task, worker, *run);
+            placed.is_some_and(&is_kept)
+        });
+        let kept: Vec<(TaskId, u32)> = kept.cloned().collect();
+        self.detach_runs(worker, &kept);
+        self.mark_runs_lost(worker, reason, now);
+        for (task, run) in kept {
+            let footprint = self.footprint_of(&task);
+            let is_placed = self.placed_run(&task, worker, run).is_some();
+            if let Some(view) = self.workers.get_mut(worker).filter(|_| is_placed) {
+                view.add_run(task, run, footprint);
             }
         }
-        for (worker, entry) in restarted {
-            self.replace_incarnation(&worker, entry, now);
+    }
+
+    /// Records that a run, which a worker's incarnation does not have, was lost with the former
+    /// one, if it had begun there.
+    pub(crate) fn record_former_loss(&mut self, task: &TaskId, worker: &str, run: u32, now: u64) {
+        let Some(view) = self.workers.get(worker) else {
+            return;
+        };
+        let Some(placed) = self.placed_run(task, worker, run) else {
+            return;
+        };
+        let born_ms = placed.born_ms;
+        if !placed.began || born_ms == 0 || born_ms == view.entry.born_ms {
+            return;
         }
+        let phase = RunPhase::Running(placed.started_ms);
+        let losses = self.task_losses(task);
+        let loss = WorkerLoss {
+            worker: worker.to_owned(),
+            born_ms,
+            isolated: false,
+            confirmed: true,
+            began: true,
+            outlasted_trial: has_outlasted_trial(phase, view.former_alive_ms, losses + 1),
+        };
+        self.add_loss(task, loss);
+        self.give_up_tasks(std::slice::from_ref(task), now);
     }
 
-    /// Handles the restart of a worker: no run of the earlier incarnation is alive.
-    pub(crate) fn replace_incarnation(&mut self, worker: &str, entry: WorkerEntry, now: u64) {
-        log::info!(event = "worker_restarted", worker = worker, born_ms = entry.born_ms; "");
-        self.mark_runs_lost(worker, LossReason::Restarted, now);
-        self.workers
-            .insert(worker.to_owned(), WorkerView::new(entry, now));
+    fn footprint_of(&self, task: &TaskId) -> RunFootprint {
+        let job = self.jobs.get(&task.job);
+        let spec = job.and_then(|job| job.step_spec(task));
+        spec.map(RunFootprint::from).unwrap_or_default()
     }
 }
--- a/src/jobs/listed_workers.rs
+++ b/src/jobs/listed_workers.rs
@@ -105,12 +105,17 @@
         for worker in ended {
             let row = self.fleet.listed_workers.row_of(&worker, &self.fleet.rows);
             let is_planned = row.is_some_and(is_out_of_service);
+            let may_return = row.is_some_and(|row| row.worker.is_empty()) && !is_planned;
             if let Some(view) = self.workers.get_mut(&worker).filter(|_| is_planned) {
                 view.evacuating = true;
             } else {
                 self.worker_superseded(&worker, now);
             }
-            self.mark_runs_lost(&worker, LossReason::NotListed, now);
+            if may_return {
+                self.lose_settled_runs(&worker, now);
+            } else {
+                self.mark_runs_lost(&worker, LossReason::NotListed, now);
+            }
         }
     }
 
--- a/src/jobs/lost_workers.rs
+++ b/src/jobs/lost_workers.rs
@@ -175,6 +175,9 @@
         earlier.extend(lost.map(|(id, _)| id.clone()));
         for worker in earlier {
             self.worker_superseded(&worker, now);
+            if let Some(view) = self.workers.get_mut(&worker) {
+                view.is_replaced = true;
+            }
         }
     }
 
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -52,6 +52,9 @@
         }) = result
         {
             self.worker_superseded(token.worker(), now);
+            if let Some(view) = self.workers.get_mut(token.worker()) {
+                view.is_replaced = true;
+            }
         }
         match token {
             CallToken::Hold { worker } => match result {
@@ -119,6 +122,7 @@
         for placed in state.placed.iter_mut().filter(|placed| placed.run == run) {
             if placed.worker == worker {
                 placed.phase = RunPhase::Ordered;
+                placed.ordered_ms = now;
                 placed.last_progress_ms = now;
             }
         }
@@ -147,6 +151,9 @@
         }
         // The capacity may have shrunk while the placement was being stored.
         let view = self.workers.get(worker)?;
+        if view.clock.is_none() {
+            return Some("no_clock");
+        }
         let is_over = !view.entry.capacity.covers(&view.used);
         is_over.then_some("capacity")
     }
@@ -168,7 +175,10 @@
                 self.record_refusal(worker, task, run, reason, now);
                 self.resolve_refused_start(worker, task, run, reason, retries, now);
             }
-            CallResult::Answered(_) => {
+            CallResult::Answered(reply) => {
+                if let WorkerReply::Done { clock_ms } = reply {
+                    self.attribute_start(task, worker, run, clock_ms, now);
+                }
                 if matches!(phase, RunPhase::Ordered | RunPhase::Unanswered(_)) {
                     self.set_phase(task, worker, run, RunPhase::Running(now));
                 }
@@ -181,6 +191,9 @@
                 log::info!(
                     event = "start_unknown", task:% = task, run = run, worker = worker, retries = retries; ""
                 );
+                if result == CallResult::Unknown {
+                    self.mark_start_unanswered(task, worker, run);
+                }
                 if phase != RunPhase::Ordered {
                     return;
                 }
@@ -194,6 +207,13 @@
         }
     }
 
+    /// Records that an attempt at the start of a run has no answer.
+    fn mark_start_unanswered(&mut self, task: &TaskId, worker: &str, run: u32) {
+        if let Some(placed) = self.placed_run_mut(task, worker, run) {
+            placed.has_unanswered_start = true;
+        }
+    }
+
     /// Handles a run whose start is not to be sent again, after an attempt without an answer.
     ///
     /// It may be in service. If its step lacks as many others as it may, the worker's next report
--- a/src/jobs/restore.rs
+++ b/src/jobs/restore.rs
@@ -53,17 +53,18 @@
             }
         }
         for (task, worker, born_ms, run, footprint) in runs {
+            let expires_ms = self.settings.start_expiry_ms(now);
             match self.workers.get_mut(&worker) {
-                Some(view) if view.entry.born_ms <= born_ms || born_ms == 0 => {
+                Some(view) => {
+                    if born_ms != 0 && born_ms < view.entry.born_ms {
+                        // The new incarnation may have carried out the former owner's start.
+                        view.orders_expiry_ms = expires_ms;
+                    }
                     // The former owner may have learnt of the incarnation from the worker,
                     // whose entry in the store is written later.
                     view.entry.born_ms = view.entry.born_ms.max(born_ms);
                     view.add_run(task, run, footprint);
                 }
-                Some(_) => {
-                    self.record_inherited_loss(&task, &worker, born_ms, true, now);
-                    self.requeue_run(&task, &worker, run, now);
-                }
                 // A worker without an entry cannot be called: the run may be alive until
                 // the worker's lease has expired.
                 None => self.orphaned_runs.push((task, worker, run)),
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -15,8 +15,8 @@
     Reserved(u64),
     /// Its start was sent and is not answered yet.
     Ordered,
-    /// No attempt at its start was answered, the last one until this time; the worker's next
-    /// report tells whether it runs.
+    /// It is not known whether an attempt at its start was carried out, the last one until this
+    /// time; the worker's next report tells whether it runs.
     Unanswered(u64),
     /// Runs; the worker confirmed it at this time.
     Running(u64),
@@ -49,6 +49,13 @@
     pub phase: RunPhase,
     /// Whether it is known to have begun; a run of a former owner is taken to have.
     pub began: bool,
+    /// Whether it is known to have begun at the incarnation that started at `born_ms`.
+    pub is_attributed: bool,
+    /// Whether an attempt at its start had no answer; it may be carried out by a later
+    /// incarnation of the worker, even though another attempt was answered.
+    pub has_unanswered_start: bool,
+    /// When its start was last sent; 0 if this owner has not sent it.
+    pub ordered_ms: u64,
     /// When its completed share last changed, or when it was placed or its start sent.
     pub last_progress_ms: u64,
     /// When it was placed, or taken over from a former owner.
@@ -155,6 +162,9 @@
         run: placed.run,
         phase: RunPhase::Inherited,
         began: true,
+        is_attributed: false,
+        has_unanswered_start: false,
+        ordered_ms: 0,
         last_progress_ms: now,
         started_ms: now,
         percent: 0,
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -88,6 +88,13 @@
     pub other_entry: Option<(WorkerEntry, u64)>,
     /// When it was found in the store.
     pub found_ms: u64,
+    /// When the last answered hold call was sent; 0 before the first.
+    pub reported_ms: u64,
+    /// Last sign of life of the incarnation before; 0 if there was none.
+    pub former_alive_ms: u64,
+    /// When the leases that orders to an earlier incarnation may have granted have certainly
+    /// expired; 0 if there are none.
+    pub orders_expiry_ms: u64,
     /// When its entry disappeared from the store; none while the entry exists.
     pub unlisted_ms: Option<u64>,
     /// Ends up to this number are stored.
@@ -127,6 +134,8 @@
     pub evacuating: bool,
     /// Whether another incarnation has answered in its place.
     pub is_superseded: bool,
+    /// Whether a worker with another identifier runs in its place, so that it does not return.
+    pub is_replaced: bool,
     /// Task for whose isolated start it is reserved; no other run is started here meanwhile.
     pub claim: Option<IsolationClaim>,
     /// When a run was last placed here, or when the worker was found.
@@ -141,6 +150,9 @@
             entry,
             other_entry: None,
             found_ms: now,
+            reported_ms: 0,
+            former_alive_ms: 0,
+            orders_expiry_ms: 0,
             unlisted_ms: None,
             cursor: 0,
             applied_cursor: 0,
@@ -160,6 +172,7 @@
             failures: 0,
             evacuating: false,
             is_superseded: false,
+            is_replaced: false,
             claim: None,
             last_busy_ms: now,
         }
--- /dev/null
+++ b/tests/jobs_restarts.rs
@@ -0,0 +1,211 @@
+//! Workers that crash silently and start again under their identifier. Orders that were sent
+//! during the silence may be carried out by the new incarnation, at any moment.
+
+#[path = "support/world.rs"]
+#[expect(dead_code, reason = "other test files use the rest of the world")]
+mod world;
+
+use chicorygauge::ports::worker::WorkerOrder;
+
+use crate::world::World;
+use crate::world::job;
+use crate::world::step;
+
+const FIRST: &str = "00000000000000aa";
+const SECOND: &str = "00000000000000ab";
+
+/// Time by which all jobs are done, in milliseconds: a silent worker, the longest lease that a
+/// delayed start may have been granted, and the jobs' work.
+const SETTLED_MS: u64 = 45_000;
+
+/// Returns the worker of the last start.
+fn last_start(world: &World) -> String {
+    let mut calls = world.calls.iter().rev();
+    let start = calls.find(|(_, call)| matches!(call.order, WorkerOrder::Start { .. }));
+    start.expect("a start").1.worker.clone()
+}
+
+/// A worker that is in use crashes silently.
+struct SilentCrash {
+    world: World,
+    worker: String,
+}
+
+impl SilentCrash {
+    /// A job runs at a worker, which crashes; a second one is submitted after `until_job_ms`, and
+    /// is placed at the same worker unless the silence was noticed.
+    fn new(seed: u64, until_job_ms: u64, is_listed: bool) -> Self {
+        let mut world = World::new(3, seed);
+        world.engine.fleet.enabled = is_listed;
+        world.crashes_listed = is_listed;
+        world.run(2000);
+        world.submit(FIRST, &job(&[step(1, 1000, 5000)]), 1);
+        world.run(700);
+        let worker = last_start(&world);
+        world.crash_silently(&worker);
+        world.run(until_job_ms);
+        world.submit(SECOND, &job(&[step(1, 1000, 6000)]), 2);
+        Self { world, worker }
+    }
+
+    /// The worker starts again; for `mute_ms`, its replies are lost. Its entry is listed after
+    /// `entry_ms`.
+    fn restart(&mut self, entry_ms: u64, mute_ms: u64) {
+        let world = &mut self.world;
+        let born_ms = world.workers[&self.worker].entry.born_ms + 10_000;
+        let entry = world.restart(&self.worker, born_ms);
+        let worker = world.workers.get_mut(&self.worker).expect("a worker");
+        worker.mute = mute_ms > 0;
+        let first_ms = entry_ms.min(mute_ms);
+        world.run(first_ms);
+        if mute_ms <= entry_ms {
+            world.workers.get_mut(&self.worker).expect("it").mute = false;
+            world.run(entry_ms - first_ms);
+        }
+        let now = world.now;
+        world.engine.worker_listed(entry, now);
+        world.run(mute_ms.saturating_sub(entry_ms));
+        world.workers.get_mut(&self.worker).expect("it").mute = false;
+    }
+
+    /// Both jobs are done; that no task ran twice is checked at each start.
+    fn settle(&mut self, case: &str) {
+        self.world.run(SETTLED_MS);
+        for id in [FIRST, SECOND] {
+            assert!(self.world.completed.contains_key(id), "{id}, {case}");
+        }
+    }
+}
+
+/// A start is sent while its worker is silent, and carried out once the worker has started again
+/// under its identifier. Its entry was taken for the loss of that run, which was started
+/// elsewhere as well.
+#[test]
+fn restart_after_silence_start_not_repeated() {
+    for down_ms in (30..=1800).step_by(90) {
+        for until_job_ms in [5, 150, 420] {
+            for entry_ms in [0, 60, 700] {
+                let mut crash = SilentCrash::new(down_ms, until_job_ms, false);
+                crash.world.run(down_ms);
+                crash.restart(entry_ms, 0);
+                crash.settle(&format!("{down_ms} {until_job_ms} {entry_ms}"));
+            }
+        }
+    }
+}
+
+/// The same after a silence that is longer than the worker's lease.
+#[test]
+fn restart_after_long_silence_start_not_repeated() {
+    for down_ms in (2000..=9000).step_by(500) {
+        let mut crash = SilentCrash::new(down_ms, 150, false);
+        crash.world.run(down_ms);
+        crash.restart(50, 0);
+        crash.settle(&format!("{down_ms}"));
+    }
+}
+
+/// A worker that has started again carries out orders, but its replies are lost for longer than
+/// the lease that they were to grant: its clock had started anew, so that the run lasted for
+/// longer than expected, and was started elsewhere as well.
+#[test]
+fn restart_with_lost_replies_start_not_repeated() {
+    for down_ms in [100, 300, 450] {
+        for mute_ms in [200, 900, 3000, 5500, 9000] {
+            for entry_ms in [0, 400, 6000] {
+                let mut crash = SilentCrash::new(down_ms, 150, false);
+                crash.world.run(down_ms);
+                crash.restart(entry_ms, mute_ms);
+                crash.settle(&format!("{down_ms} {mute_ms} {entry_ms}"));
+            }
+        }
+    }
+}
+
+/// The platform lists the VM of a silent worker without a worker, and the worker then starts again
+/// under its identifier: runs that it was told to start meanwhile were taken for lost.
+#[test]
+fn restart_of_listed_crash_start_not_repeated() {
+    for down_ms in (100..=3000).step_by(100) {
+        for until_job_ms in [5, 150, 420] {
+            let mut crash = SilentCrash::new(down_ms, until_job_ms, true);
+            crash.world.run(down_ms);
+            crash.restart(60, 0);
+            crash.settle(&format!("{down_ms} {until_job_ms}"));
+        }
+    }
+}
+
+/// The owner is replaced while a worker is silent or just after it has started again: its
+/// successor took the runs of the former incarnation for lost, also those that the new one had
+/// begun.
+#[test]
+fn take_over_restarted_worker_start_not_repeated() {
+    for down_ms in [60, 200, 450, 900] {
+        for takeover_ms in [10, 120, 300, 480, 700, 1000] {
+            let mut crash = SilentCrash::new(down_ms, 150, false);
+            let first_ms = down_ms.min(takeover_ms);
+            crash.world.run(first_ms);
+            if takeover_ms < down_ms {
+                crash.world.take_over();
+                crash.world.run(down_ms - first_ms);
+                crash.restart(40, 0);
+            } else {
+                let born_ms = crash.world.workers[&crash.worker].entry.born_ms + 10_000;
+                crash.world.restart(&crash.worker, born_ms);
+                crash.world.run(takeover_ms - first_ms);
+                crash.world.take_over();
+            }
+            crash.settle(&format!("{down_ms} {takeover_ms}"));
+        }
+    }
+}
+
+/// The first attempt at a start is delayed, the second one confirmed. The worker then starts again
+/// under its identifier and carries out the first attempt; the run was taken for lost.
+#[test]
+fn restart_after_repeated_start_late_attempt_not_repeated() {
+    for restart_ms in (520..=2400).step_by(40) {
+        let mut world = World::new(2, restart_ms);
+        world.run(2000);
+        world.faults.delayed_orders = 1000;
+        world.submit(FIRST, &job(&[step(1, 1000, 6000)]), 1);
+        world.run(20);
+        let worker = last_start(&world);
+        world.faults.delayed_orders = 0;
+        world.run(restart_ms);
+        let born_ms = world.workers[&worker].entry.born_ms + 10_000;
+        world.crash_silently(&worker);
+        world.run(30);
+        let entry = world.restart(&worker, born_ms);
+        let now = world.now;
+        world.engine.worker_listed(entry, now);
+        world.run(SETTLED_MS);
+        assert!(world.completed.contains_key(FIRST), "{restart_ms}");
+    }
+}
+
+/// Tasks that crash their worker soon after their start, at workers that start again under their
+/// identifier: the loss must count against the task although its run may have been kept.
+#[test]
+fn restart_under_id_deadly_task_given_up() {
+    let mut world = World::new(3, 1);
+    world.run(2000);
+    world.submit(FIRST, &job(&[step(1, 1000, 5000)]), 1);
+    for _ in 0..3000 {
+        world.run(10);
+        let running: Vec<String> = world.workers.keys().cloned().collect();
+        for worker in running {
+            if world.tasks_at(&worker).is_empty() {
+                continue;
+            }
+            let born_ms = world.workers[&worker].entry.born_ms + 10_000;
+            world.crash_silently(&worker);
+            world.run(300);
+            let entry = world.restart(&worker, born_ms);
+            let now = world.now;
+            world.engine.worker_listed(entry, now);
+        }
+    }
+    assert!(world.starts() <= 12, "{} starts", world.starts());
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -68,6 +68,10 @@
 const MIN_RESTART_DELAY_MS: u64 = 1000;
 /// Maximum number of ends that a worker lists in an answer.
 const MAX_LISTED_ENDS: usize = 500;
+/// Longest lease that a worker grants, in milliseconds.
+const MAX_LEASE_MS: u64 = 10_000;
+/// Time from a stop until its run has ended, in milliseconds.
+const STOP_MS: u64 = 150;
 /// Interval between two ticks of the scheduler, in milliseconds.
 const TICK_MS: u64 = 50;
 /// Name of the pool that serves the queue.
@@ -95,9 +99,16 @@
     pub work_ms: u64,
     fails: bool,
     long_running: bool,
+    /// When its stop arrived; none if it is not being stopped.
+    stopped_ms: Option<u64>,
 }
 
 impl FakeRun {
+    fn is_stopped(&self, now: u64) -> bool {
+        self.stopped_ms
+            .is_some_and(|stopped_ms| now >= stopped_ms + STOP_MS)
+    }
+
     /// Returns whether the run is long-running and has started up.
     fn is_in_service(&self, now: u64) -> bool {
         self.long_running && now >= self.started_ms.saturating_add(self.work_ms)
@@ -111,11 +122,18 @@
     pub machine: String,
     /// Whether calls from the scheduler reach it.
     pub reachable: bool,
+    /// Whether its replies are lost although calls reach it.
+    pub mute: bool,
     /// Whether its process is running.
     pub up: bool,
     /// Whether its process has crashed.
     crashed: bool,
+    /// Whether connections to it went silent when its process ended.
+    silent: bool,
     epoch: u64,
+    /// When its clock was 0.
+    clock_zero_ms: u64,
+    /// End of its lease on its clock.
     lease_until_ms: u64,
     pub runs: BTreeMap<String, FakeRun>,
     /// Highest run number started or stopped, by task; a start with a lower or equal
@@ -127,6 +145,18 @@
     last_end: u64,
 }
 
+impl FakeWorker {
+    fn clock_ms(&self, now: u64) -> u64 {
+        now - self.clock_zero_ms
+    }
+
+    /// Extends its lease; a longer one than allowed is shortened.
+    fn extend_lease(&mut self, until_ms: u64, now: u64) {
+        let max_ms = self.clock_ms(now) + MAX_LEASE_MS;
+        self.lease_until_ms = self.lease_until_ms.max(until_ms.min(max_ms));
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Event {
     /// A call reaches its worker; the number is the time at which it was sent.
@@ -373,9 +403,12 @@
                 entry: entry.clone(),
                 machine: machine.to_owned(),
                 reachable: true,
+                mute: false,
                 up: true,
                 crashed: false,
+                silent: false,
                 epoch: 0,
+                clock_zero_ms: 0,
                 lease_until_ms: 0,
                 runs: BTreeMap::new(),
                 highest_runs: BTreeMap::new(),
@@ -426,18 +459,40 @@
         }
     }
 
+    /// Ends a worker's process, which starts again under the same id only with
+    /// [`World::restart`]. Connections to it go silent.
+    pub fn crash_silently(&mut self, id: &str) {
+        let worker = self.workers.get_mut(id).expect("a worker");
+        worker.up = false;
+        worker.silent = true;
+        worker.runs.clear();
+        if self.crashes_listed {
+            let machine = worker.machine.clone();
+            let row = self.machines.get_mut(&machine).expect("a VM");
+            row.state = MachineState::Down;
+            row.worker.clear();
+        }
+    }
+
     /// Restarts a worker's process under the same id, with the start that its clock shows, and
-    /// returns its entry, which is not listed yet.
+    /// returns its entry, which is not listed yet. Its own clock starts anew.
     pub fn restart(&mut self, id: &str, born_ms: u64) -> WorkerEntry {
         let worker = self.workers.get_mut(id).expect("a worker");
         worker.entry.born_ms = born_ms;
+        worker.up = true;
+        worker.silent = false;
         worker.epoch = 0;
+        worker.clock_zero_ms = self.now;
         worker.lease_until_ms = 0;
         worker.runs.clear();
         worker.highest_runs.clear();
         worker.ended.clear();
         worker.last_end = 0;
-        worker.entry.clone()
+        let (machine, entry) = (worker.machine.clone(), worker.entry.clone());
+        let row = self.machines.get_mut(&machine).expect("a VM");
+        row.state = MachineState::Up;
+        row.worker = id.to_owned();
+        entry
     }
 
     /// Ends the runs of the other members of a task's gang.
@@ -882,7 +937,9 @@
     }
 
     fn send_reply(&mut self, token: CallToken, reply: WorkerReply, sent_ms: u64) {
-        if self.draw_fault(self.faults.lost_replies) {
+        let worker = self.workers.get(token.worker());
+        let is_mute = worker.is_some_and(|worker| worker.mute);
+        if is_mute || self.draw_fault(self.faults.lost_replies) {
             return self.schedule(
                 CALL_LIMIT_MS,
                 Event::CallEnds(token, CallResult::Unknown, sent_ms),
@@ -900,8 +957,15 @@
             .get(&call.worker)
             .filter(|worker| worker.up && worker.reachable)
         else {
+            let worker = self.workers.get(&call.worker);
+            let is_silent = worker.is_some_and(|worker| worker.silent);
+            let wait_ms = if is_silent {
+                until_ms.saturating_sub(self.now)
+            } else {
+                0
+            };
             return self.schedule(
-                self.failure_delay_ms(&call.worker),
+                wait_ms + self.failure_delay_ms(&call.worker),
                 Event::CallEnds(token, CallResult::Unknown, sent_ms),
             );
         };
@@ -909,7 +973,7 @@
             return self.schedule(1, Event::HoldWaits(call, token, sent_ms, until_ms));
         }
         let reply = WorkerReply::Held {
-            clock_ms: self.now,
+            clock_ms: worker.clock_ms(self.now),
             born_ms: worker.entry.born_ms,
             running: worker
                 .runs
@@ -935,13 +999,14 @@
             });
         }
         worker.epoch = call.epoch;
+        let clock_ms = worker.clock_ms(now);
         match &call.order {
             WorkerOrder::Hold {
                 lease_until_ms,
                 cursor,
                 ..
             } => {
-                worker.lease_until_ms = worker.lease_until_ms.max(lease_until_ms.unwrap_or(0));
+                worker.extend_lease(lease_until_ms.unwrap_or(0), now);
                 let acknowledged: Vec<_> = worker
                     .ended
                     .extract_if(.., |row| row.number <= *cursor)
@@ -950,7 +1015,7 @@
                     self.acknowledged_done.insert(row.task.clone());
                 }
                 Some(WorkerReply::Held {
-                    clock_ms: now,
+                    clock_ms,
                     born_ms: worker.entry.born_ms,
                     running: Vec::new(),
                     ended: Vec::new(),
@@ -959,10 +1024,10 @@
             WorkerOrder::Stop { task, run } => {
                 let highest = worker.highest_runs.entry(task.clone()).or_default();
                 *highest = (*highest).max(*run);
-                if worker.runs.get(task).is_some_and(|own| own.run <= *run) {
-                    end_run(worker, task, RunEnd::Stopped);
+                if let Some(own) = worker.runs.get_mut(task).filter(|own| own.run <= *run) {
+                    own.stopped_ms.get_or_insert(now);
                 }
-                Some(WorkerReply::Done { clock_ms: now })
+                Some(WorkerReply::Done { clock_ms })
             }
             WorkerOrder::Start {
                 task,
@@ -970,9 +1035,9 @@
                 lease_until_ms,
                 ..
             } => {
-                worker.lease_until_ms = worker.lease_until_ms.max(*lease_until_ms);
+                worker.extend_lease(*lease_until_ms, now);
                 if worker.runs.get(task).is_some_and(|own| own.run == *run) {
-                    return Some(WorkerReply::Done { clock_ms: now });
+                    return Some(WorkerReply::Done { clock_ms });
                 }
                 let reason = if worker
                     .highest_runs
@@ -980,7 +1045,7 @@
                     .is_some_and(|highest| run <= highest)
                 {
                     Some(RefusalReason::OldRun)
-                } else if *lease_until_ms <= now {
+                } else if *lease_until_ms <= clock_ms {
                     Some(RefusalReason::LeaseEnded)
                 } else {
                     None
@@ -990,9 +1055,9 @@
                 }
                 let (id, task, run) = (call.worker.clone(), task.clone(), *run);
                 self.start_run(&id, &task, run, fails);
-                Some(WorkerReply::Done { clock_ms: now })
+                Some(WorkerReply::Done { clock_ms })
             }
-            WorkerOrder::Pace { .. } => Some(WorkerReply::Done { clock_ms: now }),
+            WorkerOrder::Pace { .. } => Some(WorkerReply::Done { clock_ms }),
         }
     }
 
@@ -1046,6 +1111,7 @@
                 work_ms: step.estimate_ms,
                 fails: fails && !step.lasting,
                 long_running: step.lasting,
+                stopped_ms: None,
             },
         );
         let used: u64 = worker
@@ -1150,22 +1216,26 @@
     fn finish_runs(&mut self) {
         let now = self.now;
         for worker in self.workers.values_mut().filter(|worker| worker.up) {
-            let expired = now > worker.lease_until_ms;
+            let expired = worker.clock_ms(now) > worker.lease_until_ms;
             let ended: Vec<String> = worker
                 .runs
                 .iter()
                 .filter(|(_, run)| {
                     expired
+                        || run.is_stopped(now)
                         || (!run.long_running && now >= run.started_ms.saturating_add(run.work_ms))
                 })
                 .map(|(task, _)| task.clone())
                 .collect();
             for task in ended {
-                let fails = worker.runs.get(&task).is_some_and(|run| run.fails);
-                let end = match (expired, fails) {
-                    (true, _) => RunEnd::LeaseExpired,
-                    (false, true) => RunEnd::Failed,
-                    (false, false) => RunEnd::Done,
+                let run = worker.runs.get(&task);
+                let is_stopped = run.is_some_and(|run| run.is_stopped(now));
+                let fails = run.is_some_and(|run| run.fails);
+                let end = match (expired, is_stopped, fails) {
+                    (true, ..) => RunEnd::LeaseExpired,
+                    (false, true, _) => RunEnd::Stopped,
+                    (false, false, true) => RunEnd::Failed,
+                    (false, false, false) => RunEnd::Done,
                 };
                 match end {
                     RunEnd::Done => {
