Placement: a job that cannot be placed holds no others of its pool back

Seen: accepted jobs stayed queued beside idle workers (LOST). One long-running job asked for a GPU that no worker has; no later job of its pool ran until the end.

Cause: a pass remembers what found no worker and skips steps that need at least as much. It compared CPU and memory, not GPUs, so that nearly every step "needed as much" as the one that lacked a GPU. The same class behind it: - the memory kept one need, the latest; - the first 16 jobs by rank without a worker ended a part of a pass, whatever they lacked: with some hundreds of them, jobs behind were reached only in a rotation of seconds; - an account's lane was left after 4 of them, and a full pool was assumed without regard to GPUs; - work that no worker of the pool could ever run counted as its backlog: jobs that idle workers could take were refused.

Change: needs are compared in each resource, with each need that found none. Waiting jobs have a shape, a digest of all that placement compares (resources, label, rack, limit per worker, gang, account, tickets); a pass tries the first job of each shape by rank, then goes on with shapes and with all jobs in turn. Admission leaves out work that no worker of the pool, and lending work that no worker at all, could run.

Ruled out: that long-running jobs come first in a pass (jobs that lack something block also without that).

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -38,6 +38,7 @@
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
+use crate::jobs::unplaceable::UnplaceableNeeds;
 use crate::jobs::unresponsive::UnresponsiveWorkers;
 use crate::jobs::waiting::WaitingJobs;
 use crate::jobs::worker::WorkerView;
@@ -210,9 +211,11 @@
     pub(crate) queue_index: HashMap<String, usize>,
     /// When runs were last checked for stuck ones and for their pace.
     pub(crate) runs_checked_ms: u64,
-    /// By pool, millicores and MB of memory that found no worker in this placement pass;
-    /// steps that need at least as much are skipped.
-    pub(crate) unplaceable: HashMap<String, (u64, u64)>,
+    /// By pool, needs that found no worker in this placement pass; steps that need at least
+    /// as much are skipped.
+    pub(crate) unplaceable: HashMap<String, UnplaceableNeeds>,
+    /// Number of searches for workers.
+    pub(crate) searches: u64,
     /// When a long-running task without a worker was last logged.
     pub(crate) waiting_logged_ms: u64,
     /// Inherited runs at workers without an entry: task, worker and run number.
@@ -261,6 +264,7 @@
             queue_index: HashMap::new(),
             runs_checked_ms: 0,
             unplaceable: HashMap::new(),
+            searches: 0,
             waiting_logged_ms: 0,
             orphaned_runs: Vec::new(),
             stop_retries: Vec::new(),
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -9,6 +9,8 @@
 use crate::jobs::record::BodyRecord;
 use crate::jobs::record::OccurrenceRecord;
 use crate::jobs::record::ProgressRecord;
+use crate::jobs::shapes::ShapeKey;
+use crate::jobs::shapes::step_shape;
 use crate::jobs::task::RunPhase;
 use crate::jobs::task::StepState;
 use crate::jobs::task::TaskRun;
@@ -60,13 +62,18 @@
     /// Probability with which it counts as in time in its size class; none if it does not
     /// count or its outcome is known. Not stored.
     pub expected_timely: Option<f64>,
+    /// Digest of what the tasks of each step need.
+    pub step_shapes: Vec<ShapeKey>,
 }
 
 impl JobEntry {
     /// Creates a job that was submitted at the time `now` on the boot clock.
     #[must_use]
     pub fn new(id: JobId, body: BodyRecord, now: u64) -> Self {
+        let steps = body.spec.steps.iter();
+        let shapes = steps.map(|spec| step_shape(spec, body.account.as_ref()));
         Self {
+            step_shapes: shapes.collect(),
             id,
             body,
             state: JobState::Queued,
--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::ops::Bound;
 
+use crate::jobs::shapes::ShapePosition;
+use crate::jobs::shapes::ShapedJobs;
+use crate::jobs::shapes::WaitingNeed;
 use crate::jobs::share::JobLane;
 use crate::jobs::share::ShareOrder;
 use crate::jobs::types::JobId;
@@ -24,6 +26,8 @@
     Limited,
     /// No task fits.
     Missed,
+    /// No task was tried, as one that needs no more found no worker in this pass.
+    Skipped,
 }
 
 /// State of a pass in a lane.
@@ -32,7 +36,7 @@
     /// Number of the pass.
     pass: u64,
     /// Last job tried.
-    position: Option<WaitingPosition>,
+    position: Option<ShapePosition>,
     /// Consecutive jobs without a fitting task.
     misses: usize,
     /// Whether the visit has continued where the previous pass stopped.
@@ -42,10 +46,14 @@
 /// Waiting jobs of a lane.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LaneOrder {
-    /// Jobs by rank.
-    pub(crate) jobs: BTreeSet<WaitingPosition>,
-    /// Last job that the previous pass tried; none if it was the last of the lane.
-    pub(crate) reached: Option<WaitingPosition>,
+    /// Jobs by rank and by shape.
+    pub(crate) jobs: ShapedJobs,
+    /// Last job in the rotation that a previous pass tried; none if it was the last of the lane.
+    reached: Option<ShapePosition>,
+    /// Last of the first jobs of their shapes that a previous pass tried; none if it was the last.
+    reached_head: Option<ShapePosition>,
+    /// Whether the current pass continues with the first jobs of their shapes.
+    continues_heads: bool,
     /// Lower bound of what a task of the lane's jobs needs; none if there is no bound.
     pub(crate) least_need: Option<ResourceVector>,
     visit: LaneVisit,
@@ -74,11 +82,48 @@
 
 impl LaneOrder {
     /// Returns a lane with one job.
-    pub(crate) fn new(position: WaitingPosition, least_need: ResourceVector) -> Self {
-        Self {
-            jobs: BTreeSet::from([position]),
-            least_need: Some(least_need),
+    pub(crate) fn new(position: WaitingPosition, need: WaitingNeed) -> Self {
+        let mut lane = Self {
+            least_need: Some(need.least),
             ..Self::default()
+        };
+        lane.jobs.insert(position, need.shape);
+        lane
+    }
+}
+
+impl LaneOrder {
+    /// Begins the part of a pass that continues where a previous pass stopped, with the first jobs
+    /// of their shapes and with all jobs in turn, and returns the position after which it does.
+    /// `last` is the last such first job that the pass has tried, if others are left.
+    pub(crate) fn resume(&mut self, last: Option<ShapePosition>) -> Option<ShapePosition> {
+        let is_turn = !self.continues_heads || self.jobs.are_heads();
+        self.continues_heads = last.is_some() && is_turn;
+        if !self.continues_heads {
+            return self.reached.take();
+        }
+        let both = [last, self.reached_head.take()];
+        let rank = |position: &ShapePosition| position.1.clone();
+        both.into_iter().flatten().max_by_key(rank)
+    }
+
+    /// Returns the next job to try in that part.
+    pub(crate) fn next_resumed(&self, position: Option<&ShapePosition>) -> Option<ShapePosition> {
+        if self.continues_heads {
+            self.jobs.next_head(position)
+        } else if self.jobs.are_heads() {
+            None
+        } else {
+            self.jobs.next_in_rotation(position)
+        }
+    }
+
+    /// Records the last job that it has tried; none if it was the last one.
+    pub(crate) fn set_reached(&mut self, reached: Option<ShapePosition>) {
+        if self.continues_heads {
+            self.reached_head = reached;
+        } else {
+            self.reached = reached;
         }
     }
 }
@@ -94,6 +139,14 @@
         self.cleared = true;
     }
 
+    /// Forgets the lower bounds of what is needed, which are computed anew with the ranks.
+    pub(crate) fn reset_bounds(&mut self) {
+        for lane in self.lanes.values_mut() {
+            lane.least_need = None;
+        }
+        self.least_need = None;
+    }
+
     /// Removes a lane.
     pub(crate) fn remove_lane(&mut self, lane: &JobLane) {
         self.lanes.remove(lane);
@@ -112,32 +165,35 @@
 
     /// Returns the next job of a lane that the current pass should try; none once it should
     /// leave the lane.
-    pub(crate) fn next_try(&mut self, lane: &JobLane) -> Option<JobId> {
-        let lane = self.lanes.get_mut(lane)?;
+    pub(crate) fn next_try(&mut self, name: &JobLane) -> Option<JobId> {
+        let lane = self.lanes.get_mut(name)?;
         if lane.visit.pass != self.pass {
             lane.visit = LaneVisit {
                 pass: self.pass,
                 ..LaneVisit::default()
             };
         }
-        let visit = &mut lane.visit;
-        if visit.misses >= MAX_LANE_MISSES {
-            if visit.resumed {
-                return None;
+        let mut next = None;
+        if !lane.visit.resumed {
+            if lane.visit.misses < MAX_LANE_MISSES {
+                next = lane.jobs.next_head(lane.visit.position.as_ref());
+            }
+            if next.is_none() {
+                let last = lane.visit.position.take();
+                lane.visit.position = lane.resume(last.filter(|_| lane.visit.misses > 0));
+                lane.visit.resumed = true;
+                lane.visit.misses = 0;
             }
-            visit.resumed = true;
-            visit.misses = 0;
-            visit.position = visit.position.take().max(lane.reached.take());
         }
-        let Some(next) = next_job(&lane.jobs, visit.position.as_ref()) else {
-            lane.reached = None;
-            return None;
-        };
-        visit.position = Some(next.clone());
-        if visit.resumed {
-            lane.reached = Some(next.clone());
+        if lane.visit.resumed {
+            if lane.visit.misses >= MAX_LANE_MISSES {
+                return None;
+            }
+            next = lane.next_resumed(lane.visit.position.as_ref());
+            lane.set_reached(next.clone());
         }
-        Some(next.1)
+        lane.visit.position.clone_from(&next);
+        next.map(|(_, (_, id))| id)
     }
 
     /// Records the result of the last try in a lane.
@@ -145,7 +201,7 @@
         if let Some(lane) = self.lanes.get_mut(lane) {
             match outcome {
                 TryOutcome::Placed => lane.visit.misses = 0,
-                TryOutcome::Limited => {}
+                TryOutcome::Limited | TryOutcome::Skipped => {}
                 TryOutcome::Missed => lane.visit.misses += 1,
             }
         }
@@ -160,12 +216,3 @@
         gpu: bound.gpu.min(need.gpu),
     })
 }
-
-/// Returns the next job after a position; without a position, the first one.
-pub(crate) fn next_job(
-    jobs: &BTreeSet<WaitingPosition>,
-    position: Option<&WaitingPosition>,
-) -> Option<WaitingPosition> {
-    let start = position.map_or(Bound::Unbounded, Bound::Excluded);
-    jobs.range((start, Bound::Unbounded)).next().cloned()
-}
--- a/src/jobs/load.rs
+++ b/src/jobs/load.rs
@@ -3,12 +3,16 @@
 //! Admission and moves of VMs between pools use these sums. They are recomputed every
 //! few ticks; jobs accepted in between are added to the backlog.
 
+use std::cell::LazyCell;
 use std::collections::BTreeMap;
 
+use crate::jobs::capability::FleetCapability;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::fleet::MachineOrder;
 use crate::jobs::job::JobEntry;
+use crate::jobs::lanes::lower_bound;
 use crate::jobs::price_input::PriceInput;
+use crate::jobs::types::ResourceVector;
 use crate::jobs::types::StepSpec;
 use crate::metrics::ROOM_PRICE;
 use crate::ports::fleet::MachineRow;
@@ -27,6 +31,8 @@
     pub free: f64,
     /// CPU of the largest worker that has answered, in millicores.
     pub largest_worker: f64,
+    /// What each schedulable worker has at least; none without one.
+    pub least_worker: Option<ResourceVector>,
     /// Remaining work of accepted jobs, in millicore-milliseconds.
     pub backlog: f64,
     /// CPU of the tasks that run or could run now if the pool had enough workers, in
@@ -34,6 +40,8 @@
     pub runnable: f64,
     /// CPU requested by long-running tasks, in millicores.
     pub long_running: f64,
+    /// The part of it that no worker of the pool could take, in millicores.
+    pub stranded: f64,
     /// Largest number of workers that a long-running step needs for its limit per worker,
     /// including one to move tasks to.
     pub min_workers: usize,
@@ -68,6 +76,12 @@
     cpu.fold(0, u64::saturating_add)
 }
 
+/// Returns whether each worker of a pool could run a job's tasks, if `least` is what each has.
+fn is_plain(job: &JobEntry, least: &ResourceVector) -> bool {
+    let mut steps = job.body.spec.steps.iter();
+    steps.all(|spec| !spec.gang && spec.label.is_empty() && least.covers(&spec.reserved()))
+}
+
 impl JobEngine {
     /// Returns the load of a pool; all zero if the pool is unknown or in standby.
     #[must_use]
@@ -88,12 +102,24 @@
         }
         self.add_workers(&mut loads, now);
         let mut inputs: BTreeMap<String, PriceInput> = BTreeMap::new();
+        let capability = LazyCell::new(|| FleetCapability::new(self.workers.values()));
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             let pool = self.pool_of(job);
             let Some(load) = loads.get_mut(pool) else {
                 continue;
             };
+            // Most jobs need not be compared with each worker.
+            let is_special = !load.least_worker.is_some_and(|least| is_plain(job, &least));
+            if is_special && !capability.fleet.allows_job(job) {
+                continue;
+            }
+            let own = is_special.then(|| capability.pool(pool)).flatten();
             if !job.body.spec.has_long_running_step() {
+                if own.is_some_and(|own| !own.allows_job(job)) {
+                    // Other VMs may be moved to the pool; it is no work for those that it has.
+                    load.runnable += runnable_cpu(job) as f64;
+                    continue;
+                }
                 if !inputs.contains_key(pool) {
                     inputs.insert(pool.to_owned(), PriceInput::default());
                 }
@@ -107,7 +133,11 @@
                 if step.lasting {
                     load.min_workers = load.min_workers.max(spread_workers(step));
                 }
-                load.long_running += f64::from(step.tasks) * step.reserved().cpu as f64;
+                let cpu = f64::from(step.tasks) * step.reserved().cpu as f64;
+                load.long_running += cpu;
+                if own.is_some_and(|own| !own.allows_step(step)) {
+                    load.stranded += cpu;
+                }
             }
         }
         for row in self.fleet.rows.values() {
@@ -139,6 +169,7 @@
             };
             *largest = largest.max(cpu);
             if view.is_schedulable(now) {
+                load.least_worker = Some(lower_bound(load.least_worker, view.entry.capacity));
                 load.capacity += cpu;
                 load.free += view.free().cpu as f64;
             }
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -1,5 +1,4 @@
-//! Placement of waiting tasks on workers, in the order of their jobs' ranks. Where the
-//! configuration has accounts, `place_shares` decides whose jobs are next.
+//! Placement of a job's waiting tasks on workers, and the ranks that order the jobs.
 //!
 //! Long-running jobs come first, then jobs that can still meet their objective, then
 //! late ones. Within each class, jobs are ordered by the priority of their queue, then
@@ -8,17 +7,15 @@
 
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
-use crate::jobs::lanes::TryOutcome;
 use crate::jobs::limits::StartKind;
-use crate::jobs::share::JobLane;
 use crate::jobs::size_guard::preferred_rank;
 use crate::jobs::task::TaskState;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobSpec;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
+use crate::jobs::unplaceable::UnplaceableNeeds;
 use crate::jobs::waiting::JobRank;
-use crate::jobs::waiting::WaitingPosition;
 
 /// How long a task waits for a rack-local worker, as a multiple of its estimate; after
 /// that, a slower run on another rack would end sooner.
@@ -31,14 +28,6 @@
 /// between two such log lines, in milliseconds.
 const WAITING_LOG_MS: u64 = 1000;
 
-/// Number of consecutive jobs without a fitting task after which a part of a pass ends.
-/// The first part starts at the lowest rank, the second where the previous pass stopped.
-const MAX_MISSES: usize = 16;
-
-/// Number of jobs at their account's limit that a part of a pass tries besides. They are no
-/// sign of a full pool, and cost only a look at the account.
-pub(crate) const MAX_LIMITED: usize = 512;
-
 /// Class of jobs with long-running tasks.
 const CLASS_LONG_RUNNING: u32 = 0;
 /// Class of jobs that can still meet their objective.
@@ -46,78 +35,17 @@
 /// Class of jobs that can no longer meet their objective.
 const CLASS_LATE: u32 = 2;
 
-impl JobEngine {
-    /// Places the waiting tasks of the pools that are due as far as capacity allows.
-    pub(crate) fn place_runs(&mut self, now: u64) {
-        for id in self.waiting.take_unranked(now) {
-            let job = self.jobs.get(&id).filter(|job| !job.state.is_final());
-            if let Some(job) = job {
-                let (rank, pool) = (self.rank(job, now), self.pool_of(job).to_owned());
-                let (lane, need) = self.lane(job);
-                self.waiting.set_rank(&id, &pool, &lane, rank, need);
-            }
-        }
-        self.place_claimed(now);
-        for pool in self.waiting.take_due_pools() {
-            self.unplaceable.remove(&pool);
-            self.place_common(&pool, now);
-            if self.config.accounts.is_some() {
-                self.place_by_share(&pool, now);
-            }
-        }
-    }
-
-    /// Places the jobs of a pool's common lane.
-    fn place_common(&mut self, pool: &str, now: u64) {
-        let Some(last) = self.place_after(pool, None, now) else {
-            return self.waiting.set_reached(pool, None);
-        };
-        let resume = self.waiting.resume_position(pool, last);
-        let reached = self.place_after(pool, Some(resume), now);
-        self.waiting.set_reached(pool, reached);
-    }
-
-    /// Places the waiting jobs of a pool's common lane after a position, until
-    /// [`MAX_MISSES`] consecutive ones had no fitting task, or [`MAX_LIMITED`] were at their
-    /// account's limit. Returns the position of the last job tried, none if it was
-    /// the last of the pool.
-    fn place_after(
-        &mut self,
-        pool: &str,
-        mut position: Option<WaitingPosition>,
-        now: u64,
-    ) -> Option<WaitingPosition> {
-        let (mut misses, mut limited) = (0, 0);
-        while misses < MAX_MISSES && limited < MAX_LIMITED {
-            let next = self
-                .waiting
-                .next(pool, &JobLane::Common, position.as_ref())?;
-            match self.try_job(&next.1, now) {
-                TryOutcome::Placed => misses = 0,
-                TryOutcome::Limited => limited += 1,
-                TryOutcome::Missed => misses += 1,
-            }
-            position = Some(next);
-        }
-        position
-    }
-
-    /// Places the tasks of a job; does not look for workers if its account's limit allows
-    /// none of them.
-    pub(crate) fn try_job(&mut self, id: &JobId, now: u64) -> TryOutcome {
-        let checks = self.limits.failed_checks;
-        if self.is_exhausted(id, now) {
-            TryOutcome::Limited
-        } else if self.place_job(id, now) {
-            TryOutcome::Placed
-        } else if self.limits.failed_checks > checks {
-            TryOutcome::Limited
-        } else {
-            TryOutcome::Missed
-        }
-    }
+/// Result of a try to place the tasks of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PlaceResult {
+    /// Whether tasks still wait.
+    pub(crate) waits: bool,
+    /// Whether a task was placed, or none waits.
+    pub(crate) placed: bool,
+}
 
-    fn rank(&self, job: &JobEntry, now: u64) -> JobRank {
+impl JobEngine {
+    pub(crate) fn rank(&self, job: &JobEntry, now: u64) -> JobRank {
         let (work, critical_path_ms) = remaining_work(job);
         let due_ms = job.submitted_ms.saturating_add(self.objective_ms(job));
         let timely = now.saturating_add(critical_path_ms) <= due_ms;
@@ -190,11 +118,13 @@
     }
 
     /// Places the tasks of a job's open steps; the job stops waiting if none of them does.
-    /// Returns false if tasks are waiting and none was placed.
-    fn place_job(&mut self, id: &JobId, now: u64) -> bool {
+    pub(crate) fn place_job(&mut self, id: &JobId, now: u64) -> PlaceResult {
         let Some(job) = self.jobs.get(id) else {
             self.waiting.remove(id);
-            return true;
+            return PlaceResult {
+                waits: false,
+                placed: true,
+            };
         };
         let version = job.version;
         let pool = self.pool_of(job).to_owned();
@@ -215,7 +145,11 @@
             self.waiting.remove(id);
         }
         // Each placement changes the version.
-        !waiting || self.jobs.get(id).is_some_and(|job| job.version > version)
+        let has_changed = self.jobs.get(id).is_some_and(|job| job.version > version);
+        PlaceResult {
+            waits: waiting,
+            placed: !waiting || has_changed,
+        }
     }
 
     /// Places the tasks of a step; returns whether some are still waiting.
@@ -255,6 +189,7 @@
             if ready.len() == state.tasks.len()
                 && self.account_allows(id, &spec, StartKind::Gang, now)
             {
+                self.searches += 1;
                 return !self.place_gang(&first, pool, &spec, now);
             }
             return waiting > 0;
@@ -274,6 +209,7 @@
             if !self.account_allows(id, &spec, StartKind::Task, now) {
                 break;
             }
+            self.searches += 1;
             match self.find_worker(&task, pool, &spec, rack_local_only, now) {
                 Some(worker) => {
                     placed += 1;
@@ -298,9 +234,9 @@
     /// Returns whether an earlier step of this pass found no worker in the pool although
     /// its tasks need at most as much.
     fn is_unplaceable(&self, pool: &str, spec: &StepSpec) -> bool {
-        let need = spec.reserved();
-        let unplaceable = self.unplaceable.get(pool);
-        unplaceable.is_some_and(|(cpu, memory_mb)| need.cpu >= *cpu && need.memory_mb >= *memory_mb)
+        self.unplaceable
+            .get(pool)
+            .is_some_and(|unplaceable| unplaceable.includes(&spec.reserved()))
     }
 
     /// Records the need of a step that found no worker, unless other constraints than
@@ -309,9 +245,13 @@
         let unconstrained =
             spec.label.is_empty() && spec.per_worker == 0 && spec.data_rack.is_empty();
         if unconstrained && !self.needs_advice(task) {
-            let need = spec.reserved();
-            self.unplaceable
-                .insert(pool.to_owned(), (need.cpu, need.memory_mb));
+            if !self.unplaceable.contains_key(pool) {
+                let unplaceable = UnplaceableNeeds::default();
+                self.unplaceable.insert(pool.to_owned(), unplaceable);
+            }
+            if let Some(unplaceable) = self.unplaceable.get_mut(pool) {
+                unplaceable.insert(spec.reserved());
+            }
         }
     }
 
--- a/src/jobs/place_shares.rs
+++ b/src/jobs/place_shares.rs
@@ -16,7 +16,7 @@
 use crate::jobs::job::JobEntry;
 use crate::jobs::lanes::TryOutcome;
 use crate::jobs::ledger::allows_task;
-use crate::jobs::place::MAX_LIMITED;
+use crate::jobs::passes::MAX_LIMITED;
 use crate::jobs::share::JobLane;
 use crate::jobs::share::weighted_share;
 use crate::jobs::types::JobId;
@@ -62,11 +62,11 @@
     fn charge(&mut self, outcome: TryOutcome) -> TryOutcome {
         match outcome {
             TryOutcome::Placed => outcome,
-            TryOutcome::Limited if self.limited > 0 => {
+            TryOutcome::Limited | TryOutcome::Skipped if self.limited > 0 => {
                 self.limited -= 1;
                 outcome
             }
-            TryOutcome::Limited | TryOutcome::Missed => {
+            TryOutcome::Limited | TryOutcome::Skipped | TryOutcome::Missed => {
                 self.misses = self.misses.saturating_sub(1);
                 TryOutcome::Missed
             }
@@ -190,9 +190,9 @@
     fn is_full(&self, pool: &str, lane: Option<&JobLane>) -> bool {
         let least = self.waiting.least_need(pool, lane);
         let unplaceable = self.unplaceable.get(pool);
-        least.zip(unplaceable).is_some_and(|(need, unplaceable)| {
-            need.cpu >= unplaceable.0 && need.memory_mb >= unplaceable.1
-        })
+        least
+            .zip(unplaceable)
+            .is_some_and(|(need, unplaceable)| unplaceable.includes(&need))
     }
 
     /// Returns whether the limit of a lane's account allows none of its tasks.
@@ -213,8 +213,8 @@
         if !self.is_at_limit(pool, lane) {
             return false;
         }
-        let first = self.waiting.next(pool, lane, None);
-        first.is_some_and(|(_, id)| self.is_exhausted(&id, now))
+        let first = self.waiting.next_head(pool, lane, None);
+        first.is_some_and(|(_, (_, id))| self.is_exhausted(&id, now))
     }
 
     /// Computes the shares of an account in a pool.
--- a/src/jobs/price_input.rs
+++ b/src/jobs/price_input.rs
@@ -61,7 +61,7 @@
     /// Returns the table of a pool with the given load.
     #[must_use]
     pub fn table(self, load: &PoolLoad, arrival_ms: u64, now: u64) -> PriceTable {
-        let usable = load.capacity - load.long_running;
+        let usable = load.capacity - (load.long_running - load.stranded);
         let supply = PoolSupply {
             built_ms: now,
             capacity: usable.max(load.capacity * MIN_USABLE_SHARE),
--- a/tests/jobs_waiting.rs
+++ b/tests/jobs_waiting.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 
 use chicorygauge::jobs::lanes::TryOutcome;
+use chicorygauge::jobs::shapes::WaitingNeed;
 use chicorygauge::jobs::share::JobLane;
 use chicorygauge::jobs::share::weighted_share;
 use chicorygauge::jobs::types::JobId;
@@ -43,13 +44,13 @@
             POOL,
             &JobLane::Common,
             rank(work),
-            ResourceVector::default(),
+            need(number),
         );
     }
     let mut order = Vec::new();
     let mut place = None;
-    while let Some(next) = waiting.next(POOL, &JobLane::Common, place.as_ref()) {
-        order.push(next.1.clone());
+    while let Some(next) = waiting.next_head(POOL, &JobLane::Common, place.as_ref()) {
+        order.push(next.1.1.clone());
         place = Some(next);
     }
     assert_eq!(order, [job_id(1), job_id(2), job_id(0)]);
@@ -64,7 +65,7 @@
         POOL,
         &JobLane::Common,
         rank(1.0),
-        ResourceVector::default(),
+        WaitingNeed::default(),
     );
     waiting.insert(&job_id(1));
     assert_eq!(waiting.len(), 1);
@@ -73,12 +74,12 @@
         POOL,
         &JobLane::Common,
         rank(2.0),
-        ResourceVector::default(),
+        WaitingNeed::default(),
     );
     assert_eq!(waiting.len(), 1);
     waiting.remove(&job_id(1));
     assert!(waiting.is_empty());
-    assert_eq!(waiting.next(POOL, &JobLane::Common, None), None);
+    assert_eq!(waiting.next_head(POOL, &JobLane::Common, None), None);
 }
 
 /// A pool in which nothing has changed must not be looked at again.
@@ -90,7 +91,7 @@
         POOL,
         &JobLane::Common,
         rank(1.0),
-        ResourceVector::default(),
+        WaitingNeed::default(),
     );
     assert_eq!(waiting.take_due_pools(), [POOL]);
     assert!(waiting.take_due_pools().is_empty());
@@ -102,18 +103,28 @@
     JobLane::Account(Some(account.into()))
 }
 
-fn need(cpu: u64) -> ResourceVector {
-    ResourceVector {
-        cpu,
-        memory_mb: 100,
-        gpu: 0,
+/// Returns the need of a job with a shape.
+fn need(shape: usize) -> WaitingNeed {
+    WaitingNeed {
+        least: ResourceVector {
+            cpu: 1000,
+            memory_mb: 100,
+            gpu: 0,
+        },
+        shape: shape as u64,
     }
 }
 
-/// Adds jobs numbered from `first` on to a lane, ranked by number.
+/// Adds jobs numbered from `first` on to a lane, ranked by number, each of a shape of its own.
 fn add_to_lane(waiting: &mut WaitingJobs, lane: &JobLane, first: usize, count: usize) {
     for number in first..first + count {
-        waiting.set_rank(&job_id(number), POOL, lane, rank(number as f64), need(1000));
+        waiting.set_rank(
+            &job_id(number),
+            POOL,
+            lane,
+            rank(number as f64),
+            need(number),
+        );
     }
 }
 
