Terms: what a job was accepted under stays with it without its queue

Seen: a job that fails each time was started 16 times in 16 s, 12 of them after its three attempts had ended as failed (BUDGET); it never ended. Its route had been removed while its second run was at work.

Cause: the number of attempts was read from the queue in the current configuration, and was unlimited without one. The same class, with the same look into the present for a job of the past: - the objective of such a job was 0, so that it counted as late at once; - its priority was 0, the highest: it went before the jobs of all remaining queues; - its tasks were placed without the advice that their policy needs; - a raised number of attempts applied to jobs that were accepted with fewer.

Change: a job's terms (attempts, priority, objective, advice) are stored with its body, after the part about its account, where earlier versions ignore them. They apply when its queue is removed; of the attempts, the fewer of those at acceptance and now. A job that an earlier version accepted takes the terms of its queue as soon as an owner knows it; the strictest apply to one whose queue no owner knows. A submission that arrives after the removal takes those that its queue had last.

--- a/benches/scheduler/simulation.rs
+++ b/benches/scheduler/simulation.rs
@@ -261,6 +261,7 @@
                 schedule: None,
             },
             account: self.account(),
+            terms: None,
         };
         let time = self.time();
         self.engine
--- a/src/jobs/admit.rs
+++ b/src/jobs/admit.rs
@@ -159,7 +159,7 @@
     pub(crate) fn admit(&mut self, submission: &Submission, now: u64) -> Result<AdmittedJob, u64> {
         let queue = self.config.queue(&submission.queue);
         let pool = queue.map_or(submission.pool.clone(), |queue| queue.pool.clone());
-        let (slack, target_ms) = queue.map_or((1.0, 0), |queue| (queue.slack, queue.target_ms));
+        let terms = self.queue_terms(&submission.queue).unwrap_or_default();
         let spec = &submission.spec;
         if spec.has_long_running_step() || spec.schedule.is_some() {
             return Ok(AdmittedJob {
@@ -168,7 +168,7 @@
                 expected_timely: None,
             });
         }
-        let objective_ms = spec.critical_path_ms() as f64 * slack.max(1.0) + target_ms as f64;
+        let objective_ms = spec.critical_path_ms() as f64 * terms.slack + terms.target_ms as f64;
         let work = spec.work();
         let first_ms = self.admission.refused.first_send_ms(&submission.id, now);
         if first_ms.is_none() {
@@ -264,11 +264,17 @@
     ) -> JobDemand {
         let (queue, spec) = (&submission.queue, &submission.spec);
         let (work, critical_ms) = (spec.work(), spec.critical_path_ms() as f64);
+        let priority = self.queue_terms(queue).unwrap_or_default().priority;
         let age_ms = first_ms.map_or(0, |first_ms| now.saturating_sub(first_ms)) as f64;
         let underserved = self.admission.sizes.is_underserved(queue, work);
         let row = |age_ms: f64| WaitingRow {
             rank: preferred_rank(
-                self.rank_of_work(queue, spec, work, critical_ms + age_ms <= objective_ms),
+                self.rank_of_work(
+                    (queue, priority),
+                    spec,
+                    work,
+                    critical_ms + age_ms <= objective_ms,
+                ),
                 underserved,
             ),
             work: work as f64,
--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -45,8 +45,7 @@
 
     pub(crate) fn needs_advice(&self, task: &TaskId) -> bool {
         let job = self.jobs.get(&task.job);
-        let queue = job.and_then(|job| self.queue_of(job));
-        queue.is_some_and(|queue| queue.advice.is_some())
+        job.is_some_and(|job| self.advice_of(job).is_some())
     }
 
     /// Returns whether the task needs no advice or has a usable ticket for the worker.
--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -141,6 +141,7 @@
                 return self.answer(waiter, CallerAnswer::Refused { retry_ms });
             }
         };
+        let terms = self.queue_terms(&submission.queue);
         let queue = self.config.queue(&submission.queue);
         let body = BodyRecord {
             queue: submission.queue,
@@ -148,6 +149,7 @@
             submitted_ms: time.unix - time.boot.saturating_sub(admitted.first_ms),
             spec: submission.spec,
             account: submission.account,
+            terms,
         };
         let mut job = JobEntry::new(id.clone(), body, admitted.first_ms);
         job.beyond_rate = submission.beyond_rate;
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -35,6 +35,7 @@
 use crate::jobs::load::PoolLoad;
 use crate::jobs::lost_workers::LostWorkers;
 use crate::jobs::stable_map::StableMap;
+use crate::jobs::terms::JobTerms;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
@@ -207,6 +208,8 @@
     pub(crate) loads: BTreeMap<String, PoolLoad>,
     /// What admission knows beside the loads.
     pub(crate) admission: AdmissionState,
+    /// Terms of the queues of this and earlier configurations.
+    pub(crate) former_terms: HashMap<String, JobTerms>,
     /// Position of each queue in the configuration.
     pub(crate) queue_index: HashMap<String, usize>,
     /// When runs were last checked for stuck ones and for their pace.
@@ -261,6 +264,7 @@
             lending: LendingState::default(),
             loads: BTreeMap::new(),
             admission: AdmissionState::default(),
+            former_terms: HashMap::new(),
             queue_index: HashMap::new(),
             runs_checked_ms: 0,
             unplaceable: HashMap::new(),
@@ -270,6 +274,7 @@
             stop_retries: Vec::new(),
         };
         engine.index_queues();
+        engine.keep_terms();
         engine.apply_accounts();
         engine
     }
@@ -290,6 +295,7 @@
             log::info!(event = "scheduler_config", version = config.version, before = self.config.version; "");
             self.config = config;
             self.index_queues();
+            self.keep_terms();
             self.apply_accounts();
             self.waiting.mark_all_due();
         }
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -288,12 +288,6 @@
             .then(|| (task.job.clone(), version))
     }
 
-    fn max_attempts(&self, task: &TaskId) -> u32 {
-        let job = self.jobs.get(&task.job);
-        let queue = job.and_then(|job| self.queue_of(job));
-        queue.map_or(u32::MAX, |queue| queue.attempts.max(1))
-    }
-
     fn has_not_failed(&self, task: &TaskId) -> bool {
         let job = self.jobs.get(&task.job);
         let state = job.and_then(|job| job.task(task));
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -62,6 +62,7 @@
 pub mod stable_map;
 pub mod stops;
 pub mod task;
+pub mod terms;
 pub mod turns;
 pub mod types;
 pub mod unplaceable;
--- a/src/jobs/passes.rs
+++ b/src/jobs/passes.rs
@@ -61,9 +61,7 @@
                 continue;
             };
             let (lane, least) = self.lane(job);
-            let has_advice = self
-                .queue_of(job)
-                .is_some_and(|queue| queue.advice.is_some());
+            let has_advice = self.advice_of(job).is_some();
             let need = WaitingNeed {
                 least,
                 shape: job_shape(job, has_advice, now),
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -49,21 +49,20 @@
         let (work, critical_path_ms) = remaining_work(job);
         let due_ms = job.submitted_ms.saturating_add(self.objective_ms(job));
         let timely = now.saturating_add(critical_path_ms) <= due_ms;
-        let rank = self.rank_of_work(&job.body.queue, &job.body.spec, work, timely);
+        let queue = (job.body.queue.as_str(), self.terms(job).priority);
+        let rank = self.rank_of_work(queue, &job.body.spec, work, timely);
         preferred_rank(rank, job.preferred)
     }
 
-    /// Returns the rank of a job of a queue with `work` left, in millicore-milliseconds.
+    /// Returns the rank of a job of a queue and with a priority that has `work` left, in
+    /// millicore-milliseconds.
     pub(crate) fn rank_of_work(
         &self,
-        queue: &str,
+        (queue, priority): (&str, u32),
         spec: &JobSpec,
         work: u64,
         timely: bool,
     ) -> JobRank {
-        let at = self.queue_index.get(queue);
-        let config = at.and_then(|at| self.config.queues.get(*at));
-        let priority = config.map_or(0, |config| config.priority);
         if spec.has_long_running_step() {
             return JobRank {
                 class: CLASS_LONG_RUNNING,
@@ -85,15 +84,13 @@
     }
 
     /// Returns the time from its submission within which a job should complete, in
-    /// milliseconds; 0 if its queue no longer exists.
+    /// milliseconds.
     #[must_use]
     pub fn objective_ms(&self, job: &JobEntry) -> u64 {
-        let Some(queue) = self.queue_of(job) else {
-            return 0;
-        };
+        let terms = self.terms(job);
         let critical_path_ms = job.body.spec.critical_path_ms() as f64;
-        let path_ms = (critical_path_ms * queue.slack.max(1.0)) as u64;
-        path_ms.saturating_add(queue.target_ms)
+        let path_ms = (critical_path_ms * terms.slack.max(1.0)) as u64;
+        path_ms.saturating_add(terms.target_ms)
     }
 
     /// Returns the moving average of the work of a queue's jobs, in millicore-milliseconds.
--- a/src/jobs/price_input.rs
+++ b/src/jobs/price_input.rs
@@ -90,8 +90,12 @@
                 input.late.push(job.id.clone());
             }
             let (queue, spec) = (&job.body.queue, &job.body.spec);
+            let priority = self.terms(job).priority;
             input.rows.push(WaitingRow {
-                rank: preferred_rank(self.rank_of_work(queue, spec, work, timely), job.preferred),
+                rank: preferred_rank(
+                    self.rank_of_work((queue, priority), spec, work, timely),
+                    job.preferred,
+                ),
                 work: (work - running) as f64,
                 critical_ms: critical_ms as f64,
                 slack_ms: objective_ms - age_ms,
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -16,6 +16,8 @@
 
 use crate::jobs::account::AccountName;
 use crate::jobs::loss_record::LossRecord;
+use crate::jobs::terms::JobTerms;
+use crate::jobs::terms::TermsRecord;
 use crate::jobs::types::JobSpec;
 use crate::jobs::types::JobState;
 
@@ -145,6 +147,10 @@
     /// as a [`BodyExtension`].
     #[serde(skip)]
     pub account: Option<AccountName>,
+    /// What it was accepted under; none if an earlier version has accepted it. They are encoded
+    /// as a [`TermsRecord`] after the [`BodyExtension`].
+    #[serde(skip)]
+    pub terms: Option<JobTerms>,
 }
 
 /// Fields of a job's body that are encoded after it.
@@ -161,13 +167,18 @@
 ///
 /// Fails if the encoder fails.
 pub fn encode_body(body: &BodyRecord) -> Result<Vec<u8>, EncodeError> {
-    let Some(account) = &body.account else {
+    if body.account.is_none() && body.terms.is_none() {
         return encode(body);
-    };
+    }
     let extension = BodyExtension {
-        account: Some(account.to_string()),
+        account: body.account.as_ref().map(ToString::to_string),
     };
-    encode_with(body, &extension)
+    let mut bytes = encode_with(body, &extension)?;
+    if let Some(terms) = body.terms {
+        // Earlier versions ignore what follows the extension that they know.
+        bytes.extend(encode(&TermsRecord::from(terms))?);
+    }
+    Ok(bytes)
 }
 
 /// Decodes a job's body that is stored under `key`.
@@ -175,11 +186,17 @@
 /// # Errors
 ///
 /// Fails if `bytes` is not an encoded body.
-pub fn decode_body(key: &str, bytes: &[u8]) -> Result<BodyRecord, RecordError> {
-    let (body, extension): (BodyRecord, Option<BodyExtension>) = decode_with(key, bytes)?;
+pub fn decode_body(key: &str, mut bytes: &[u8]) -> Result<BodyRecord, RecordError> {
+    let (body, extension): (BodyRecord, Option<BodyExtension>) = read_with(key, &mut bytes)?;
     let account = extension.and_then(|extension| extension.account);
+    let terms: Option<TermsRecord> = if bytes.is_empty() {
+        None
+    } else {
+        Some(rmp_serde::from_read(&mut bytes).context(RecordSnafu { key })?)
+    };
     Ok(BodyRecord {
         account: account.map(Into::into),
+        terms: terms.map(Into::into),
         ..body
     })
 }
--- a/src/jobs/restore.rs
+++ b/src/jobs/restore.rs
@@ -27,10 +27,11 @@
     pub fn restore_job(
         &mut self,
         id: JobId,
-        body: BodyRecord,
+        mut body: BodyRecord,
         progress: Option<ProgressRecord>,
         time: TimePair,
     ) {
+        body.terms = body.terms.or_else(|| self.queue_terms(&body.queue));
         let age_ms = time.unix.saturating_sub(body.submitted_ms);
         let mut job = JobEntry::restore(id.clone(), body, progress, time.boot, age_ms);
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
--- a/tests/accounts_wire.rs
+++ b/tests/accounts_wire.rs
@@ -171,6 +171,7 @@
         submitted_ms: 1_700_000_000_000,
         spec: spec(),
         account: account.map(Into::into),
+        terms: None,
     }
 }
 
--- a/tests/jobs_occurrences.rs
+++ b/tests/jobs_occurrences.rs
@@ -85,6 +85,7 @@
         submitted_ms: 0,
         spec: recurring(1, 2, 1_000_000),
         account: None,
+        terms: None,
     };
     let mut entry = JobEntry::new(JOB.into(), body, 0);
     entry.open_due(0, 1);
--- a/tests/jobs_shares.rs
+++ b/tests/jobs_shares.rs
@@ -73,6 +73,7 @@
         submitted_ms: time.unix,
         spec: spec.clone(),
         account: account.map(Into::into),
+        terms: None,
     };
     world.engine.restore_job(id.into(), body, None, time);
 }
@@ -345,6 +346,7 @@
         submitted_ms: time.unix,
         spec: job(&[step(1, 4000, 400)]),
         account: Some("a".into()),
+        terms: None,
     };
     world.engine.restore_job("a-2".into(), body, None, time);
     world.run(200);
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -158,6 +158,7 @@
         submitted_ms: time.unix - age_ms,
         spec: spec.clone(),
         account: None,
+        terms: None,
     };
     world.engine.restore_job(id.into(), body, None, time);
 }
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -687,6 +687,7 @@
             submitted_ms: time.unix,
             spec: spec.clone(),
             account: None,
+            terms: None,
         };
         self.engine.restore_job(id.into(), body, None, time);
     }
