Leases: a worker whose runs may outlive its lease is not expired at each tick

Cause: since runs with an unanswered start outlive the lease of a silent worker, such a worker was found to have expired at each tick, with a log line each time. Change: it expires once a run of it can have ended; lose_expired_runs and lose_settled_runs name the runs that they keep. No run is lost earlier or later than before. Seen on reading the change; jobs_restarts, jobs_leases, jobs_incarnations, jobs_runs and jobs_availability pass.

--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -281,7 +281,12 @@
         for (id, view) in &self.workers {
             let unresponsive = view.missed_calls > 0 || view.contact_ms.is_none();
             let bound = self.lease_bound(view);
-            if unresponsive && !view.runs.is_empty() && now > bound.expires_ms {
+            let may_outlive = |(task, run): &(TaskId, u32)| {
+                let placed = self.placed_run(task, id, *run);
+                placed.is_some_and(|placed| self.may_outlive_lease(view, placed, now))
+            };
+            let is_expired = unresponsive && now > bound.expires_ms;
+            if is_expired && !view.runs.iter().all(may_outlive) {
                 log::info!(
                     event = "worker_lease_expired", worker = id.as_str(), source = bound.source,
                     over_ms = now - bound.expires_ms, answered = view.contact_ms.is_some(),
--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -234,40 +234,51 @@
         }
     }
 
+    /// Returns whether a run at a worker that does not answer may go on after its lease has
+    /// expired. One with an attempt at its start that is not answered may have been started by a
+    /// later incarnation, whose lease ends later.
+    pub(crate) fn may_outlive_lease(&self, view: &WorkerView, run: &TaskRun, now: u64) -> bool {
+        let has_open_start = run.has_unanswered_start || run.phase == RunPhase::Ordered;
+        let expires_ms = self.settings.start_expiry_ms(run.ordered_ms);
+        has_open_start && !view.is_replaced && now <= expires_ms
+    }
+
+    /// Marks the runs as lost at a worker that does not answer and whose lease has expired.
+    pub(crate) fn lose_expired_runs(&mut self, worker: &str, now: u64) {
+        let kept = self.runs_that(worker, |view, run| self.may_outlive_lease(view, run, now));
+        self.lose_runs_except(worker, kept, LossReason::LeaseExpired, now);
+    }
+
     /// Marks the runs as lost at a worker whose VM the platform lists as down. It may start again
     /// under its identifier, so that runs with an order that is not answered are kept.
     pub(crate) fn lose_settled_runs(&mut self, worker: &str, now: u64) {
-        self.lose_runs_except(worker, is_unsettled, LossReason::NotListed, now);
+        let kept = self.runs_that(worker, |_, run| is_unsettled(run));
+        self.lose_runs_except(worker, kept, LossReason::NotListed, now);
     }
 
-    /// Marks the runs as lost at a worker that does not answer and whose lease has expired. One
-    /// with an attempt at its start that is not answered may have been started by a later
-    /// incarnation, whose lease ends later.
-    pub(crate) fn lose_expired_runs(&mut self, worker: &str, now: u64) {
-        let view = self.workers.get(worker);
-        let is_replaced = view.is_some_and(|view| view.is_replaced);
-        let settings = self.settings.clone();
-        let is_kept = |run: &TaskRun| {
-            let has_open_start = run.has_unanswered_start || run.phase == RunPhase::Ordered;
-            has_open_start && !is_replaced && now <= settings.start_expiry_ms(run.ordered_ms)
-        };
-        self.lose_runs_except(worker, is_kept, LossReason::LeaseExpired, now);
+    /// Returns the runs at a worker that meet a condition.
+    fn runs_that(
+        &self,
+        worker: &str,
+        is_met: impl Fn(&WorkerView, &TaskRun) -> bool,
+    ) -> Vec<(TaskId, u32)> {
+        let view = self.workers.get(worker).into_iter();
+        let runs = view.flat_map(|view| view.runs.iter().map(move |run| (view, run)));
+        let met = runs.filter(|(view, (task, run))| {
+            let placed = self.placed_run(task, worker, *run);
+            placed.is_some_and(|placed| is_met(view, placed))
+        });
+        met.map(|(_, run)| run.clone()).collect()
     }
 
+    /// Marks the other runs at a worker as lost.
     fn lose_runs_except(
         &mut self,
         worker: &str,
-        is_kept: impl Fn(&TaskRun) -> bool,
+        kept: Vec<(TaskId, u32)>,
         reason: LossReason,
         now: u64,
     ) {
-        let view = self.workers.get(worker).into_iter();
-        let runs = view.flat_map(|view| &view.runs);
-        let kept = runs.filter(|(task, run)| {
-            let placed = self.placed_run(task, worker, *run);
-            placed.is_some_and(&is_kept)
-        });
-        let kept: Vec<(TaskId, u32)> = kept.cloned().collect();
         self.detach_runs(worker, &kept);
         self.mark_runs_lost(worker, reason, now);
         for (task, run) in kept {
