--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -30,6 +30,9 @@
 use crate::platform::local;
 use crate::record::CaseRecord;
 
+/// Number of machines on a rack.
+const MACHINES_PER_RACK: usize = 4;
+
 const FRONT_PORT: u16 = 8624;
 const READY_PORT: u16 = 8622;
 const CONTROL_PORT: u16 = 8623;
@@ -109,9 +112,9 @@
         let platform_server = platform_server.await.ok()?;
         for (pool, count) in machines {
             for number in 0..*count {
-                platform
-                    .start_worker(&format!("m-{pool}-{number}"), pool)
-                    .await;
+                let rack = format!("{pool}-rack-{}", number / MACHINES_PER_RACK);
+                let machine = format!("m-{pool}-{number}");
+                platform.add_machine(&machine, pool, &rack).await;
             }
         }
         let dir = std::env::temp_dir().join(format!("chicory-case-{}", std::process::id()));
--- a/review/stand-ins-2/src/gang_checkpoint.rs
+++ b/review/stand-ins-2/src/gang_checkpoint.rs
@@ -39,7 +39,7 @@
 }
 
 pub async fn play(record: &CaseRecord, trouble: bool) -> CaseResult {
-    let machines = [("orders", 8), ("routes", 8), ("spare", 2)];
+    let machines = [("orders", 9), ("routes", 8), ("spare", 2)];
     let Some(cluster) = CaseCluster::start(record, 3, &machines).await else {
         return CaseResult::Unusable("the deployment did not start".to_owned());
     };
@@ -70,7 +70,7 @@
         let Some(machine) = cluster.platform.machine_of(&member) else {
             return CaseResult::Unusable("the gang does not run".to_owned());
         };
-        cluster.platform.crash_worker(&machine, DOWN).await;
+        cluster.platform.crash_worker(&machine, DOWN, false).await;
     }
     let calm_ms = record.now_ms() + CONTACT_MS;
     let deadline = Instant::now() + WATCHED;
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -13,6 +13,7 @@
 mod gangs;
 mod harness;
 mod platform;
+mod rack_gang;
 mod record;
 mod unknown_queue;
 mod worker;
@@ -63,6 +64,7 @@
         match case.as_str() {
             "crashed-twice" => crashed_twice::play(&record, trouble).await,
             "gang-checkpoint" => gang_checkpoint::play(&record, trouble).await,
+            "rack-gang" => rack_gang::play(&record, trouble).await,
             "unknown-queue" => unknown_queue::play(&record, trouble).await,
             _ => CaseResult::Unusable(format!("no case {case}")),
         }
--- a/review/stand-ins-2/src/platform.rs
+++ b/review/stand-ins-2/src/platform.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 use serde_json::json;
 use standin::relay;
+use standin::relay::LinkState;
 use standin::relay::RunningRelay;
 use standin::server;
 use standin::server::BufferedRequest;
@@ -53,12 +54,13 @@
 
 struct LiveWorker {
     worker: CaseWorker,
-    _link: RunningRelay,
+    link: RunningRelay,
     _server: RunningServer,
 }
 
 struct MachineState {
     pool: String,
+    rack: String,
     state: &'static str,
     live: Option<LiveWorker>,
     waves: Vec<u64>,
@@ -68,6 +70,8 @@
 struct PlatformState {
     machines: BTreeMap<String, MachineState>,
     lives: u64,
+    /// Workers that have lost power: channels to them hang.
+    dark: Vec<LiveWorker>,
 }
 
 /// Machines of the deployment; clones share their state.
@@ -102,8 +106,31 @@
         change(&mut self.state.lock().expect("lock the platform"))
     }
 
+    /// Adds a machine and starts a worker on it.
+    pub async fn add_machine(&self, machine: &str, pool: &str, rack: &str) {
+        self.with_state(|state| {
+            let row = MachineState {
+                pool: pool.to_owned(),
+                rack: rack.to_owned(),
+                state: "up",
+                live: None,
+                waves: Vec::new(),
+            };
+            state.machines.insert(machine.to_owned(), row);
+        });
+        self.start_worker(machine, pool).await;
+    }
+
+    /// Returns the rack of a machine; empty if there is none of this name.
+    pub fn rack_of(&self, machine: &str) -> String {
+        self.with_state(|state| {
+            let row = state.machines.get(machine);
+            row.map(|row| row.rack.clone()).unwrap_or_default()
+        })
+    }
+
     /// Starts a life of a worker on a machine and writes its entry to the store.
-    pub async fn start_worker(&self, machine: &str, pool: &str) {
+    async fn start_worker(&self, machine: &str, pool: &str) {
         let number = self.with_state(|state| {
             state.lives += 1;
             state.lives
@@ -117,53 +144,58 @@
         let server = server.await.expect("bind the worker");
         let link = relay::start(local(), server.address, Duration::ZERO);
         let link = link.await.expect("bind the worker's link");
+        let rack = self.rack_of(machine);
         let entry = json!({
             "service": pool, "address": link.address, "zone": "a", "version": "1", "slots": 8,
             "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": worker.born_ms,
             "capacity": {"cpu": WORKER_CPU, "memoryReqMb": WORKER_MEMORY, "gpu": 0},
-            "labels": ["a", "r1-1"],
+            "labels": ["a", rack],
         });
         self.record
             .line(&format!("worker {id} of {pool} starts on {machine}"));
         self.with_state(|state| {
-            let row = state.machines.entry(machine.to_owned());
-            let row = row.or_insert_with(|| MachineState {
-                pool: String::new(),
-                state: "up",
-                live: None,
-                waves: Vec::new(),
-            });
+            let Some(row) = state.machines.get_mut(machine) else {
+                return;
+            };
             row.pool = pool.to_owned();
             row.state = "up";
             row.live = Some(LiveWorker {
                 worker,
-                _link: link,
+                link,
                 _server: server,
             });
         });
         self.store.put(&format!("servers/{id}"), &entry);
     }
 
-    fn end_worker(&self, machine: &str, state: &'static str) -> Option<String> {
+    fn end_worker(&self, machine: &str, state: &'static str) -> Option<LiveWorker> {
         let live = self.with_state(|platform| {
             let row = platform.machines.get_mut(machine)?;
             row.state = state;
             row.live.take()
         })?;
         live.worker.crash();
-        Some(live.worker.id.clone())
+        Some(live)
     }
 
-    /// Crashes the worker of a machine: its connections break, its runs are gone. Another life
-    /// with another id starts there after `down`. The entry of the one that has crashed is
-    /// removed after three heartbeat intervals.
-    pub async fn crash_worker(&self, machine: &str, down: Duration) {
+    /// Crashes the worker of a machine: its runs are gone, and its channels break, or hang if it
+    /// is `dark`. Another life with another id starts there after `down`. The entry of the one
+    /// that has crashed is removed after three heartbeat intervals.
+    pub async fn crash_worker(&self, machine: &str, down: Duration, dark: bool) {
         let pool = self.with_state(|state| state.machines.get(machine).map(|row| row.pool.clone()));
-        let (Some(pool), Some(id)) = (pool, self.end_worker(machine, "down")) else {
+        let (Some(pool), Some(live)) = (pool, self.end_worker(machine, "down")) else {
             return;
         };
+        let id = live.worker.id.clone();
+        let how = if dark { "loses power" } else { "crashes" };
         self.record
-            .line(&format!("disruption: worker {id} on {machine} crashes"));
+            .line(&format!("disruption: worker {id} on {machine} {how}"));
+        if dark {
+            live.link.set(LinkState::Blackhole);
+            self.with_state(|state| state.dark.push(live));
+        } else {
+            drop(live);
+        }
         let store = self.store.clone();
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(4500)).await;
@@ -173,6 +205,21 @@
         self.start_worker(machine, &pool).await;
     }
 
+    /// Loses the worker of a machine for good; its entry is removed after three heartbeat
+    /// intervals.
+    pub async fn lose_worker(&self, machine: &str) {
+        let Some(live) = self.end_worker(machine, "down") else {
+            return;
+        };
+        let id = live.worker.id.clone();
+        drop(live);
+        self.record.line(&format!(
+            "disruption: worker {id} on {machine} is lost for good"
+        ));
+        tokio::time::sleep(Duration::from_millis(4500)).await;
+        self.store.remove(&format!("servers/{id}"));
+    }
+
     /// Returns the machine whose worker runs a subtask of this job, or of which this is the name.
     pub fn machine_of(&self, name: &str) -> Option<String> {
         self.with_state(|state| {
@@ -228,8 +275,8 @@
                 } else {
                     ("moving", MIGRATION)
                 };
-                if let Some(id) = self.end_worker(&order.machine, state) {
-                    self.store.remove(&format!("servers/{id}"));
+                if let Some(live) = self.end_worker(&order.machine, state) {
+                    self.store.remove(&format!("servers/{}", live.worker.id));
                 }
                 let platform = self.clone();
                 tokio::spawn(async move {
@@ -247,7 +294,7 @@
                 let id = row.live.as_ref().map_or("", |live| live.worker.id.as_str());
                 json!({
                     "machine": machine, "pool": row.pool, "state": row.state, "zone": "a",
-                    "labels": ["a", "r1-1"], "id": id,
+                    "labels": ["a", row.rack], "id": id,
                     "capacity": {"cpu": WORKER_CPU, "memoryReqMb": WORKER_MEMORY, "gpu": 0},
                 })
             });
--- a/review/stand-ins-2/src/unknown_queue.rs
+++ b/review/stand-ins-2/src/unknown_queue.rs
@@ -18,7 +18,7 @@
 const ADDED: u64 = 6;
 
 pub async fn play(record: &CaseRecord, trouble: bool) -> CaseResult {
-    let machines = [("orders", 8), ("routes", 8), ("spare", 2)];
+    let machines = [("orders", 9), ("routes", 8), ("spare", 2)];
     let Some(cluster) = CaseCluster::start(record, 3, &machines).await else {
         return CaseResult::Unusable("the deployment did not start".to_owned());
     };
