Terms: a submission is decided by the newer of two configurations

The store turned the owner away, which did not know the queue yet; another entry VM did.

Cause: the owner decides about a submission that another entry VM received, and looked at its own configuration alone. Without the queue a job had no terms, so that the strictest applied. The same class: an owner with an older state of the queue, and a successor whose configuration is older than that at acceptance (attempts, priority, objective, advice, pool).

Change: the receiving entry VM sends the queue's terms along. Terms name the version of the configuration that they are from, also in the store, and the newer version decides. An owner's configuration that is older than a job's terms says nothing of the job's queue. Requests and records of the version before are read as before.

--- a/benches/scheduler/simulation.rs
+++ b/benches/scheduler/simulation.rs
@@ -284,6 +284,7 @@
                 id: self.next_job().as_str().into(),
                 queue: format!("queue-{pool}"),
                 pool: pool_name(pool),
+                terms: None,
                 spec: JobSpec {
                     spec: "text".to_owned(),
                     steps: vec![
--- a/src/jobs/admit.rs
+++ b/src/jobs/admit.rs
@@ -157,9 +157,8 @@
     ///
     /// Fails with the delay before the caller should retry, in milliseconds.
     pub(crate) fn admit(&mut self, submission: &Submission, now: u64) -> Result<AdmittedJob, u64> {
-        let queue = self.config.queue(&submission.queue);
-        let pool = queue.map_or(submission.pool.clone(), |queue| queue.pool.clone());
-        let terms = self.queue_terms(&submission.queue).unwrap_or_default();
+        let pool = self.submission_pool(submission).to_owned();
+        let terms = self.submission_terms(submission).unwrap_or_default();
         let spec = &submission.spec;
         if spec.has_long_running_step() || spec.schedule.is_some() {
             return Ok(AdmittedJob {
@@ -264,13 +263,13 @@
     ) -> JobDemand {
         let (queue, spec) = (&submission.queue, &submission.spec);
         let (work, critical_ms) = (spec.work(), spec.critical_path_ms() as f64);
-        let priority = self.queue_terms(queue).unwrap_or_default().priority;
+        let terms = self.submission_terms(submission).unwrap_or_default();
         let age_ms = first_ms.map_or(0, |first_ms| now.saturating_sub(first_ms)) as f64;
         let underserved = self.admission.sizes.is_underserved(queue, work);
         let row = |age_ms: f64| WaitingRow {
             rank: preferred_rank(
                 self.rank_of_work(
-                    (queue, priority),
+                    (queue, terms.priority),
                     spec,
                     work,
                     critical_ms + age_ms <= objective_ms,
--- a/src/jobs/callers.rs
+++ b/src/jobs/callers.rs
@@ -7,6 +7,7 @@
 use crate::jobs::engine::TimePair;
 use crate::jobs::job::JobEntry;
 use crate::jobs::record::BodyRecord;
+use crate::jobs::terms::JobTerms;
 use crate::jobs::types::JobId;
 use crate::jobs::types::JobSpec;
 use crate::jobs::types::JobState;
@@ -23,8 +24,11 @@
     /// Name of the queue.
     pub queue: String,
     /// Pool of the queue according to the receiving entry VM; used if the owner's
-    /// configuration lacks the queue.
+    /// configuration lacks the queue or is older.
     pub pool: String,
+    /// Terms of the queue according to the receiving entry VM; none if that runs an earlier
+    /// version of the program. Used like the pool.
+    pub terms: Option<JobTerms>,
     /// Steps and schedule.
     pub spec: JobSpec,
     /// Client account of the caller; none if the queue needs no API key.
@@ -141,18 +145,10 @@
                 return self.answer(waiter, CallerAnswer::Refused { retry_ms });
             }
         };
-        let terms = self.queue_terms(&submission.queue);
-        let queue = self.config.queue(&submission.queue);
-        let body = BodyRecord {
-            queue: submission.queue,
-            pool: queue.map_or(submission.pool, |queue| queue.pool.clone()),
-            submitted_ms: time.unix - time.boot.saturating_sub(admitted.first_ms),
-            spec: submission.spec,
-            account: submission.account,
-            terms,
-        };
+        let is_beyond_rate = submission.beyond_rate;
+        let body = self.accepted_body(submission, admitted.first_ms, time);
         let mut job = JobEntry::new(id.clone(), body, admitted.first_ms);
-        job.beyond_rate = submission.beyond_rate;
+        job.beyond_rate = is_beyond_rate;
         job.preferred = admitted.preferred;
         job.expected_timely = admitted.expected_timely;
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
@@ -162,6 +158,27 @@
         self.wait_stored(&id, 1, waiter, CallerAnswer::Accepted);
     }
 
+    /// Returns the body of an accepted job, which was first sent at `first_ms` on the boot clock.
+    fn accepted_body(&self, submission: Submission, first_ms: u64, time: TimePair) -> BodyRecord {
+        let terms = self.submission_terms(&submission);
+        let version = terms.map_or(0, |terms| terms.version);
+        if version > self.config.version {
+            log::info!(
+                event = "submission_ahead", job = &*submission.id, version = version,
+                in_force = self.config.version; ""
+            );
+        }
+        let pool = self.submission_pool(&submission).to_owned();
+        BodyRecord {
+            queue: submission.queue,
+            pool,
+            submitted_ms: time.unix - time.boot.saturating_sub(first_ms),
+            spec: submission.spec,
+            account: submission.account,
+            terms,
+        }
+    }
+
     /// Answers with the state of a job; an end that is not stored yet counts as running.
     ///
     /// A job of another account is unknown to the caller.
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -301,15 +301,20 @@
         }
     }
 
-    /// Returns the queue of a job, if the current configuration has it.
+    /// Returns the queue of a job, if the current configuration has it and is not older than
+    /// that under which the job was accepted.
     #[must_use]
     pub fn queue_of(&self, job: &JobEntry) -> Option<&QueueConfig> {
+        let accepted = job.body.terms.map_or(0, |terms| terms.version);
+        if accepted > self.config.version {
+            return None;
+        }
         let at = self.queue_index.get(&job.body.queue)?;
         self.config.queues.get(*at)
     }
 
     /// Returns the pool that runs a job's tasks: that of its queue, or that stored with
-    /// the job if the queue no longer exists.
+    /// the job if the queue no longer exists or is not known yet.
     #[must_use]
     pub fn pool_of<'a>(&'a self, job: &'a JobEntry) -> &'a str {
         self.queue_of(job)
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -17,6 +17,7 @@
 use crate::jobs::account::AccountName;
 use crate::jobs::loss_record::LossRecord;
 use crate::jobs::terms::JobTerms;
+use crate::jobs::terms::TermsOrigin;
 use crate::jobs::terms::TermsRecord;
 use crate::jobs::types::JobSpec;
 use crate::jobs::types::JobState;
@@ -148,7 +149,7 @@
     #[serde(skip)]
     pub account: Option<AccountName>,
     /// What it was accepted under; none if an earlier version has accepted it. They are encoded
-    /// as a [`TermsRecord`] after the [`BodyExtension`].
+    /// as a [`TermsRecord`] and a [`TermsOrigin`] after the [`BodyExtension`].
     #[serde(skip)]
     pub terms: Option<JobTerms>,
 }
@@ -176,7 +177,7 @@
     let mut bytes = encode_with(body, &extension)?;
     if let Some(terms) = body.terms {
         // Earlier versions ignore what follows the extension that they know.
-        bytes.extend(encode(&TermsRecord::from(terms))?);
+        bytes.extend(encode_terms(terms)?);
     }
     Ok(bytes)
 }
@@ -189,18 +190,41 @@
 pub fn decode_body(key: &str, mut bytes: &[u8]) -> Result<BodyRecord, RecordError> {
     let (body, extension): (BodyRecord, Option<BodyExtension>) = read_with(key, &mut bytes)?;
     let account = extension.and_then(|extension| extension.account);
-    let terms: Option<TermsRecord> = if bytes.is_empty() {
-        None
-    } else {
-        Some(rmp_serde::from_read(&mut bytes).context(RecordSnafu { key })?)
-    };
     Ok(BodyRecord {
         account: account.map(Into::into),
-        terms: terms.map(Into::into),
+        terms: decode_terms(key, bytes)?,
         ..body
     })
 }
 
+/// Encodes terms, which follow another record.
+///
+/// # Errors
+///
+/// Fails if the encoder fails.
+pub fn encode_terms(terms: JobTerms) -> Result<Vec<u8>, EncodeError> {
+    let origin = TermsOrigin {
+        version: terms.version,
+    };
+    encode_with(&TermsRecord::from(terms), &origin)
+}
+
+/// Decodes the terms that follow the record under `key`; none if nothing does.
+///
+/// # Errors
+///
+/// Fails if `bytes` is neither empty nor encoded terms.
+pub fn decode_terms(key: &str, bytes: &[u8]) -> Result<Option<JobTerms>, RecordError> {
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    let (record, origin): (TermsRecord, Option<TermsOrigin>) = decode_with(key, bytes)?;
+    Ok(Some(JobTerms {
+        version: origin.unwrap_or_default().version,
+        ..record.into()
+    }))
+}
+
 /// A run that may be alive at a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -369,7 +393,11 @@
 }
 
 /// Like [`decode_with`]; `bytes` are left at what follows.
-fn read_with<T: DeserializeOwned, E: DeserializeOwned>(
+///
+/// # Errors
+///
+/// Fails like [`decode_with`].
+pub fn read_with<T: DeserializeOwned, E: DeserializeOwned>(
     key: &str,
     bytes: &mut &[u8],
 ) -> Result<(T, Option<E>), RecordError> {
--- a/src/jobs/restore.rs
+++ b/src/jobs/restore.rs
@@ -31,7 +31,7 @@
         progress: Option<ProgressRecord>,
         time: TimePair,
     ) {
-        body.terms = body.terms.or_else(|| self.queue_terms(&body.queue));
+        body.terms = self.complete_terms(body.terms, &body.queue);
         let age_ms = time.unix.saturating_sub(body.submitted_ms);
         let mut job = JobEntry::restore(id.clone(), body, progress, time.boot, age_ms);
         job.open_due(time.boot, time.unix + self.settings.early_start_ms);
--- a/src/jobs/terms.rs
+++ b/src/jobs/terms.rs
@@ -1,12 +1,18 @@
 //! What a job was accepted under, which stays with it when its queue is changed or removed.
 //!
-//! The terms are stored with the body. A job that an earlier version has accepted takes those of
-//! its queue as soon as a configuration has it; without any, the strictest apply.
+//! The terms are stored with the body, and so is the version of the configuration that they are
+//! from. The entry VM that receives a submission may have a newer configuration than the owner,
+//! and so may the owner that accepted a job and its successor. The newer one decides: what an
+//! older configuration says of the queue, or that it lacks it, does not apply to the job. A job
+//! that an earlier version of the program has accepted takes the terms of its queue as soon as a
+//! configuration has it; without any, the strictest apply.
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::jobs::callers::Submission;
 use crate::jobs::config::AdviceTiming;
+use crate::jobs::config::JobConfig;
 use crate::jobs::config::QueueConfig;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::job::JobEntry;
@@ -18,6 +24,8 @@
 /// Terms of a job.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct JobTerms {
+    /// Version of the configuration that they are from; 0 if it is not known.
+    pub version: u64,
     /// Number of failed runs of a task after which the job fails; at least 1.
     pub attempts: u32,
     /// Priority; tasks of jobs with lower values are placed first.
@@ -34,6 +42,7 @@
     /// Returns the strictest terms: one attempt, and no precedence over other jobs.
     fn default() -> Self {
         Self {
+            version: 0,
             attempts: 1,
             priority: u32::MAX,
             slack: 1.0,
@@ -46,6 +55,7 @@
 impl From<&QueueConfig> for JobTerms {
     fn from(queue: &QueueConfig) -> Self {
         Self {
+            version: 0,
             attempts: queue.attempts.max(1),
             priority: queue.priority,
             slack: queue.slack.max(1.0),
@@ -83,9 +93,19 @@
     }
 }
 
+/// Field of the terms that is encoded after a [`TermsRecord`], which earlier versions of the
+/// program read without it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TermsOrigin {
+    /// Version of the configuration that the terms are from.
+    pub version: u64,
+}
+
 impl From<TermsRecord> for JobTerms {
     fn from(record: TermsRecord) -> Self {
         Self {
+            version: 0,
             attempts: record.attempts.max(1),
             priority: record.priority,
             slack: record.slack,
@@ -95,18 +115,49 @@
     }
 }
 
+impl JobTerms {
+    /// Returns the terms of a queue of a configuration; none if it lacks the queue.
+    #[must_use]
+    pub fn of_queue(config: &JobConfig, queue: &str) -> Option<Self> {
+        let queue = config.queue(queue)?;
+        Some(Self {
+            version: config.version,
+            ..Self::from(queue)
+        })
+    }
+}
+
 impl JobEngine {
     /// Returns the terms of a queue in the current configuration, or in the last one that had it.
-    pub(crate) fn queue_terms(&self, queue: &str) -> Option<JobTerms> {
-        let current = self.config.queue(queue).map(JobTerms::from);
+    fn queue_terms(&self, queue: &str) -> Option<JobTerms> {
+        let current = JobTerms::of_queue(&self.config, queue);
         current.or_else(|| self.former_terms.get(queue).copied())
     }
 
+    /// Returns the terms that a submission is accepted under: those of this owner or those that
+    /// the receiving entry VM sent along, whichever are of the newer configuration.
+    pub(crate) fn submission_terms(&self, submission: &Submission) -> Option<JobTerms> {
+        let own = self.queue_terms(&submission.queue);
+        let known = [submission.terms, own].into_iter().flatten();
+        known.max_by_key(|terms| terms.version)
+    }
+
+    /// Returns the pool of a submission in the newer of the two configurations.
+    pub(crate) fn submission_pool<'a>(&'a self, submission: &'a Submission) -> &'a str {
+        let received = submission.terms.map_or(0, |terms| terms.version);
+        let queue = self.config.queue(&submission.queue);
+        let queue = queue.filter(|_| received <= self.config.version);
+        queue.map_or(submission.pool.as_str(), |queue| queue.pool.as_str())
+    }
+
+    /// Gives a job of an earlier version of the program the terms of its queue, if they are known.
+    pub(crate) fn complete_terms(&self, terms: Option<JobTerms>, queue: &str) -> Option<JobTerms> {
+        terms.or_else(|| self.queue_terms(queue))
+    }
+
     /// Returns the terms under which a job was accepted.
     pub(crate) fn terms(&self, job: &JobEntry) -> JobTerms {
-        let terms = job.body.terms;
-        terms
-            .or_else(|| self.queue_terms(&job.body.queue))
+        self.complete_terms(job.body.terms, &job.body.queue)
             .unwrap_or_default()
     }
 
@@ -134,8 +185,12 @@
         if self.former_terms.len() > self.config.queues.len() + MAX_FORMER_QUEUES {
             self.former_terms.clear();
         }
+        let version = self.config.version;
         let queues = self.config.queues.iter();
-        let terms = queues.map(|queue| (queue.name.clone(), JobTerms::from(queue)));
+        let terms = queues.map(|queue| {
+            let terms = JobTerms::from(queue);
+            (queue.name.clone(), JobTerms { version, ..terms })
+        });
         self.former_terms.extend(terms);
         let unknown = self.jobs.values().filter(|job| job.body.terms.is_none());
         let unknown = unknown.filter_map(|job| {
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -18,6 +18,7 @@
 use crate::jobs::config::JobConfig;
 use crate::jobs::config::QueueConfig;
 use crate::jobs::confirmation::RevocationPolicy;
+use crate::jobs::terms::JobTerms;
 use crate::kernel::ShutdownPhase;
 use crate::metrics::REQUESTS;
 use crate::metrics::UNAUTHORIZED;
@@ -214,6 +215,7 @@
         ask: RelayOperation::Query,
         version: config.version,
         account: check.account(state, queue, &request)?,
+        terms: None,
     };
     relay.ask = match (request.method(), rest) {
         (&Method::GET, "") => RelayOperation::Pending,
@@ -228,7 +230,10 @@
                 return Err(Box::new(answer(413, "", Bytes::new())));
             };
             match (state.dialect.job)(&body.to_bytes()) {
-                Ok(job) => RelayOperation::Submit(job),
+                Ok(job) => {
+                    relay.terms = JobTerms::of_queue(config, &queue.name);
+                    RelayOperation::Submit(job)
+                }
                 Err(error) => {
                     log::info!(event = "job_unreadable", job = rest, error:% = error; "");
                     return Err(Box::new(answer(400, "text/plain", error.to_string())));
--- a/src/service/jobs/messages.rs
+++ b/src/service/jobs/messages.rs
@@ -21,8 +21,12 @@
 use crate::jobs::record::EncodeError;
 use crate::jobs::record::MemberRecord;
 use crate::jobs::record::RecordError;
+use crate::jobs::record::decode_terms;
 use crate::jobs::record::decode_with;
+use crate::jobs::record::encode_terms;
 use crate::jobs::record::encode_with;
+use crate::jobs::record::read_with;
+use crate::jobs::terms::JobTerms;
 use crate::jobs::types::JobSpec;
 use crate::jobs::types::JobState;
 use crate::jobs::types::TaskId;
@@ -52,9 +56,14 @@
     /// a [`RelayExtension`].
     #[serde(skip)]
     pub account: Option<String>,
+    /// Terms of the queue in the sender's configuration, with a submission; none from an entry
+    /// VM of an earlier version. They are encoded after the [`RelayExtension`].
+    #[serde(skip)]
+    pub terms: Option<JobTerms>,
 }
 
-/// Fields of a relayed request that are encoded after it.
+/// Fields of a relayed request that are encoded after it. It must not gain further ones:
+/// decoders reject a longer list.
 #[derive(Clone, Debug, Default)]
 #[derive(Serialize, Deserialize)]
 pub struct RelayExtension {
@@ -70,7 +79,11 @@
     /// Fails if the encoder fails.
     pub fn encode(&self) -> Result<Vec<u8>, EncodeError> {
         let account = self.account.clone();
-        encode_with(self, &RelayExtension { account })
+        let mut bytes = encode_with(self, &RelayExtension { account })?;
+        if let Some(terms) = self.terms {
+            bytes.extend(encode_terms(terms)?);
+        }
+        Ok(bytes)
     }
 
     /// Decodes a request of another entry VM.
@@ -78,10 +91,11 @@
     /// # Errors
     ///
     /// Fails if `bytes` is not an encoded request.
-    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
-        let (request, extension): (Self, Option<RelayExtension>) = decode_with("relay", bytes)?;
+    pub fn decode(mut bytes: &[u8]) -> Result<Self, RecordError> {
+        let (request, extension): (Self, Option<RelayExtension>) = read_with("relay", &mut bytes)?;
         Ok(Self {
             account: extension.unwrap_or_default().account,
+            terms: decode_terms("relay", bytes)?,
             ..request
         })
     }
--- a/src/service/jobs/shard.rs
+++ b/src/service/jobs/shard.rs
@@ -194,6 +194,7 @@
                             id,
                             queue: request.queue,
                             pool: request.pool,
+                            terms: request.terms,
                             spec,
                             account,
                             beyond_rate: false,
--- a/tests/accounts_wire.rs
+++ b/tests/accounts_wire.rs
@@ -161,6 +161,7 @@
         ask: RelayOperation::Submit(spec()),
         version: 7,
         account: account.map(str::to_owned),
+        terms: None,
     }
 }
 
--- a/tests/jobs_accounts.rs
+++ b/tests/jobs_accounts.rs
@@ -466,6 +466,7 @@
             id: JOB.into(),
             queue: "orders".to_owned(),
             pool: POOL.to_owned(),
+            terms: None,
             spec,
             account: Some("north".into()),
             beyond_rate: false,
--- a/tests/jobs_incarnations.rs
+++ b/tests/jobs_incarnations.rs
@@ -297,6 +297,7 @@
         ask: RelayOperation::Submit(JobSpec::default()),
         version: 1,
         account: None,
+        terms: None,
     };
     let deadline = Instant::now() + Duration::from_millis(300);
     client.relay(&request, deadline).await
--- a/tests/jobs_relay.rs
+++ b/tests/jobs_relay.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use chicorygauge::jobs::record::MemberRecord;
+use chicorygauge::jobs::record::decode_with;
+use chicorygauge::jobs::record::encode_with;
+use chicorygauge::jobs::terms::JobTerms;
 use chicorygauge::jobs::types::JobSpec;
 use chicorygauge::keep_alive::KeepAliveClient;
 use chicorygauge::service::jobs::attempts::AttemptResult;
@@ -12,6 +15,7 @@
 use chicorygauge::service::jobs::attempts::RequestAttempts;
 use chicorygauge::service::jobs::messages::MemberState;
 use chicorygauge::service::jobs::messages::OwnerEvent;
+use chicorygauge::service::jobs::messages::RelayExtension;
 use chicorygauge::service::jobs::messages::RelayOperation;
 use chicorygauge::service::jobs::messages::RelayReply;
 use chicorygauge::service::jobs::messages::RelayRequest;
@@ -33,6 +37,7 @@
         ask: RelayOperation::Submit(JobSpec::default()),
         version: 1,
         account: None,
+        terms: None,
     }
 }
 
@@ -211,3 +216,29 @@
         assert_eq!(outcome, Some(RelayOutcome::Answered(reply)));
     }
 }
+
+/// The terms of a submission follow what entry VMs of the version before read, and theirs has none.
+#[test]
+fn relay_with_terms_read_by_both_versions() {
+    let terms = JobTerms {
+        version: 3,
+        attempts: 4,
+        ..JobTerms::default()
+    };
+    for account in [None, Some("one".to_owned())] {
+        let request = RelayRequest {
+            account: account.clone(),
+            terms: Some(terms),
+            ..submission()
+        };
+        let bytes = request.encode().expect("a request");
+        let read = RelayRequest::decode(&bytes).expect("a request");
+        assert_eq!((read.terms, &read.account), (Some(terms), &account));
+        let (_, extension): (RelayRequest, Option<RelayExtension>) =
+            decode_with("relay", &bytes).expect("a request");
+        assert_eq!(extension.and_then(|extension| extension.account), account);
+        let earlier = RelayExtension { account };
+        let bytes = encode_with(&submission(), &earlier).expect("a request");
+        assert_eq!(RelayRequest::decode(&bytes).expect("a request").terms, None);
+    }
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -32,6 +32,7 @@
 use chicorygauge::jobs::record::decode;
 use chicorygauge::jobs::record::decode_body;
 use chicorygauge::jobs::record::decode_progress;
+use chicorygauge::jobs::terms::JobTerms;
 use chicorygauge::jobs::types::JobSpec;
 use chicorygauge::jobs::types::ResourceVector;
 use chicorygauge::jobs::types::RunEnd;
@@ -246,6 +247,8 @@
     pub accounts: BTreeMap<String, String>,
     /// CPU limits of accounts with the times from which they were in force.
     pub limits: Vec<(u64, String, u64)>,
+    /// Terms that the receiving entry VM sends along with submissions.
+    pub received_terms: Option<JobTerms>,
 }
 
 /// How long a start may be on its way, in milliseconds: starts reserved under a higher limit
@@ -364,6 +367,7 @@
             next_worker: 0,
             accounts: BTreeMap::new(),
             limits: Vec::new(),
+            received_terms: None,
         }
     }
 
@@ -668,6 +672,7 @@
             id: id.into(),
             queue: queue.to_owned(),
             pool: pool.to_owned(),
+            terms: self.received_terms,
             spec: spec.clone(),
             account: account.map(Into::into),
             beyond_rate: false,
