Restarts: the answer to a start proves no incarnation

Cause: a start that the new incarnation had answered before the owner knew of the restart was counted for the former one, since the clock in its answer showed more than the time since the last report. A clock starts anew at any value. The run was lost with the former incarnation and started elsewhere.

Change: only a report that lists the run proves which incarnation has it; the clock in other answers is not looked at. The first report of a new incarnation also keeps the runs that it lists as ended, which are then counted instead of lost first.

Ruled out: comparing with the former clock (a new one may start close to it); a report after each start (twice the calls).

--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -163,7 +163,7 @@
             run,
             phase: RunPhase::Reserved(version),
             began: false,
-            is_attributed: false,
+            is_reported: false,
             has_unanswered_start: false,
             ordered_ms: 0,
             last_progress_ms: now,
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -8,6 +8,7 @@
 
 use crate::jobs::actions::CallToken;
 use crate::jobs::engine::JobEngine;
+use crate::jobs::incarnations::FirstReport;
 use crate::jobs::job::EndedRun;
 use crate::jobs::stops::StopReason;
 use crate::jobs::task::RunPhase;
@@ -122,8 +123,12 @@
                 running,
                 ended,
             } => {
-                let is_current =
-                    self.confirm_incarnation(worker, (born_ms, &running), sent_ms, now);
+                let report = FirstReport {
+                    sent_ms,
+                    running: &running,
+                    ended: &ended,
+                };
+                let is_current = self.confirm_incarnation(worker, born_ms, report, now);
                 if is_current && self.record_contact(worker, clock_ms, now) {
                     self.apply_ended(worker, &ended, now);
                     let unlisted = self.apply_running(worker, &running, now);
@@ -375,7 +380,7 @@
             }
             placed.began = true;
             placed.born_ms = born_ms.unwrap_or(placed.born_ms);
-            placed.is_attributed = true;
+            placed.is_reported = true;
             placed.percent = row.percent;
             placed.load = row.load;
             match placed.phase {
--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -1,13 +1,14 @@
 //! Incarnations of workers: which one runs under an identifier.
 //!
 //! A worker may start again under its identifier. Its start is a time of its clock, which may
-//! be set between two incarnations, so that the order of two starts proves nothing. An answer
-//! shows which incarnation runs.
+//! be set between two incarnations, so that the order of two starts proves nothing. Only a report,
+//! the answer to a hold, says which incarnation gave it. The answer to any other order may be from
+//! one that is not known yet: its clock starts anew at any value, and proves nothing either.
 //!
 //! Orders name the worker, not the incarnation. One without an answer may be carried out by an
 //! incarnation that starts after it was sent, so that the end of an incarnation does not end
-//! the runs that it has not confirmed. These stay with the worker until an answer of the new
-//! incarnation shows whether they are alive there.
+//! the runs that none of its reports confirms. These stay with the worker until a report of the
+//! new incarnation shows whether they are alive there.
 
 use std::collections::HashSet;
 
@@ -23,6 +24,7 @@
 use crate::jobs::worker::RunFootprint;
 use crate::jobs::worker::WorkerView;
 use crate::ports::WorkerEntry;
+use crate::ports::worker::EndedRow;
 use crate::ports::worker::RunningRow;
 
 /// How long after it was sent an order may be carried out, in milliseconds. The incarnation to
@@ -30,9 +32,6 @@
 /// anew.
 const MAX_ORDER_DELAY_MS: u64 = 5000;
 
-/// Margin for readings of a worker's clock, in milliseconds; they are rounded.
-const CLOCK_SLACK_MS: u64 = 10;
-
 impl SchedulerSettings {
     /// Returns when a run whose start was sent at `sent_ms` has certainly ended, whichever
     /// incarnation has carried it out, if nothing has extended its lease; both on the boot clock,
@@ -48,7 +47,20 @@
     /// When the hold that it answers was sent.
     pub sent_ms: u64,
     /// Runs that are alive.
-    pub rows: &'a [RunningRow],
+    pub running: &'a [RunningRow],
+    /// Runs that have ended.
+    pub ended: &'a [EndedRow],
+}
+
+impl FirstReport<'_> {
+    /// Returns the runs that it lists, alive or ended.
+    fn listed(&self) -> HashSet<(TaskId, u32)> {
+        let running = self.running.iter().map(|row| (row.task.as_str(), row.run));
+        let ended = self.ended.iter().map(|row| (row.task.as_str(), row.run));
+        let rows = running.chain(ended);
+        rows.filter_map(|(task, run)| Some((TaskId::parse(task)?, run)))
+            .collect()
+    }
 }
 
 /// Returns whether an incarnation that starts later may have a run: an order for it may have no
@@ -64,16 +76,17 @@
 }
 
 impl JobEngine {
-    /// Returns whether the answer to a hold that was sent at `sent_ms`, which lists these runs,
-    /// is from the incarnation of a worker that runs now. If it is another one than the known
-    /// one, and the hold was sent since that was found, it has replaced it.
+    /// Returns whether a report of the incarnation that started at `born_ms` is from the one that
+    /// runs now. If it is another one than the known one, and was asked for since that was found,
+    /// it has replaced it.
     pub(crate) fn confirm_incarnation(
         &mut self,
         worker: &str,
-        (born_ms, rows): (u64, &[RunningRow]),
-        sent_ms: u64,
+        born_ms: u64,
+        report: FirstReport<'_>,
         now: u64,
     ) -> bool {
+        let sent_ms = report.sent_ms;
         let Some(view) = self.workers.get_mut(worker) else {
             return false;
         };
@@ -93,7 +106,6 @@
             born_ms,
             ..view.entry.clone()
         });
-        let report = FirstReport { sent_ms, rows };
         self.replace_incarnation(worker, entry, Some(report), now);
         true
     }
@@ -144,29 +156,6 @@
         }
     }
 
-    /// Records what the answer to the start of a run shows of the incarnation that gave it. One
-    /// that is later than the known one has started since that was asked for its last report, and
-    /// its clock shows at most the time since then.
-    pub(crate) fn attribute_start(
-        &mut self,
-        task: &TaskId,
-        worker: &str,
-        run: u32,
-        clock_ms: u64,
-        now: u64,
-    ) {
-        let Some(view) = self.workers.get(worker) else {
-            return;
-        };
-        let is_known = clock_ms > now.saturating_sub(view.reported_ms) + CLOCK_SLACK_MS;
-        let born_ms = view.entry.born_ms;
-        if let Some(placed) = self.placed_run_mut(task, worker, run)
-            && placed.born_ms == born_ms
-        {
-            placed.is_attributed |= is_known;
-        }
-    }
-
     /// Returns the runs that the incarnation which replaces the known one may have: those that
     /// it lists, those with an order that is not answered, and those that are not known to have
     /// begun at the known one and were answered after its last report.
@@ -174,20 +163,15 @@
         let Some(view) = self.workers.get(worker) else {
             return Vec::new();
         };
-        let rows = report.map_or(&[][..], |report| report.rows);
-        let listed = rows
-            .iter()
-            .filter_map(|row| Some((TaskId::parse(&row.task)?, row.run)));
-        let listed: HashSet<(TaskId, u32)> = listed.collect();
+        let listed = report.map_or_else(HashSet::new, |report| report.listed());
         let answered_ms = report.map_or(view.reported_ms, |report| report.sent_ms);
         let is_possible = |(task, run): &&(TaskId, u32)| {
             let Some(placed) = self.placed_run(task, worker, *run) else {
                 return false;
             };
-            let is_known = placed.is_attributed && placed.born_ms == view.entry.born_ms;
             let is_open = match placed.phase {
                 RunPhase::Running(since_ms) | RunPhase::Stopped(since_ms) => {
-                    !is_known && since_ms >= answered_ms || is_unsettled(placed)
+                    !view.has_reported(placed) && since_ms >= answered_ms || is_unsettled(placed)
                 }
                 // The new incarnation has seen this owner's epoch and refuses the former ones'.
                 RunPhase::Inherited => report.is_none(),
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -175,10 +175,7 @@
                 self.record_refusal(worker, task, run, reason, now);
                 self.resolve_refused_start(worker, task, run, reason, retries, now);
             }
-            CallResult::Answered(reply) => {
-                if let WorkerReply::Done { clock_ms } = reply {
-                    self.attribute_start(task, worker, run, clock_ms, now);
-                }
+            CallResult::Answered(_) => {
                 if matches!(phase, RunPhase::Ordered | RunPhase::Unanswered(_)) {
                     self.set_phase(task, worker, run, RunPhase::Running(now));
                 }
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -49,8 +49,8 @@
     pub phase: RunPhase,
     /// Whether it is known to have begun; a run of a former owner is taken to have.
     pub began: bool,
-    /// Whether it is known to have begun at the incarnation that started at `born_ms`.
-    pub is_attributed: bool,
+    /// Whether a report of the incarnation that started at `born_ms` has listed it.
+    pub is_reported: bool,
     /// Whether an attempt at its start had no answer; it may be carried out by a later
     /// incarnation of the worker, even though another attempt was answered.
     pub has_unanswered_start: bool,
@@ -162,7 +162,7 @@
         run: placed.run,
         phase: RunPhase::Inherited,
         began: true,
-        is_attributed: false,
+        is_reported: false,
         has_unanswered_start: false,
         ordered_ms: 0,
         last_progress_ms: now,
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 
 use crate::jobs::isolation::IsolationClaim;
+use crate::jobs::task::TaskRun;
 use crate::jobs::types::JobId;
 use crate::jobs::types::ResourceVector;
 use crate::jobs::types::StepSpec;
@@ -205,6 +206,12 @@
         }
     }
 
+    /// Returns whether a report of the known incarnation has listed a run.
+    #[must_use]
+    pub fn has_reported(&self, run: &TaskRun) -> bool {
+        run.is_reported && run.born_ms == self.entry.born_ms
+    }
+
     /// Returns the free capacity.
     #[must_use]
     pub fn free(&self) -> ResourceVector {
--- a/tests/jobs_occurrences.rs
+++ b/tests/jobs_occurrences.rs
@@ -96,7 +96,7 @@
         run,
         phase: RunPhase::Running(0),
         began: true,
-        is_attributed: true,
+        is_reported: true,
         has_unanswered_start: false,
         ordered_ms: 0,
         last_progress_ms: 0,
--- a/tests/jobs_restarts.rs
+++ b/tests/jobs_restarts.rs
@@ -5,8 +5,11 @@
 #[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
+use chicorygauge::ports::WorkerEntry;
 use chicorygauge::ports::worker::WorkerOrder;
 
+use crate::world::ClockStart;
+use crate::world::DRAWN_CLOCKS;
 use crate::world::World;
 use crate::world::job;
 use crate::world::step;
@@ -209,3 +212,70 @@
     }
     assert!(world.starts() <= 12, "{} starts", world.starts());
 }
+
+/// A worker that crashes silently and starts again under its identifier, which takes starts before
+/// the owner learns of that.
+struct UnnoticedRestart {
+    world: World,
+    /// The worker's entry, which is not listed yet.
+    entry: WorkerEntry,
+}
+
+impl UnnoticedRestart {
+    /// Three short jobs and a long one run at a worker, which crashes after the short ones are done
+    /// and stored, and starts again `down_ms` later with this clock. A job of `work_ms` is
+    /// submitted just after that, and is placed there.
+    fn new(down_ms: u64, clock_start: ClockStart, work_ms: u64) -> Self {
+        let mut world = World::new(3, down_ms);
+        world.clock_start = Some(clock_start);
+        world.run(2000);
+        world.submit(FIRST, &job(&[step(1, 1000, 5000)]), 1);
+        world.run(20);
+        let worker = last_start(&world);
+        for number in 0..3 {
+            let id = format!("00000000000000c{number}");
+            world.submit(&id, &job(&[step(1, 1000, 50)]), 10 + number);
+        }
+        world.run(700);
+        world.crash_silently(&worker);
+        world.run(down_ms);
+        let born_ms = world.workers[&worker].entry.born_ms + 10_000;
+        let entry = world.restart(&worker, born_ms);
+        world.run(2);
+        world.submit(SECOND, &job(&[step(1, 1000, work_ms)]), 2);
+        Self { world, entry }
+    }
+
+    /// Lists the worker's entry after `entry_ms`.
+    fn go_on(&mut self, entry_ms: u64) {
+        let world = &mut self.world;
+        world.run(entry_ms);
+        let now = world.now;
+        world.engine.worker_listed(self.entry.clone(), now);
+    }
+
+    /// All jobs are done; that no task ran twice is checked at each start.
+    fn settle(&mut self, case: &str) {
+        let end_ms = self.world.now + SETTLED_MS;
+        let jobs = [FIRST, SECOND];
+        while !jobs.iter().all(|id| self.world.completed.contains_key(*id)) {
+            assert!(self.world.now < end_ms, "{case}");
+            self.world.run(500);
+        }
+    }
+}
+
+/// A start that a worker had answered before its restart was known was counted for its former
+/// incarnation, whatever its clock showed, and the task was started elsewhere as well.
+#[test]
+fn start_before_restart_is_known_not_repeated() {
+    for (number, clock_start) in DRAWN_CLOCKS.into_iter().enumerate() {
+        for down_ms in (40..=700).step_by(130) {
+            for entry_ms in [0, 400, 2000] {
+                let mut restart = UnnoticedRestart::new(down_ms, clock_start, 6000);
+                restart.go_on(entry_ms);
+                restart.settle(&format!("{number} {down_ms} {entry_ms}"));
+            }
+        }
+    }
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -132,8 +132,8 @@
     /// Whether connections to it went silent when its process ended.
     silent: bool,
     epoch: u64,
-    /// When its clock was 0.
-    clock_zero_ms: u64,
+    /// What its clock showed at the start of its process, and when that was.
+    clock_start: (u64, u64),
     /// End of its lease on its clock.
     lease_until_ms: u64,
     pub runs: BTreeMap<String, FakeRun>,
@@ -148,7 +148,7 @@
 
 impl FakeWorker {
     fn clock_ms(&self, now: u64) -> u64 {
-        now - self.clock_zero_ms
+        self.clock_start.0 + now - self.clock_start.1
     }
 
     /// Extends its lease; a longer one than allowed is shortened.
@@ -247,6 +247,9 @@
     pub accounts: BTreeMap<String, String>,
     /// CPU limits of accounts with the times from which they were in force.
     pub limits: Vec<(u64, String, u64)>,
+    /// What the clock of a worker shows at a restart, given that of its former incarnation; drawn
+    /// if none.
+    pub clock_start: Option<ClockStart>,
     /// Terms that the receiving entry VM sends along with submissions.
     pub received_terms: Option<JobTerms>,
 }
@@ -255,6 +258,19 @@
 /// may be carried out this long after a lower one is in force.
 const LATE_START_MS: u64 = 8000;
 
+/// Returns the first reading of an incarnation's clock, given that of the one before.
+pub type ClockStart = fn(u64) -> u64;
+
+/// Where the clock of a worker may start: at zero, below, close to or above that of its former
+/// incarnation, and anywhere.
+pub const DRAWN_CLOCKS: [ClockStart; 5] = [
+    |_| 0,
+    |former_ms| former_ms / 2,
+    |former_ms| former_ms.saturating_sub(20),
+    |former_ms| former_ms + 2000,
+    |_| 2_000_000_000,
+];
+
 /// Returns a configuration with one queue, its pool and a standby pool.
 #[must_use]
 pub fn config() -> JobConfig {
@@ -367,6 +383,7 @@
             next_worker: 0,
             accounts: BTreeMap::new(),
             limits: Vec::new(),
+            clock_start: None,
             received_terms: None,
         }
     }
@@ -412,7 +429,7 @@
                 crashed: false,
                 silent: false,
                 epoch: 0,
-                clock_zero_ms: 0,
+                clock_start: (0, 0),
                 lease_until_ms: 0,
                 runs: BTreeMap::new(),
                 highest_runs: BTreeMap::new(),
@@ -479,14 +496,19 @@
     }
 
     /// Restarts a worker's process under the same id, with the start that its clock shows, and
-    /// returns its entry, which is not listed yet. Its own clock starts anew.
+    /// returns its entry, which is not listed yet. Its own clock starts anew, at any value.
     pub fn restart(&mut self, id: &str, born_ms: u64) -> WorkerEntry {
+        let former_ms = self.workers[id].clock_ms(self.now);
+        let clock_ms = match self.clock_start {
+            Some(start) => start(former_ms),
+            None => DRAWN_CLOCKS[self.draw() as usize % DRAWN_CLOCKS.len()](former_ms),
+        };
         let worker = self.workers.get_mut(id).expect("a worker");
         worker.entry.born_ms = born_ms;
         worker.up = true;
         worker.silent = false;
         worker.epoch = 0;
-        worker.clock_zero_ms = self.now;
+        worker.clock_start = (clock_ms, self.now);
         worker.lease_until_ms = 0;
         worker.runs.clear();
         worker.highest_runs.clear();
