Restarts: ends are acknowledged only to a worker that answers

What callers would see: a task that was completed is run again (TWICE).

Cause: the cursor of a hold is the number of an end of one incarnation, but a hold is sent to a worker. After a silent restart the repeated hold acknowledged ends of the former incarnation to the new one, whose numbers begin at 1. It forgot the end of a run that it had completed, and its report showed the run neither alive nor ended.

Change: after a call without an answer, holds acknowledge nothing until a report names its incarnation. Ends that are listed again count once, as before.

--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -105,7 +105,7 @@
         view.hold_wait_ms = wait_ms;
         let order = WorkerOrder::Hold {
             lease_until_ms,
-            cursor: view.cursor,
+            cursor: view.hold_cursor(),
             wait_ms,
         };
         let token = CallToken::Hold {
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -212,6 +212,19 @@
         run.is_reported && run.born_ms == self.entry.born_ms
     }
 
+    /// Returns the number of the last end that the next hold acknowledges; 0 for none.
+    ///
+    /// After a call without an answer, another incarnation may receive the hold. It numbers its
+    /// ends anew, and would forget those up to the cursor, which were never listed.
+    #[must_use]
+    pub fn hold_cursor(&self) -> u64 {
+        if self.missed_calls == 0 {
+            self.cursor
+        } else {
+            0
+        }
+    }
+
     /// Returns the free capacity.
     #[must_use]
     pub fn free(&self) -> ResourceVector {
--- a/tests/jobs_restarts.rs
+++ b/tests/jobs_restarts.rs
@@ -279,3 +279,19 @@
         }
     }
 }
+
+/// The new incarnation completes a run before it is asked for a report. The next hold acknowledged
+/// ends of the former incarnation, whose numbers are higher, so that the end was forgotten unseen
+/// and the task was run again.
+#[test]
+fn end_before_restart_is_known_not_forgotten() {
+    for (number, clock_start) in DRAWN_CLOCKS.into_iter().enumerate() {
+        for down_ms in (40..=700).step_by(130) {
+            for entry_ms in [0, 400, 4000] {
+                let mut restart = UnnoticedRestart::new(down_ms, clock_start, 100);
+                restart.go_on(entry_ms);
+                restart.settle(&format!("{number} {down_ms} {entry_ms}"));
+            }
+        }
+    }
+}
