Records: their encoding moves into a module of its own

Change: jobs::codec has the encoding of values and of what follows them, jobs::terms that of terms; no format and no behaviour changes.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -7,13 +7,13 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::jobs::codec::EncodeError;
+use crate::jobs::codec::encode_with;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
 use crate::jobs::listed_workers::ListedWorkers;
 use crate::jobs::permits::OrderPermits;
-use crate::jobs::record::EncodeError;
 use crate::jobs::record::ShardKeys;
-use crate::jobs::record::encode_with;
 use crate::jobs::wave::StoredWave;
 use crate::jobs::wave::WaveOrder;
 use crate::jobs::wave::WavePace;
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -16,6 +16,7 @@
 pub mod candidates;
 pub(crate) mod capability;
 pub mod choose;
+pub mod codec;
 pub mod config;
 pub mod confirmation;
 pub mod copies;
--- a/src/jobs/permits.rs
+++ b/src/jobs/permits.rs
@@ -15,11 +15,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::jobs::codec::EncodeError;
+use crate::jobs::codec::RecordError;
+use crate::jobs::codec::decode_with;
+use crate::jobs::codec::encode_with;
 use crate::jobs::engine::TimePair;
-use crate::jobs::record::EncodeError;
-use crate::jobs::record::RecordError;
-use crate::jobs::record::decode_with;
-use crate::jobs::record::encode_with;
 
 /// Validity of a permit, in milliseconds: enough for a few attempts at an order.
 const PERMIT_MS: u64 = 1500;
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -10,15 +10,18 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
-use snafu::ResultExt;
-use snafu::Snafu;
 
 use crate::jobs::account::AccountName;
+use crate::jobs::codec::EncodeError;
+use crate::jobs::codec::RecordError;
+use crate::jobs::codec::decode_rest;
+use crate::jobs::codec::encode;
+use crate::jobs::codec::encode_with;
+use crate::jobs::codec::read_with;
 use crate::jobs::loss_record::LossRecord;
 use crate::jobs::terms::JobTerms;
-use crate::jobs::terms::TermsOrigin;
-use crate::jobs::terms::TermsRecord;
+use crate::jobs::terms::decode_terms;
+use crate::jobs::terms::encode_terms;
 use crate::jobs::types::JobSpec;
 use crate::jobs::types::JobState;
 
@@ -26,23 +29,6 @@
 /// each other.
 pub const MEMBER_PREFIX: &str = "chicory/member/";
 
-/// A stored record could not be decoded.
-#[derive(Debug)]
-#[derive(Snafu)]
-#[snafu(display("step=decode_record key={key}: {source}"))]
-pub struct RecordError {
-    key: String,
-    source: rmp_serde::decode::Error,
-}
-
-/// A record could not be encoded for the store.
-#[derive(Debug)]
-#[derive(Snafu)]
-#[snafu(display("step=encode_record: {source}"))]
-pub struct EncodeError {
-    source: rmp_serde::encode::Error,
-}
-
 /// Number of chains of commits of a shard. More than one is used only while the store
 /// is slow: at 250 ms a commit, one chain would only store about 100 records a second.
 pub const LANE_COUNT: usize = 8;
@@ -149,7 +135,7 @@
     #[serde(skip)]
     pub account: Option<AccountName>,
     /// What it was accepted under; none if an earlier version has accepted it. They are encoded
-    /// as a [`TermsRecord`] and a [`TermsOrigin`] after the [`BodyExtension`].
+    /// with [`encode_terms`] after the [`BodyExtension`].
     #[serde(skip)]
     pub terms: Option<JobTerms>,
 }
@@ -197,34 +183,6 @@
     })
 }
 
-/// Encodes terms, which follow another record.
-///
-/// # Errors
-///
-/// Fails if the encoder fails.
-pub fn encode_terms(terms: JobTerms) -> Result<Vec<u8>, EncodeError> {
-    let origin = TermsOrigin {
-        version: terms.version,
-    };
-    encode_with(&TermsRecord::from(terms), &origin)
-}
-
-/// Decodes the terms that follow the record under `key`; none if nothing does.
-///
-/// # Errors
-///
-/// Fails if `bytes` is neither empty nor encoded terms.
-pub fn decode_terms(key: &str, bytes: &[u8]) -> Result<Option<JobTerms>, RecordError> {
-    if bytes.is_empty() {
-        return Ok(None);
-    }
-    let (record, origin): (TermsRecord, Option<TermsOrigin>) = decode_with(key, bytes)?;
-    Ok(Some(JobTerms {
-        version: origin.unwrap_or_default().version,
-        ..record.into()
-    }))
-}
-
 /// A run that may be alive at a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -323,14 +281,10 @@
     let (record, extension): (ProgressRecord, Option<ProgressExtension>) =
         read_with(key, &mut bytes)?;
     let account = extension.and_then(|extension| extension.account);
-    let losses = if bytes.is_empty() {
-        Vec::new()
-    } else {
-        rmp_serde::from_read(&mut bytes).context(RecordSnafu { key })?
-    };
+    let losses: Option<Vec<LossRecord>> = decode_rest(key, bytes)?;
     Ok(ProgressRecord {
         account: account.map(Into::into),
-        losses,
+        losses: losses.unwrap_or_default(),
         ..record
     })
 }
@@ -352,68 +306,3 @@
     /// When an owner first learnt of the wave, in milliseconds since the Unix epoch.
     pub seen_unix_ms: u64,
 }
-
-/// Encodes a record as MessagePack.
-///
-/// # Errors
-///
-/// Fails if the encoder fails; no record of this module makes it fail.
-pub fn encode<T: Serialize>(record: &T) -> Result<Vec<u8>, EncodeError> {
-    rmp_serde::to_vec(record).context(EncodeSnafu)
-}
-
-/// Encodes a record and, after it, fields that it gained in a later version.
-///
-/// Entry VMs of earlier versions decode the record and ignore what follows it. They would
-/// reject a record with further fields.
-///
-/// # Errors
-///
-/// Fails if the encoder fails.
-pub fn encode_with<T: Serialize, E: Serialize>(
-    record: &T,
-    extension: &E,
-) -> Result<Vec<u8>, EncodeError> {
-    let mut bytes = encode(record)?;
-    bytes.extend(encode(extension)?);
-    Ok(bytes)
-}
-
-/// Decodes a record that [`encode_with`] or [`encode`] has encoded; the extension is none
-/// if the record has none. The key only names the record in the error.
-///
-/// # Errors
-///
-/// Fails if `bytes` does not start with a `T`, or an `E` does not follow it.
-pub fn decode_with<T: DeserializeOwned, E: DeserializeOwned>(
-    key: &str,
-    mut bytes: &[u8],
-) -> Result<(T, Option<E>), RecordError> {
-    read_with(key, &mut bytes)
-}
-
-/// Like [`decode_with`]; `bytes` are left at what follows.
-///
-/// # Errors
-///
-/// Fails like [`decode_with`].
-pub fn read_with<T: DeserializeOwned, E: DeserializeOwned>(
-    key: &str,
-    bytes: &mut &[u8],
-) -> Result<(T, Option<E>), RecordError> {
-    let record = rmp_serde::from_read(&mut *bytes).context(RecordSnafu { key })?;
-    if bytes.is_empty() {
-        return Ok((record, None));
-    }
-    let extension = rmp_serde::from_read(bytes).context(RecordSnafu { key })?;
-    Ok((record, Some(extension)))
-}
-
-/// Decodes the record that is stored under `key`; the key only names it in the error.
-///
-/// # Errors
-///
-/// Fails if `bytes` is not the MessagePack form of a `T`.
-pub fn decode<'a, T: Deserialize<'a>>(key: &str, bytes: &'a [u8]) -> Result<T, RecordError> {
-    rmp_serde::from_slice(bytes).context(RecordSnafu { key })
-}
--- a/src/jobs/terms.rs
+++ b/src/jobs/terms.rs
@@ -11,6 +11,10 @@
 use serde::Serialize;
 
 use crate::jobs::callers::Submission;
+use crate::jobs::codec::EncodeError;
+use crate::jobs::codec::RecordError;
+use crate::jobs::codec::decode_with;
+use crate::jobs::codec::encode_with;
 use crate::jobs::config::AdviceTiming;
 use crate::jobs::config::JobConfig;
 use crate::jobs::config::QueueConfig;
@@ -115,6 +119,34 @@
     }
 }
 
+/// Encodes terms, which follow another record.
+///
+/// # Errors
+///
+/// Fails if the encoder fails.
+pub fn encode_terms(terms: JobTerms) -> Result<Vec<u8>, EncodeError> {
+    let origin = TermsOrigin {
+        version: terms.version,
+    };
+    encode_with(&TermsRecord::from(terms), &origin)
+}
+
+/// Decodes the terms that follow the record under `key`; none if nothing does.
+///
+/// # Errors
+///
+/// Fails if `bytes` is neither empty nor encoded terms.
+pub fn decode_terms(key: &str, bytes: &[u8]) -> Result<Option<JobTerms>, RecordError> {
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    let (record, origin): (TermsRecord, Option<TermsOrigin>) = decode_with(key, bytes)?;
+    Ok(Some(JobTerms {
+        version: origin.unwrap_or_default().version,
+        ..record.into()
+    }))
+}
+
 impl JobTerms {
     /// Returns the terms of a queue of a configuration; none if it lacks the queue.
     #[must_use]
--- a/src/jobs/unresponsive.rs
+++ b/src/jobs/unresponsive.rs
@@ -16,11 +16,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::jobs::codec::EncodeError;
+use crate::jobs::codec::RecordError;
+use crate::jobs::codec::decode_with;
+use crate::jobs::codec::encode_with;
 use crate::jobs::engine::TimePair;
-use crate::jobs::record::EncodeError;
-use crate::jobs::record::RecordError;
-use crate::jobs::record::decode_with;
-use crate::jobs::record::encode_with;
 
 /// Age from which on a stored record is written again with the next commit, in
 /// milliseconds.
--- a/src/jobs/writes.rs
+++ b/src/jobs/writes.rs
@@ -8,10 +8,10 @@
 use crate::jobs::actions::CallerAnswer;
 use crate::jobs::actions::WaiterId;
 use crate::jobs::callers::STORE_RETRY_MS;
+use crate::jobs::codec::EncodeError;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
 use crate::jobs::job::JobEntry;
-use crate::jobs::record::EncodeError;
 use crate::jobs::record::ShardKeys;
 use crate::jobs::record::WaveRecord;
 use crate::jobs::record::encode_body;
--- a/src/service/jobs/claim.rs
+++ b/src/service/jobs/claim.rs
@@ -16,12 +16,12 @@
 use tokio::time::timeout;
 
 use crate::clock::boot_ms;
+use crate::jobs::codec::decode;
+use crate::jobs::codec::encode;
 use crate::jobs::record::ChainRecord;
 use crate::jobs::record::LANE_COUNT;
 use crate::jobs::record::MemberRecord;
 use crate::jobs::record::ShardKeys;
-use crate::jobs::record::decode;
-use crate::jobs::record::encode;
 use crate::ports::StoreCall;
 use crate::ports::StoreReply;
 use crate::ports::store::LeaseId;
--- a/src/service/jobs/commit.rs
+++ b/src/service/jobs/commit.rs
@@ -5,10 +5,10 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use crate::jobs::codec::decode;
+use crate::jobs::codec::encode;
 use crate::jobs::record::ChainRecord;
 use crate::jobs::record::ShardKeys;
-use crate::jobs::record::decode;
-use crate::jobs::record::encode;
 use crate::jobs::writes::WriteBatch;
 use crate::platform::backoff::BackoffState;
 use crate::ports::StoreCall;
--- a/src/service/jobs/load.rs
+++ b/src/service/jobs/load.rs
@@ -4,13 +4,13 @@
 
 use crate::clock::boot_ms;
 use crate::clock::unix_ms;
+use crate::jobs::codec::decode_with;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::engine::TimePair;
 use crate::jobs::permits::PermitRecord;
 use crate::jobs::record::ShardKeys;
 use crate::jobs::record::decode_body;
 use crate::jobs::record::decode_progress;
-use crate::jobs::record::decode_with;
 use crate::jobs::unresponsive::UnresponsiveRecord;
 use crate::jobs::wave::StoredWave;
 use crate::ports::store::StoreItem;
--- a/src/service/jobs/member.rs
+++ b/src/service/jobs/member.rs
@@ -8,11 +8,11 @@
 use tokio::time::sleep;
 
 use crate::clock::unix_ms;
+use crate::jobs::codec::decode;
+use crate::jobs::codec::encode;
 use crate::jobs::record::MEMBER_PREFIX;
 use crate::jobs::record::MemberRecord;
 use crate::jobs::record::ShardKeys;
-use crate::jobs::record::decode;
-use crate::jobs::record::encode;
 use crate::jobs::record::entry_vm_key;
 use crate::platform::backoff::BackoffState;
 use crate::ports::StoreCall;
--- a/tests/jobs_accounts.rs
+++ b/tests/jobs_accounts.rs
@@ -11,13 +11,13 @@
 mod world;
 
 use chicorygauge::jobs::actions::CallerAnswer;
+use chicorygauge::jobs::codec::decode;
+use chicorygauge::jobs::codec::encode;
 use chicorygauge::jobs::config::PoolConfig;
 use chicorygauge::jobs::config::QueueConfig;
 use chicorygauge::jobs::record::ProgressRecord;
 use chicorygauge::jobs::record::ShardKeys;
-use chicorygauge::jobs::record::decode;
 use chicorygauge::jobs::record::decode_progress;
-use chicorygauge::jobs::record::encode;
 use chicorygauge::jobs::record::encode_progress;
 use chicorygauge::jobs::types::JobSpec;
 use chicorygauge::jobs::types::JobState;
--- a/tests/jobs_incarnations.rs
+++ b/tests/jobs_incarnations.rs
@@ -8,10 +8,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chicorygauge::jobs::codec::decode;
 use chicorygauge::jobs::permits::PermitRecord;
 use chicorygauge::jobs::permits::PermitRow;
 use chicorygauge::jobs::record::MemberRecord;
-use chicorygauge::jobs::record::decode;
 use chicorygauge::jobs::types::JobSpec;
 use chicorygauge::jobs::types::RunEnd;
 use chicorygauge::jobs::types::StepSpec;
--- a/tests/jobs_leases.rs
+++ b/tests/jobs_leases.rs
@@ -5,7 +5,7 @@
 #[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
-use chicorygauge::jobs::record::encode;
+use chicorygauge::jobs::codec::encode;
 use chicorygauge::jobs::types::JobState;
 use chicorygauge::jobs::unresponsive::UnresponsiveLease;
 use chicorygauge::jobs::unresponsive::UnresponsiveRecord;
--- a/tests/jobs_losses.rs
+++ b/tests/jobs_losses.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 
+use chicorygauge::jobs::codec::decode_with;
 use chicorygauge::jobs::listed_workers::ListedWorkers;
 use chicorygauge::jobs::loss_record::LossRecord;
 use chicorygauge::jobs::losses::WorkerLoss;
@@ -13,7 +14,6 @@
 use chicorygauge::jobs::record::ProgressExtension;
 use chicorygauge::jobs::record::ProgressRecord;
 use chicorygauge::jobs::record::decode_progress;
-use chicorygauge::jobs::record::decode_with;
 use chicorygauge::jobs::record::encode_progress;
 use chicorygauge::jobs::types::JobId;
 use chicorygauge::jobs::types::JobState;
--- a/tests/jobs_permits.rs
+++ b/tests/jobs_permits.rs
@@ -1,10 +1,10 @@
 //! Permits to order VMs: when they may be used, and what a new holder takes over.
 
+use chicorygauge::jobs::codec::encode;
 use chicorygauge::jobs::engine::TimePair;
 use chicorygauge::jobs::permits::OrderPermits;
 use chicorygauge::jobs::permits::PermitRecord;
 use chicorygauge::jobs::permits::PermitRow;
-use chicorygauge::jobs::record::encode;
 
 const WAIT_MS: u64 = 4000;
 
--- a/tests/jobs_relay.rs
+++ b/tests/jobs_relay.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chicorygauge::jobs::codec::decode_with;
+use chicorygauge::jobs::codec::encode_with;
 use chicorygauge::jobs::record::MemberRecord;
-use chicorygauge::jobs::record::decode_with;
-use chicorygauge::jobs::record::encode_with;
 use chicorygauge::jobs::terms::JobTerms;
 use chicorygauge::jobs::types::JobSpec;
 use chicorygauge::keep_alive::KeepAliveClient;
--- a/tests/jobs_terms.rs
+++ b/tests/jobs_terms.rs
@@ -7,6 +7,9 @@
 
 use std::sync::Arc;
 
+use chicorygauge::jobs::codec::decode_with;
+use chicorygauge::jobs::codec::encode;
+use chicorygauge::jobs::codec::encode_with;
 use chicorygauge::jobs::config::AdviceTiming;
 use chicorygauge::jobs::config::JobConfig;
 use chicorygauge::jobs::config::QueueConfig;
@@ -14,10 +17,7 @@
 use chicorygauge::jobs::record::BodyRecord;
 use chicorygauge::jobs::record::ShardKeys;
 use chicorygauge::jobs::record::decode_body;
-use chicorygauge::jobs::record::decode_with;
-use chicorygauge::jobs::record::encode;
 use chicorygauge::jobs::record::encode_body;
-use chicorygauge::jobs::record::encode_with;
 use chicorygauge::jobs::terms::JobTerms;
 use chicorygauge::jobs::terms::TermsRecord;
 use chicorygauge::jobs::types::JobState;
--- a/tests/jobs_waves.rs
+++ b/tests/jobs_waves.rs
@@ -1,12 +1,12 @@
 //! Pace of maintenance waves, and their time limit across owners.
 
+use chicorygauge::jobs::codec::decode;
+use chicorygauge::jobs::codec::decode_with;
+use chicorygauge::jobs::codec::encode;
+use chicorygauge::jobs::codec::encode_with;
 use chicorygauge::jobs::engine::TimePair;
 use chicorygauge::jobs::record::WaveExtension;
 use chicorygauge::jobs::record::WaveRecord;
-use chicorygauge::jobs::record::decode;
-use chicorygauge::jobs::record::decode_with;
-use chicorygauge::jobs::record::encode;
-use chicorygauge::jobs::record::encode_with;
 use chicorygauge::jobs::wave::StoredWave;
 use chicorygauge::jobs::wave::WaveOrder;
 use chicorygauge::jobs::wave::WavePace;
