Restarts: leases are reckoned with the longest one until a report

What callers would see: a task runs twice after its worker has started again under its identifier and falls silent, or around a change of owner (TWICE).

Cause: an order names the end of a lease as a time of the known incarnation's clock. A later one, whose clock starts at any value, takes it for the longest lease from the order's arrival, which may be up to 12 s late. The owner reckoned with what it meant to grant: for runs whose start was answered, for the runs of the new incarnation, for a stop with its start on the way, and as a successor.

Change: until a report shows a run at the known incarnation, it may last for the longest lease after the last order that may have granted one and the time that an order may be late. The stored lease of a silent worker is that of its longest run. A successor counts the longest lease.

Ruled out: identity of channels as a proof (shared by chance).

--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -233,7 +233,6 @@
             expires_ms: lease.expires_ms,
             source: "stored",
         });
-        let stored = stored.filter(|stored| stored.expires_ms < longest.expires_ms);
         stored.unwrap_or(longest)
     }
 
@@ -261,9 +260,14 @@
                 && self.unresponsive.lease(id).is_none()
                 && let Some(expires_ms) = view.lease_expiry_ms()
             {
+                let late_ms = view.runs.iter().filter_map(|(task, run)| {
+                    let placed = self.placed_run(task, id, *run)?;
+                    self.late_expiry_ms(view, placed)
+                });
+                let orders_ms = late_ms.fold(view.orders_expiry_ms, u64::max);
                 let lease = UnresponsiveLease {
                     born_ms: view.entry.born_ms,
-                    expires_ms: expires_ms.max(view.orders_expiry_ms),
+                    expires_ms: expires_ms.max(orders_ms),
                 };
                 self.unresponsive.insert(id, lease);
             }
--- a/src/jobs/holds.rs
+++ b/src/jobs/holds.rs
@@ -88,6 +88,7 @@
         let lease_until_ms = lease.flatten();
         if let Some(until) = lease_until_ms {
             view.lease_until_ms = view.lease_until_ms.max(until);
+            view.lease_sent_ms = now;
         }
         let wait_ms = match (view.clock, view.runs.is_empty(), shared) {
             _ if !may_grant => 0,
@@ -157,19 +158,13 @@
             self.waiting.mark_all_due();
             self.withdraw_losses(worker, born_ms, now);
         }
-        let (max_lease_ms, max_hold_ms) = (self.settings.max_lease_ms(), self.settings.max_hold_ms);
+        let max_hold_ms = self.settings.max_hold_ms;
         let Some(view) = self.workers.get_mut(worker) else {
             return false;
         };
         if view.contact_ms.is_none() && !view.runs.is_empty() {
-            // A start for an earlier incarnation names a time of that one's clock.
-            let is_restarted = view.orders_expiry_ms > 0;
-            let longest_ms = if is_restarted {
-                max_hold_ms
-            } else {
-                max_lease_ms
-            };
-            view.assume_lease(clock_ms, longest_ms);
+            // The lease may be a time of an earlier incarnation's clock, and then the longest one.
+            view.assume_lease(clock_ms, max_hold_ms);
         }
         let wait_ms = if self.unresponsive.may_grant_lease(worker) {
             0
--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -27,17 +27,18 @@
 use crate::ports::worker::EndedRow;
 use crate::ports::worker::RunningRow;
 
-/// How long after it was sent an order may be carried out, in milliseconds. The incarnation to
-/// which it was sent refuses a start once its lease is over; the clock of a later one starts
-/// anew.
-const MAX_ORDER_DELAY_MS: u64 = 5000;
+/// How long after it was sent an order without an answer may be carried out, in milliseconds. The
+/// incarnation to which it was sent refuses a start once its lease is over; the clock of a later
+/// one starts anew.
+const MAX_ORDER_DELAY_MS: u64 = 12_000;
 
 impl SchedulerSettings {
-    /// Returns when a run whose start was sent at `sent_ms` has certainly ended, whichever
-    /// incarnation has carried it out, if nothing has extended its lease; both on the boot clock,
-    /// in milliseconds. A later incarnation may take the lease for the longest one.
-    pub(crate) fn start_expiry_ms(&self, sent_ms: u64) -> u64 {
-        sent_ms + MAX_ORDER_DELAY_MS + self.max_hold_ms * 21 / 20
+    /// Returns when the lease has certainly expired that an order granted which was sent at
+    /// `sent_ms`, whichever incarnation has carried it out; both on the boot clock, in
+    /// milliseconds. A later incarnation may take the lease for the longest one.
+    #[must_use]
+    pub fn start_expiry_ms(&self, sent_ms: u64) -> u64 {
+        sent_ms + MAX_ORDER_DELAY_MS + self.longest_lease_ms()
     }
 }
 
@@ -63,6 +64,24 @@
     }
 }
 
+/// Returns whether a run may be at a later incarnation of its worker than the known one: no report
+/// shows that it had begun at the known one, or an attempt at its start may still be carried out.
+fn may_be_at_later(view: &WorkerView, run: &TaskRun) -> bool {
+    let (is_known, may_start) = match run.phase {
+        // A successor waits for all orders of the former owner.
+        RunPhase::Reserved(_) | RunPhase::Inherited => return false,
+        RunPhase::Running(since_ms) | RunPhase::Stopped(since_ms) => {
+            let is_known = view.has_reported(run) || since_ms < view.reported_ms;
+            (is_known, run.has_unanswered_start)
+        }
+        RunPhase::Ordered | RunPhase::Unanswered(_) | RunPhase::Stopping => {
+            (view.has_reported(run), run.has_unanswered_start)
+        }
+    };
+    let is_over = view.reported_ms > run.ordered_ms + MAX_ORDER_DELAY_MS;
+    !is_known || may_start && !is_over
+}
+
 /// Returns whether an incarnation that starts later may have a run: an order for it may have no
 /// answer.
 fn is_unsettled(run: &TaskRun) -> bool {
@@ -147,6 +166,7 @@
         let former = self.workers.get(worker);
         let view = WorkerView {
             former_alive_ms: former.map_or(0, |view| view.alive_ms),
+            orders_expiry_ms: former.map_or(0, |view| self.orders_expiry_ms(view)),
             ..WorkerView::new(entry, now)
         };
         self.workers.insert(worker.to_owned(), view);
@@ -218,13 +238,30 @@
         }
     }
 
+    /// Returns when the leases that a later incarnation of a worker may have been granted by the
+    /// orders to the known one and to earlier ones have certainly expired; 0 if there were none.
+    fn orders_expiry_ms(&self, view: &WorkerView) -> u64 {
+        let own_ms = match view.lease_sent_ms {
+            0 => 0,
+            sent_ms => self.settings.start_expiry_ms(sent_ms),
+        };
+        own_ms.max(view.orders_expiry_ms)
+    }
+
+    /// Returns when a run at a worker that does not answer has certainly ended, if that is later
+    /// than the end of the known incarnation's lease: it may be at a later one, which takes the
+    /// leases that orders grant for the longest one.
+    pub(crate) fn late_expiry_ms(&self, view: &WorkerView, run: &TaskRun) -> Option<u64> {
+        let may_be_later = may_be_at_later(view, run) && !view.is_replaced;
+        let ordered_ms = self.settings.start_expiry_ms(run.ordered_ms);
+        may_be_later.then(|| ordered_ms.max(self.orders_expiry_ms(view)))
+    }
+
     /// Returns whether a run at a worker that does not answer may go on after its lease has
-    /// expired. One with an attempt at its start that is not answered may have been started by a
-    /// later incarnation, whose lease ends later.
+    /// expired.
     pub(crate) fn may_outlive_lease(&self, view: &WorkerView, run: &TaskRun, now: u64) -> bool {
-        let has_open_start = run.has_unanswered_start || run.phase == RunPhase::Ordered;
-        let expires_ms = self.settings.start_expiry_ms(run.ordered_ms);
-        has_open_start && !view.is_replaced && now <= expires_ms
+        let expires_ms = self.late_expiry_ms(view, run);
+        expires_ms.is_some_and(|expires_ms| now <= expires_ms)
     }
 
     /// Marks the runs as lost at a worker that does not answer and whose lease has expired.
@@ -233,10 +270,16 @@
         self.lose_runs_except(worker, kept, LossReason::LeaseExpired, now);
     }
 
-    /// Marks the runs as lost at a worker whose VM the platform lists as down. It may start again
-    /// under its identifier, so that runs with an order that is not answered are kept.
-    pub(crate) fn lose_settled_runs(&mut self, worker: &str, now: u64) {
-        let kept = self.runs_that(worker, |_, run| is_unsettled(run));
+    /// Marks the runs as lost at a worker whose VM the platform lists as down, in a list that was
+    /// read from `listed_ms` on. It may start again under its identifier, so that runs with an
+    /// order that is not answered, or was answered since, are kept.
+    pub(crate) fn lose_settled_runs(&mut self, worker: &str, listed_ms: u64, now: u64) {
+        let kept = self.runs_that(worker, |view, run| match run.phase {
+            RunPhase::Running(since_ms) | RunPhase::Stopped(since_ms) if since_ms >= listed_ms => {
+                may_be_at_later(view, run)
+            }
+            _ => is_unsettled(run),
+        });
         self.lose_runs_except(worker, kept, LossReason::NotListed, now);
     }
 
--- a/src/jobs/listed_workers.rs
+++ b/src/jobs/listed_workers.rs
@@ -112,7 +112,7 @@
                 self.worker_superseded(&worker, now);
             }
             if may_return {
-                self.lose_settled_runs(&worker, now);
+                self.lose_settled_runs(&worker, started_ms, now);
             } else {
                 self.mark_runs_lost(&worker, LossReason::NotListed, now);
             }
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -106,6 +106,7 @@
             return;
         };
         view.lease_until_ms = view.lease_until_ms.max(lease_until_ms);
+        view.lease_sent_ms = now;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -123,6 +124,7 @@
             if placed.worker == worker {
                 placed.phase = RunPhase::Ordered;
                 placed.ordered_ms = now;
+                placed.has_unanswered_start = true;
                 placed.last_progress_ms = now;
             }
         }
@@ -170,6 +172,12 @@
         let Some(phase) = self.run_phase(task, worker, run) else {
             return;
         };
+        if retries == 0
+            && result != CallResult::Unknown
+            && let Some(placed) = self.placed_run_mut(task, worker, run)
+        {
+            placed.has_unanswered_start = false;
+        }
         match result {
             CallResult::Answered(WorkerReply::Refused { reason }) => {
                 self.record_refusal(worker, task, run, reason, now);
@@ -188,9 +196,6 @@
                 log::info!(
                     event = "start_unknown", task:% = task, run = run, worker = worker, retries = retries; ""
                 );
-                if result == CallResult::Unknown {
-                    self.mark_start_unanswered(task, worker, run);
-                }
                 if phase != RunPhase::Ordered {
                     return;
                 }
@@ -204,13 +209,6 @@
         }
     }
 
-    /// Records that an attempt at the start of a run has no answer.
-    fn mark_start_unanswered(&mut self, task: &TaskId, worker: &str, run: u32) {
-        if let Some(placed) = self.placed_run_mut(task, worker, run) {
-            placed.has_unanswered_start = true;
-        }
-    }
-
     /// Handles a run whose start is not to be sent again, after an attempt without an answer.
     ///
     /// It may be in service. If its step lacks as many others as it may, the worker's next report
--- a/src/jobs/restore.rs
+++ b/src/jobs/restore.rs
@@ -80,9 +80,7 @@
             (&self.unresponsive, self.inherited_leases_expiry_ms);
         let expires_ms = |worker: &str| {
             let lease = unresponsive.lease(worker);
-            lease.map_or(inherited_leases_expiry_ms, |lease| {
-                lease.expires_ms.min(inherited_leases_expiry_ms)
-            })
+            lease.map_or(inherited_leases_expiry_ms, |lease| lease.expires_ms)
         };
         let expired = self
             .orphaned_runs
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -51,7 +51,7 @@
     pub began: bool,
     /// Whether a report of the incarnation that started at `born_ms` has listed it.
     pub is_reported: bool,
-    /// Whether an attempt at its start had no answer; it may be carried out by a later
+    /// Whether an attempt at its start has no answer; it may be carried out by a later
     /// incarnation of the worker, even though another attempt was answered.
     pub has_unanswered_start: bool,
     /// When its start was last sent; 0 if this owner has not sent it.
--- a/src/jobs/unresponsive.rs
+++ b/src/jobs/unresponsive.rs
@@ -114,8 +114,8 @@
 
 impl UnresponsiveWorkers {
     /// Replaces all leases by those that a former owner stored, read at `now`. None lasts
-    /// beyond `longest_ms`, when all leases of former owners have expired; a row of an earlier
-    /// version lasts until then.
+    /// beyond `longest_ms`, when all leases that orders of former owners may have granted have
+    /// expired; a row of an earlier version lasts until then.
     pub fn inherit(&mut self, record: UnresponsiveRecord, longest_ms: u64, now: u64) {
         let leases = record.rows.into_iter().map(|row| {
             let expires_ms = row.left_ms.map_or(longest_ms, |left_ms| now + left_ms);
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -93,6 +93,9 @@
     pub reported_ms: u64,
     /// Last sign of life of the incarnation before; 0 if there was none.
     pub former_alive_ms: u64,
+    /// When the last order was sent that may grant a lease, as a time of the known incarnation's
+    /// clock; 0 before the first.
+    pub lease_sent_ms: u64,
     /// When the leases that orders to an earlier incarnation may have granted have certainly
     /// expired; 0 if there are none.
     pub orders_expiry_ms: u64,
@@ -153,6 +156,7 @@
             found_ms: now,
             reported_ms: 0,
             former_alive_ms: 0,
+            lease_sent_ms: 0,
             orders_expiry_ms: 0,
             unlisted_ms: None,
             cursor: 0,
@@ -269,8 +273,9 @@
         Some(clock_ms.saturating_add(lease_ms))
     }
 
-    /// Assumes that former owners have granted a lease of `max_lease_ms` up to a first answer
-    /// with this reading of the worker's clock; after it, the worker rejects their orders.
+    /// Assumes that a lease of `max_lease_ms` was granted up to a first answer with this reading
+    /// of the worker's clock, by former owners, whose orders it rejects from now on, or by
+    /// orders for an earlier incarnation.
     pub fn assume_lease(&mut self, clock_ms: u64, max_lease_ms: u64) {
         let until_ms = clock_ms.saturating_add(max_lease_ms);
         self.lease_until_ms = self.lease_until_ms.max(until_ms);
--- a/src/service/jobs/load.rs
+++ b/src/service/jobs/load.rs
@@ -118,7 +118,7 @@
         }
     }
     if let Some(item) = content.unresponsive {
-        let longest_ms = engine.inherited_leases_expiry_ms;
+        let longest_ms = engine.settings.start_expiry_ms(time.boot);
         match UnresponsiveRecord::decode(&item.key, &item.value) {
             Ok(record) => engine.unresponsive.inherit(record, longest_ms, time.boot),
             // Without the record, the scheduler assumes the longest possible leases.
--- a/tests/jobs_leases.rs
+++ b/tests/jobs_leases.rs
@@ -17,12 +17,12 @@
 
 const JOB: &str = "00000000000000aa";
 
-/// Returns a world in which a task runs for long, and its worker.
+/// Returns a world in which a task runs for long, as its worker has reported, and the worker.
 fn world_with_run() -> (World, String) {
     let mut world = World::new(2, 1);
     world.run(20);
     world.submit(JOB, &job(&[step(1, 1000, 15_000)]), 1);
-    world.run(1000);
+    world.run(2500);
     let mut workers = world.workers.iter();
     let busy = workers.find(|(_, worker)| !worker.runs.is_empty());
     let id = busy.map(|(id, _)| id.clone()).expect("a run");
