--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -120,13 +120,9 @@
         } else {
             String::new()
         };
-        for placed in state.placed.iter_mut().filter(|placed| placed.run == run) {
-            if placed.worker == worker {
-                placed.phase = RunPhase::Ordered;
-                placed.ordered_ms = now;
-                placed.has_unanswered_start = true;
-                placed.last_progress_ms = now;
-            }
+        let placed = state.placed.iter_mut();
+        for placed in placed.filter(|placed| placed.run == run && placed.worker == worker) {
+            placed.record_order(now);
         }
         let order = WorkerOrder::Start {
             task: task.to_string(),
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -69,6 +69,16 @@
     pub load: u64,
 }
 
+impl TaskRun {
+    /// Records that its start is sent.
+    pub(crate) fn record_order(&mut self, now: u64) {
+        self.phase = RunPhase::Ordered;
+        self.ordered_ms = now;
+        self.has_unanswered_start = true;
+        self.last_progress_ms = now;
+    }
+}
+
 /// A task.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TaskState {
