Restarts: a run that is kept has its full pace

What callers would see: a filler that disturbs a serving task beside it works at full speed after its worker has restarted, and is not slowed down (HARM).

Cause: a run that the new incarnation has begun kept the pace that the former one was told. Change: it counts as full speed, as a start sets it, so that it is set again if need be.

--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -216,9 +216,11 @@
     fn attach_runs(&mut self, worker: &str, runs: Vec<(TaskId, u32)>, now: u64) {
         for (task, run) in runs {
             let footprint = self.footprint_of(&task);
-            let Some(placed) = self.placed_run(&task, worker, run) else {
+            let Some(placed) = self.placed_run_mut(&task, worker, run) else {
                 continue;
             };
+            // A start sets the pace anew.
+            placed.pace = 100;
             let (phase, may_start) = (placed.phase, placed.has_unanswered_start);
             let Some(view) = self.workers.get_mut(worker) else {
                 return;
--- a/tests/jobs_restarts.rs
+++ b/tests/jobs_restarts.rs
@@ -354,3 +354,21 @@
         }
     }
 }
+
+/// The run that a new incarnation has begun works at full speed, but counted as paced down, as the
+/// former one had been told, so that its pace was not set again.
+#[test]
+fn start_before_restart_is_known_pace_set_anew() {
+    let mut restart = UnnoticedRestart::new(200, |_| 0, 6000);
+    restart.world.run(100);
+    let steps = restart.world.engine.jobs.get_mut(SECOND).expect("a job");
+    let tasks = steps.open.values_mut().flatten();
+    for placed in tasks.flat_map(|step| &mut step.tasks[0].placed) {
+        placed.pace = 0;
+    }
+    restart.go_on(900, None, None);
+    let job = &restart.world.engine.jobs[SECOND];
+    let placed = &job.open[&0][0].tasks[0].placed;
+    assert_eq!(placed.len(), 1, "the run is kept");
+    assert_eq!(placed[0].pace, 100);
+}
