Restarts: tickets of the former incarnation are dropped

Cause: tickets are kept by worker. Change: a restart drops those of its worker, so that advice is asked for again before a start.

Evidence: restart_ticket_not_used_again failed before (1 ticket for 0).

--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -64,6 +64,14 @@
         }
     }
 
+    /// Removes a worker's tickets for all steps: they hold for one incarnation.
+    pub(crate) fn remove_worker_tickets(&mut self, worker: &str) {
+        let steps = self.jobs.values_mut().flat_map(|job| job.open.values_mut());
+        for step in steps.flatten() {
+            step.advice.tickets.remove(worker);
+        }
+    }
+
     /// Requests advice for a step that found no worker, if its queue needs advice.
     pub(crate) fn request_advice(&mut self, task: &TaskId, pool: &str, spec: &StepSpec, now: u64) {
         if !self.needs_advice(task) || self.advice_calls > 0 {
--- a/tests/jobs_restarts.rs
+++ b/tests/jobs_restarts.rs
@@ -5,6 +5,8 @@
 #[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
+use chicorygauge::jobs::types::TaskId;
+use chicorygauge::ports::AdviceReply;
 use chicorygauge::ports::WorkerEntry;
 use chicorygauge::ports::worker::WorkerOrder;
 
@@ -372,3 +374,31 @@
     assert_eq!(placed.len(), 1, "the run is kept");
     assert_eq!(placed[0].pace, 100);
 }
+
+/// A ticket holds for one incarnation: starts with that of the former one were sent, and refused.
+#[test]
+fn restart_ticket_not_used_again() {
+    let mut world = World::new(1, 1);
+    world.run(2000);
+    world.submit(FIRST, &job(&[step(1, 64_000, 5000)]), 1);
+    let worker = world.workers.keys().next().expect("a worker").clone();
+    let name = TaskId::parse(&format!("{FIRST}.0.0.0")).expect("a task");
+    let reply = AdviceReply::Allowed {
+        tickets: vec![(worker.clone(), "ticket".to_owned())],
+        valid_ms: 60_000,
+    };
+    let (asked, now) = ([worker.clone()], world.now);
+    world
+        .engine
+        .handle_advice_reply(&name, &asked, Some(reply), now);
+    let tickets = |world: &World| world.engine.jobs[FIRST].open[&0][0].advice.tickets.len();
+    assert_eq!(tickets(&world), 1);
+    world.crash_silently(&worker);
+    let born_ms = world.workers[&worker].entry.born_ms + 10_000;
+    let entry = world.restart(&worker, born_ms);
+    world.run(900);
+    let now = world.now;
+    world.engine.worker_listed(entry, now);
+    world.run(2000);
+    assert_eq!(tickets(&world), 0);
+}
