Leases: a successor waits as before for workers that it never reached

Cause: since a successor counted the longest lease (16.5 s) for a worker that it has not reached and of which no lease is stored. It waits anew after each change of owner, and each owner was stopped sooner.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -109,6 +109,14 @@
 }
 
 impl SchedulerSettings {
+    /// Returns for how long a lease of the known incarnation can last at most, in milliseconds, on
+    /// the worker's clock or on the owner's: the worker's may run up to 2 % slow, and the owner's
+    /// estimate of it be ahead by as much; 5 % covers that with a margin.
+    #[must_use]
+    pub fn granted_lease_ms(&self) -> u64 {
+        self.lease_ms * 21 / 20
+    }
+
     /// Returns for how long a lease can last at most, in milliseconds, whatever time an order
     /// has named: that on the worker's clock, which may run up to 2 % slow; 5 % covers that with
     /// a margin.
--- a/src/service/jobs/owner.rs
+++ b/src/service/jobs/owner.rs
@@ -142,9 +142,8 @@
     let now = boot_ms();
     let mut engine = JobEngine::new(scheduler, claimed.epoch, config, now);
     // The former owner may have renewed leases until RENEWAL_GRACE_MS after its ownership
-    // ended, also those of incarnations that it did not know.
-    let longest_ms = engine.settings.longest_lease_ms();
-    engine.inherited_leases_expiry_ms = now + RENEWAL_GRACE_MS + longest_ms;
+    // ended.
+    engine.inherited_leases_expiry_ms = now + RENEWAL_GRACE_MS + engine.settings.granted_lease_ms();
     engine.fleet.enabled = context.client.addresses.fleet.is_some();
     let waves = content.waves.clone();
     restore(&mut engine, content);
