Connections: clients without a whole request are let go when all places are taken

Seen: three bytes of a head on 2,000 connections, or one byte of a body, kept an entry VM from answering anybody; with bodies, for as long as the connections stayed. A descriptor limit below 2,000 did the same to any server of the process, the readiness check too.

Cause: a server stopped accepting at 2,000 connections, whatever the VM allows, and let nobody go: a body had no time limit, a connection that is not read from none either, and heads and idle connections a common one of 15 s.

Change: the connections of a server are a table with a stage each (decide::connections). At the limit, which follows from limits.maxFds and limits.memoryMb, the connection that has received less than 1 KiB for longest is closed for a new one; never one whose request is whole. Bodies end with the caller's deadline or after 15 s (503, Retry-After), unread answers after 15 s. The listening socket's receive buffer is 16 KiB, since unread bytes count as memory. A request whose body is not needed counts as whole before it is passed on. A request waits for an owner for 60 s at most, whatever its caller states.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! argument, usually a [`std::time::Duration`] since the start of the process, and
 //! the result is a list of actions for a service to carry out.
 
+pub mod connections;
 pub mod controller;
 pub mod dispatch;
 pub mod forward;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -6,6 +6,11 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+/// Connections of clients that were closed, and requests that were refused for want of room
+/// or time, by server and cause.
+pub const CLOSED_CONNECTIONS: &str = "chicory_connections_closed_total";
+/// Memory of requests that are incomplete or not answered, by server.
+pub const REQUEST_BUFFER_BYTES: &str = "chicory_request_buffer_bytes";
 /// Requests by outcome and reason.
 pub const REQUESTS: &str = "chicory_requests_total";
 /// Calls without a valid API key, by reason.
@@ -59,6 +64,14 @@
 pub fn start() {
     recorder();
     metrics::describe_counter!(REQUESTS, "Requests by outcome and reason.");
+    metrics::describe_counter!(
+        CLOSED_CONNECTIONS,
+        "Connections closed and requests refused, by server and cause."
+    );
+    metrics::describe_gauge!(
+        REQUEST_BUFFER_BYTES,
+        "Memory of requests that are incomplete or not answered, by server."
+    );
     metrics::describe_counter!(UNAUTHORIZED, "Calls without a valid API key, by reason.");
     metrics::describe_counter!(
         CONFIG_REJECTED,
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -4,13 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Method;
-use hyper::Request;
-use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -24,6 +21,12 @@
 use crate::metrics::UNAUTHORIZED;
 use crate::ports::DialectPort;
 use crate::ports::client::JSON;
+use crate::service::ingress::body::BodyError;
+use crate::service::ingress::body::ClientRequest;
+use crate::service::ingress::body::RequestBody;
+use crate::service::ingress::serve::HttpAnswer;
+use crate::service::ingress::serve::answer;
+use crate::service::ingress::serve::no_room;
 use crate::service::jobs::attempts::RelayOutcome;
 use crate::service::jobs::exchange::ExchangeState;
 use crate::service::jobs::messages::OperatorView;
@@ -31,12 +34,14 @@
 use crate::service::jobs::messages::RelayReply;
 use crate::service::jobs::messages::RelayRequest;
 use crate::service::jobs::relay::RelayClient;
-use crate::service::jobs::serve::HttpAnswer;
-use crate::service::jobs::serve::answer;
 
 /// Time that a caller is assumed to wait if the request states none.
 const DEFAULT_WAIT: Duration = Duration::from_secs(3);
 
+/// Max time for which a request waits, whatever the caller states: requests that wait for an
+/// owner keep their connections.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
 /// Subtracted from the time that a caller waits, so that the answer arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 
@@ -62,6 +67,13 @@
 /// milliseconds; exchanges with peers, which may confirm it, are half a second apart.
 const UNCONFIRMED_RETRY_MS: u64 = 1000;
 
+/// Duration from which an answer without an error is logged.
+const SLOW_ANSWER: Duration = Duration::from_millis(500);
+
+/// Marks the answer to a request that was not received whole.
+#[derive(Clone, Copy, Debug)]
+struct UnfinishedRequest;
+
 /// State of the server for callers.
 #[derive(Clone)]
 pub struct FrontState {
@@ -83,10 +95,10 @@
 ///
 /// Closes the connection after the answer during a shutdown, and after a 503 while this
 /// entry VM is disconnected, so that the caller's next request goes to another one.
-pub async fn handle(state: FrontState, request: Request<Incoming>) -> HttpAnswer {
+pub async fn handle(state: FrontState, request: ClientRequest) -> HttpAnswer {
     let started = Instant::now();
-    let method = request.method().clone();
-    let path = request.uri().path().to_owned();
+    let method = request.parts.method.clone();
+    let path = request.parts.uri.path().to_owned();
     let mut response = serve(&state, request, started).await;
     let disconnected = response.status() == 503 && state.exchange.is_disconnected();
     if disconnected || *state.phase.borrow() > ShutdownPhase::Running {
@@ -98,8 +110,11 @@
         .increment(1);
     metrics::histogram!("chicory_request_seconds").record(started.elapsed().as_secs_f64());
     // Fast answers without an error, and 410, are only counted; the owner logs the
-    // decisions behind them.
-    if status >= 400 && status != 410 || started.elapsed() > Duration::from_millis(500) {
+    // decisions behind them. Clients that do not finish their requests may be many, so their
+    // refusals are counted and logged by the server.
+    let unfinished = response.extensions().get::<UnfinishedRequest>().is_some();
+    let failed = status >= 400 && status != 410 && !unfinished;
+    if failed || !unfinished && started.elapsed() > SLOW_ANSWER {
         let took_ms = started.elapsed().as_millis() as u64;
         log::info!(
             event = "request_answered", method:% = method, path = path.as_str(),
@@ -109,7 +124,7 @@
     response
 }
 
-async fn serve(state: &FrontState, request: Request<Incoming>, started: Instant) -> HttpAnswer {
+async fn serve(state: &FrontState, request: ClientRequest, started: Instant) -> HttpAnswer {
     // Read before the configuration, which may be replaced by a newer one in between.
     let is_current = state.revocation.allows(state.exchange.status.age_ms());
     let operator = state.operator.borrow().clone();
@@ -125,11 +140,14 @@
         is_current,
         version: config.version,
     };
-    let wait = request.headers().get(state.dialect.deadline_header);
+    let wait = request.parts.headers.get(state.dialect.deadline_header);
     let wait = wait.and_then(|wait| wait.to_str().ok()?.parse().ok());
     let wait = wait.map_or(DEFAULT_WAIT, Duration::from_millis);
+    let wait = wait.min(MAX_WAIT);
     let deadline = started + wait - ANSWER_MARGIN.min(wait / ANSWER_MARGIN_DIVISOR);
-    let relay = match parse_request(state, config, check, request).await {
+    let ClientRequest { parts, body } = request;
+    let body = CallerBody { body, deadline };
+    let relay = match parse_request(state, config, check, &parts, body).await {
         Ok(relay) => relay,
         Err(response) => return *response,
     };
@@ -163,12 +181,12 @@
         &self,
         state: &FrontState,
         queue: &QueueConfig,
-        request: &Request<Incoming>,
+        request: &Parts,
     ) -> Result<Option<String>, Box<HttpAnswer>> {
         let Some(accounts) = self.accounts.filter(|_| !queue.anonymous) else {
             return Ok(None);
         };
-        let path = request.uri().path();
+        let path = request.uri.path();
         if !self.is_current {
             log::info!(event = "request_refused", path = path, reason = "config_unconfirmed"; "");
             let mut response = refused(503, UNCONFIRMED_RETRY_MS);
@@ -177,7 +195,7 @@
             response.headers_mut().insert(header::CONNECTION, close);
             return Err(Box::new(response));
         }
-        let keys = request.headers().get_all(state.dialect.key_header);
+        let keys = request.headers.get_all(state.dialect.key_header);
         match accounts.authenticate(keys.iter().map(HeaderValue::as_bytes)) {
             Ok(account) => Ok(Some(account.to_string())),
             Err(fault) => {
@@ -192,19 +210,52 @@
     }
 }
 
+/// The body of a caller's request and the time until which it is waited for.
+struct CallerBody {
+    body: RequestBody,
+    deadline: Instant,
+}
+
+impl CallerBody {
+    /// Reads the body; fails with the answer if it is not received whole. Nothing has been
+    /// passed on then, so the caller may be told that the request was not executed.
+    async fn read(self, limit: usize) -> Result<Vec<u8>, Box<HttpAnswer>> {
+        let body = self.body.read(limit, self.deadline).await;
+        body.map_err(Self::refusal)
+    }
+
+    /// Returns an operation that needs no body.
+    fn ignore(self, operation: RelayOperation) -> Result<RelayOperation, Box<HttpAnswer>> {
+        self.body.ignore().map_err(Self::refusal)?;
+        Ok(operation)
+    }
+
+    fn refusal(error: BodyError) -> Box<HttpAnswer> {
+        log::debug!(event = "request_unfinished", error:% = error; "");
+        let mut response = match error {
+            BodyError::TooLarge { .. } => answer(413, "", Bytes::new()),
+            BodyError::Broken { .. } => answer(400, "", Bytes::new()),
+            BodyError::TimedOut | BodyError::NoRoom => no_room(),
+        };
+        response.extensions_mut().insert(UnfinishedRequest);
+        Box::new(response)
+    }
+}
+
 /// Parses a request; fails with the answer if the request cannot be relayed.
 async fn parse_request(
     state: &FrontState,
     config: &JobConfig,
     check: KeyCheck<'_>,
-    request: Request<Incoming>,
+    request: &Parts,
+    body: CallerBody,
 ) -> Result<RelayRequest, Box<HttpAnswer>> {
-    let host = request.headers().get(header::HOST);
+    let host = request.headers.get(header::HOST);
     let host = host
         .and_then(|host| host.to_str().ok())
         .unwrap_or("")
         .to_owned();
-    let path = request.uri().path().to_owned();
+    let path = request.uri.path().to_owned();
     let Some((queue, rest)) = config.find_queue(&host, &path) else {
         return Err(Box::new(answer(404, "", Bytes::new())));
     };
@@ -214,22 +265,17 @@
         pool: queue.pool.clone(),
         ask: RelayOperation::Query,
         version: config.version,
-        account: check.account(state, queue, &request)?,
+        account: check.account(state, queue, request)?,
         terms: None,
     };
-    relay.ask = match (request.method(), rest) {
-        (&Method::GET, "") => RelayOperation::Pending,
+    relay.ask = match (&request.method, rest) {
+        (&Method::GET, "") => body.ignore(RelayOperation::Pending)?,
         (_, rest) if !is_job_id(rest) => return Err(Box::new(answer(404, "", Bytes::new()))),
-        (&Method::GET, _) => RelayOperation::Query,
-        (&Method::DELETE, _) => RelayOperation::Cancel,
+        (&Method::GET, _) => body.ignore(RelayOperation::Query)?,
+        (&Method::DELETE, _) => body.ignore(RelayOperation::Cancel)?,
         (&Method::POST, _) => {
-            let body = Limited::new(request.into_body(), config.body_bytes)
-                .collect()
-                .await;
-            let Ok(body) = body else {
-                return Err(Box::new(answer(413, "", Bytes::new())));
-            };
-            match (state.dialect.job)(&body.to_bytes()) {
+            let body = body.read(config.body_bytes).await?;
+            match (state.dialect.job)(&body) {
                 Ok(job) => {
                     relay.terms = JobTerms::of_queue(config, &queue.name);
                     RelayOperation::Submit(job)
--- a/src/service/jobs/mod.rs
+++ b/src/service/jobs/mod.rs
@@ -20,7 +20,6 @@
 pub mod peer;
 mod reclaim;
 pub mod relay;
-pub mod serve;
 pub mod settings;
 pub mod shard;
 pub mod status;
--- a/src/service/jobs/node.rs
+++ b/src/service/jobs/node.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::boot_ms;
 use crate::clock::unix_ms;
+use crate::decide::connections::StageLimits;
 use crate::keep_alive::KeepAliveClient;
 use crate::keep_alive::KeepAliveSettings;
 use crate::kernel::ServiceKernel;
@@ -22,6 +23,10 @@
 use crate::ports::DialectPort;
 use crate::ports::client::CallTimeouts;
 use crate::ports::client::PortClient;
+use crate::service::ingress::body::ClientRequest;
+use crate::service::ingress::limits::VmLimits;
+use crate::service::ingress::serve;
+use crate::service::ingress::serve::ServeSettings;
 use crate::service::jobs::exchange;
 use crate::service::jobs::exchange::ExchangeState;
 use crate::service::jobs::front;
@@ -33,10 +38,9 @@
 use crate::service::jobs::owner;
 use crate::service::jobs::owner::OwnerContext;
 use crate::service::jobs::peer;
+use crate::service::jobs::peer::MAX_MESSAGE_BYTES;
 use crate::service::jobs::peer::PeerState;
 use crate::service::jobs::relay::RelayClient;
-use crate::service::jobs::serve;
-use crate::service::jobs::serve::ServeSettings;
 use crate::service::jobs::settings::NodeSettings;
 use crate::service::jobs::status::ConfigStatus;
 use crate::service::jobs::store::StoreLink;
@@ -94,9 +98,9 @@
 pub async fn start(settings: NodeSettings, dialect: DialectPort) -> Result<RunningNode, NodeError> {
     metrics::start();
     let kernel = ServiceKernel::default();
-    let front = listen(settings.front).await?;
-    let ready = listen(settings.ready).await?;
-    let control = listen(settings.control).await?;
+    let front = listen(settings.front)?;
+    let ready = listen(settings.ready)?;
+    let control = listen(settings.control)?;
     let front_address = front.local_addr().context(ListenSnafu {
         address: settings.front,
     })?;
@@ -184,7 +188,7 @@
             },
         },
     );
-    start_metrics(&kernel, settings.metrics).await;
+    start_metrics(&kernel, settings.metrics);
     kernel.spawn(NAME, drain_histograms());
     log::info!(
         event = "node_started", name = settings.name.as_str(), dc = settings.dc.as_str(),
@@ -215,10 +219,10 @@
         peer: states.peer.clone(),
     };
     let ready_path = states.front.dialect.ready_path;
-    let handler = move |request: hyper::Request<hyper::body::Incoming>| {
+    let handler = move |request: ClientRequest| {
         let state = ready_state.clone();
         async move {
-            let path_matches = request.uri().path() == ready_path;
+            let path_matches = request.parts.uri.path() == ready_path;
             let status = if path_matches && state.is_ready() {
                 200
             } else {
@@ -230,27 +234,40 @@
     let server = ServeSettings {
         name: "ready",
         stop_phase: ShutdownPhase::Stopped,
-        ..ServeSettings::default()
+        limits: VmLimits::probes(),
     };
+    let limits = StageLimits::default;
     kernel.spawn(
         NAME,
-        serve::run(ready, server.clone(), kernel.phase(), handler),
+        serve::run(ready, server.clone(), limits, kernel.phase(), handler),
     );
     let peer_state = states.peer;
     let handler = move |request| peer::handle(peer_state.clone(), request);
     let server = ServeSettings {
         name: "control",
+        limits: settings.vm.peers(MAX_MESSAGE_BYTES),
         ..server
     };
-    kernel.spawn(NAME, serve::run(control, server, kernel.phase(), handler));
+    kernel.spawn(
+        NAME,
+        serve::run(control, server, limits, kernel.phase(), handler),
+    );
     let front_state = states.front;
     let handler = move |request| front::handle(front_state.clone(), request);
     let server = ServeSettings {
         name: "front",
+        limits: settings.vm.callers(),
         ..ServeSettings::default()
     };
-    log::debug!(event = "serving", front:% = settings.front; "");
-    kernel.spawn(FRONT, serve::run(front, server, kernel.phase(), handler));
+    log::info!(
+        event = "serving", front:% = settings.front,
+        connections = server.limits.connections.connections,
+        buffer_bytes = server.limits.connections.buffer_bytes; ""
+    );
+    kernel.spawn(
+        FRONT,
+        serve::run(front, server, limits, kernel.phase(), handler),
+    );
 }
 
 /// Aggregates the recorded histogram values in each period; never returns.
@@ -261,11 +278,11 @@
     }
 }
 
-async fn start_metrics(kernel: &ServiceKernel, address: Option<SocketAddr>) {
+fn start_metrics(kernel: &ServiceKernel, address: Option<SocketAddr>) {
     let Some(address) = address else {
         return;
     };
-    let listener = match listen(address).await {
+    let listener = match listen(address) {
         Ok(listener) => listener,
         // The entry VM works without metrics, so this does not stop its start.
         Err(error) => return log::warn!(event = "metrics_listen_failed", error:% = error; ""),
@@ -274,15 +291,17 @@
     let server = ServeSettings {
         name: "metrics",
         stop_phase: ShutdownPhase::Stopped,
-        ..ServeSettings::default()
+        limits: VmLimits::probes(),
     };
-    kernel.spawn(NAME, serve::run(listener, server, kernel.phase(), handler));
+    let limits = StageLimits::default;
+    kernel.spawn(
+        NAME,
+        serve::run(listener, server, limits, kernel.phase(), handler),
+    );
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, NodeError> {
-    TcpListener::bind(address)
-        .await
-        .context(ListenSnafu { address })
+fn listen(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    serve::listen(address).context(ListenSnafu { address })
 }
 
 #[derive(Clone)]
--- a/src/service/jobs/peer.rs
+++ b/src/service/jobs/peer.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Method;
-use hyper::Request;
-use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use crate::metrics::count_peer_message;
+use crate::service::ingress::body::BodyError;
+use crate::service::ingress::body::ClientRequest;
+use crate::service::ingress::serve::HttpAnswer;
+use crate::service::ingress::serve::answer;
+use crate::service::ingress::serve::no_room;
 use crate::service::jobs::exchange::ExchangeState;
 use crate::service::jobs::messages::ExchangeMessage;
 use crate::service::jobs::messages::OwnerInbox;
@@ -20,8 +22,6 @@
 use crate::service::jobs::messages::RelayReply;
 use crate::service::jobs::messages::RelayRequest;
 use crate::service::jobs::relay::call_local_owner;
-use crate::service::jobs::serve::HttpAnswer;
-use crate::service::jobs::serve::answer;
 use crate::service::jobs::store::StoreError;
 use crate::service::jobs::store::StoreLink;
 
@@ -39,7 +39,10 @@
 
 /// Largest message that is accepted, in bytes; enough for a configuration of thousands
 /// of queues.
-const MAX_MESSAGE_BYTES: usize = 4 << 20;
+pub const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
+/// Time limit for receiving a message.
+const MESSAGE_LIMIT: Duration = Duration::from_secs(10);
 
 /// State of the server for other entry VMs.
 #[derive(Clone)]
@@ -53,11 +56,13 @@
 }
 
 /// Answers a request of another entry VM.
-pub async fn handle(state: PeerState, request: Request<Incoming>) -> HttpAnswer {
-    let path = request.uri().path().to_owned();
-    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
+pub async fn handle(state: PeerState, request: ClientRequest) -> HttpAnswer {
+    let path = request.parts.uri.path().to_owned();
+    let deadline = Instant::now() + MESSAGE_LIMIT;
+    let body = match request.body.read(MAX_MESSAGE_BYTES, deadline).await {
+        Ok(body) => body,
+        // Counted by the server.
+        Err(BodyError::NoRoom | BodyError::TimedOut) => return no_room(),
         Err(error) => {
             log::info!(event = "peer_message_incomplete", path = path.as_str(), error:% = error; "");
             return answer(400, "", Bytes::new());
--- a/src/service/jobs/settings.rs
+++ b/src/service/jobs/settings.rs
@@ -8,6 +8,7 @@
 use crate::jobs::confirmation::RevocationPolicy;
 use crate::jobs::engine::SchedulerSettings;
 use crate::ports::PortAddresses;
+use crate::service::ingress::limits::VmLimits;
 use crate::service::jobs::watch::WATCH_WAIT;
 
 /// Settings of an entry VM, as its settings file gives them.
@@ -43,6 +44,8 @@
     pub revocation: RevocationPolicy,
     /// Limits and periods of the scheduler.
     pub scheduler: SchedulerSettings,
+    /// Memory and descriptors of the VM, from which the limits on clients follow.
+    pub vm: VmLimits,
 }
 
 impl Default for NodeSettings {
@@ -67,6 +70,7 @@
             needs_accounts: false,
             revocation: RevocationPolicy::default(),
             scheduler: SchedulerSettings::default(),
+            vm: VmLimits::default(),
         }
     }
 }
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod evidence;
 pub mod fleet;
+pub mod ingress;
 pub mod jobs;
 pub mod peers;
 
