Connections: receive buffers of servers are left to the system

Cause: the listening sockets had receive buffers of 16 KiB. Messages between entry VMs are often larger and then take several round trips.

What a client sends after a request that is in progress, and is not read, is bounded by the system's windows only.

--- a/src/service/ingress/serve.rs
+++ b/src/service/ingress/serve.rs
@@ -59,10 +59,6 @@
 /// Max number of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
-/// Receive buffer of a connection, in bytes: what a client has sent and the server has not
-/// read counts as the server's memory.
-const RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
-
 /// Answer to a client for which there is no room; its request is not read.
 const NO_ROOM_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
     chicory-outcome: not-run\r\nchicory-reason: overload\r\n\
@@ -104,9 +100,6 @@
         TcpSocket::new_v6()?
     };
     socket.set_reuseaddr(true)?;
-    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
-        log::warn!(event = "receive_buffer_unset", address:% = address, error:% = error; "");
-    }
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
