Heads: limited by the configuration and, together, by the VM's memory

Cause: the HTTP library buffers up to 400 kB of a head, empty lines before it included, for each connection. The configuration's maxHeaderBytes was not decoded, headerTimeoutMs and idleTimeoutMs were decoded and not used.

Change: the three limits are in force, for heads on new connections. The bytes of all unfinished heads are counted, twice, as their buffer doubles; the table closes connections from three quarters of the memory on, and what finds no room is closed on.

A head of 16,384 bytes is served, also over 2 Mbit/s.

--- a/src/jobs/config.rs
+++ b/src/jobs/config.rs
@@ -70,10 +70,14 @@
     pub pools: Vec<PoolConfig>,
     /// Maximum size of a request body, in bytes.
     pub body_bytes: usize,
-    /// Timeout for receiving the header of a request, in milliseconds.
+    /// Timeout for receiving the header of a request, in milliseconds; 0 for the default.
     pub head_ms: u64,
-    /// Idle timeout of a connection, in milliseconds.
+    /// Idle timeout of a connection, in milliseconds; 0 for the default.
     pub idle_ms: u64,
+    /// Maximum size of the header of a request, in bytes; 0 for the default. Not part of the
+    /// encoding, like [`QueueConfig::anonymous`].
+    #[serde(skip)]
+    pub head_bytes: usize,
     /// Client accounts; none if calls need no API keys. Not part of the encoding, like
     /// [`QueueConfig::anonymous`].
     #[serde(skip)]
--- a/src/service/ingress/limits.rs
+++ b/src/service/ingress/limits.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use crate::decide::connections::ConnectionLimits;
+use crate::decide::connections::StageLimits;
+use crate::jobs::config::JobConfig;
 
 /// Descriptors of a VM that are reserved for files.
 const FILE_DESCRIPTORS: usize = 200;
@@ -48,6 +50,44 @@
     }
 }
 
+/// Limits of a server that a configuration may change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestLimits {
+    /// Max size of the head of a request, in bytes; holds for new connections.
+    pub head_bytes: usize,
+    /// Time limits before a request is received.
+    pub stages: StageLimits,
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16_384,
+            stages: StageLimits::default(),
+        }
+    }
+}
+
+impl From<&JobConfig> for RequestLimits {
+    fn from(config: &JobConfig) -> Self {
+        let defaults = Self::default();
+        let time = |millis: u64, default| match millis {
+            0 => default,
+            millis => Duration::from_millis(millis),
+        };
+        Self {
+            head_bytes: match config.head_bytes {
+                0 => defaults.head_bytes,
+                bytes => bytes,
+            },
+            stages: StageLimits {
+                idle: time(config.idle_ms, defaults.stages.idle),
+                head: time(config.head_ms, defaults.stages.head),
+            },
+        }
+    }
+}
+
 /// Memory and descriptors of the VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VmLimits {
--- a/src/service/ingress/mod.rs
+++ b/src/service/ingress/mod.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 servers that clients which do not finish their requests cannot exhaust.
 //!
-//! The number of connections is limited for each server as a whole, and the time for each
-//! stage of a connection is limited. What to close
+//! The memory of unfinished requests and the number of connections are limited for each
+//! server as a whole, and the time for each stage of a connection is limited. What to close
 //! when there is no room is decided in [`crate::decide::connections`]; this module carries
 //! it out. [`stream`] counts the bytes of a connection, [`body`] reads bodies, [`serve`]
 //! accepts connections.
@@ -35,6 +35,9 @@
 use crate::metrics::REQUEST_BUFFER_BYTES;
 use crate::service::ingress::limits::ServeLimits;
 
+/// Memory of a head for each byte received: the buffer doubles as it grows.
+const HEAD_BUFFER_FACTOR: usize = 2;
+
 struct IngressState {
     table: ConnectionTable,
     closers: HashMap<ConnectionId, watch::Sender<Option<CloseCause>>>,
@@ -190,7 +193,12 @@
             table.enter(self.id, ConnectionStage::Head, now);
         }
         table.record_progress(self.id, bytes, now);
-        Ok(())
+        match stage {
+            ConnectionStage::New | ConnectionStage::Idle | ConnectionStage::Head => {
+                self.reserve_in(&mut state, bytes * HEAD_BUFFER_FACTOR, now)
+            }
+            ConnectionStage::Body | ConnectionStage::Whole | ConnectionStage::Answer => Ok(()),
+        }
     }
 
     /// Records bytes of an answer that were sent.
@@ -200,6 +208,21 @@
         state.table.record_progress(self.id, bytes, now);
     }
 
+    /// Reserves memory for a request; other connections may be closed for it.
+    fn reserve_in(
+        &self,
+        state: &mut IngressState,
+        bytes: usize,
+        now: Duration,
+    ) -> Result<(), NoRoom> {
+        let Ok(closures) = state.table.reserve(self.id, bytes, now) else {
+            self.ingress.count(state, CloseCause::NoRoom);
+            return Err(NoRoom);
+        };
+        self.ingress.close(state, closures);
+        Ok(())
+    }
+
     fn count(&self, cause: CloseCause) {
         self.ingress.count(&mut self.ingress.lock(), cause);
     }
--- a/src/service/ingress/serve.rs
+++ b/src/service/ingress/serve.rs
@@ -31,7 +31,6 @@
 
 use crate::decide::connections::ConnectionStage;
 use crate::decide::connections::NoRoom;
-use crate::decide::connections::StageLimits;
 use crate::kernel::ShutdownPhase;
 use crate::kernel::wait_for_phase;
 use crate::request::RefuseReason;
@@ -41,6 +40,7 @@
 use crate::service::ingress::Ingress;
 use crate::service::ingress::body::ClientRequest;
 use crate::service::ingress::body::RequestBody;
+use crate::service::ingress::limits::RequestLimits;
 use crate::service::ingress::limits::ServeLimits;
 use crate::service::ingress::stream::ClientStream;
 
@@ -59,6 +59,13 @@
 /// Max number of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
+/// Min size that the HTTP library accepts for its buffer, in bytes.
+const MIN_HEAD_BYTES: usize = 8192;
+
+/// Bytes that may precede a head of the largest size: empty lines, which servers should
+/// ignore.
+const HEAD_SLACK_BYTES: usize = 64;
+
 /// Answer to a client for which there is no room; its request is not read.
 const NO_ROOM_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
     chicory-outcome: not-run\r\nchicory-reason: overload\r\n\
@@ -105,7 +112,7 @@
 }
 
 /// Serves until the shutdown reaches `stop_phase`, then returns once the requests in
-/// progress have finished. `limits` returns the time limits that are in force.
+/// progress have finished. `limits` returns the limits of requests that are in force.
 pub async fn run<L, H, F>(
     listener: TcpListener,
     settings: ServeSettings,
@@ -113,7 +120,7 @@
     mut phase: watch::Receiver<ShutdownPhase>,
     handler: H,
 ) where
-    L: Fn() -> StageLimits + Send + 'static,
+    L: Fn() -> RequestLimits + Send + 'static,
     H: Fn(ClientRequest) -> F + Clone + Send + 'static,
     F: Future<Output = HttpAnswer> + Send + 'static,
 {
@@ -127,7 +134,7 @@
         tokio::select! {
             () = wait_for_phase(&mut phase, settings.stop_phase) => break,
             _ = connections.join_next(), if !connections.is_empty() => {}
-            _ = sweep.tick(), if !connections.is_empty() => ingress.sweep(limits()),
+            _ = sweep.tick(), if !connections.is_empty() => ingress.sweep(limits().stages),
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => match ingress.open() {
                     Ok(handle) => {
@@ -142,6 +149,7 @@
                         connections.spawn(serve_connection(
                             stream,
                             handle,
+                            limits(),
                             shutdown,
                             handler.clone(),
                         ));
@@ -159,7 +167,7 @@
     while !connections.is_empty() {
         tokio::select! {
             _ = connections.join_next() => {}
-            _ = sweep.tick() => ingress.sweep(limits()),
+            _ = sweep.tick() => ingress.sweep(limits().stages),
         }
     }
 }
@@ -175,6 +183,7 @@
 pub async fn serve_connection<H, F>(
     stream: TcpStream,
     handle: Arc<ConnectionHandle>,
+    limits: RequestLimits,
     shutdown: impl Future<Output = ()>,
     handler: H,
 ) where
@@ -194,7 +203,7 @@
         async move { Ok::<_, Infallible>(answering.await) }
     });
     let stream = ClientStream::new(stream, handle.clone());
-    let serving = connection_builder().serve_connection(TokioIo::new(stream), service);
+    let serving = connection_builder(limits).serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
     let result = tokio::select! {
         biased;
@@ -221,10 +230,13 @@
     }
 }
 
-fn connection_builder() -> http1::Builder {
+fn connection_builder(limits: RequestLimits) -> http1::Builder {
+    let head_bytes = limits.head_bytes.saturating_add(HEAD_SLACK_BYTES);
     let mut builder = http1::Builder::new();
-    // The server checks the time limits of all stages itself.
-    builder.header_read_timeout(None);
+    builder
+        .max_header_size(head_bytes)
+        .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
+        .header_read_timeout(None);
     builder
 }
 
--- a/src/service/jobs/messages.rs
+++ b/src/service/jobs/messages.rs
@@ -17,7 +17,8 @@
 use crate::jobs::actions::CallerAnswer;
 use crate::jobs::codec::EncodeError;
 use crate::jobs::codec::RecordError;
-use crate::jobs::codec::decode_with;
+use crate::jobs::codec::decode_rest;
+use crate::jobs::codec::encode;
 use crate::jobs::codec::encode_with;
 use crate::jobs::codec::read_with;
 use crate::jobs::config::AccountExtension;
@@ -204,7 +205,10 @@
     ///
     /// Fails if the encoder fails.
     pub fn encode(&self) -> Result<Vec<u8>, EncodeError> {
-        encode_with(self, &self.extension)
+        let mut bytes = encode_with(self, &self.extension)?;
+        let head_bytes = self.config.as_ref().map(|config| config.head_bytes);
+        bytes.extend(encode(&head_bytes)?);
+        Ok(bytes)
     }
 
     /// Decodes a message of another entry VM.
@@ -212,10 +216,16 @@
     /// # Errors
     ///
     /// Fails if `bytes` is not an encoded message.
-    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+    pub fn decode(mut bytes: &[u8]) -> Result<Self, RecordError> {
         let (message, extension): (Self, Option<Option<ExchangeExtension>>) =
-            decode_with("exchange", bytes)?;
+            read_with("exchange", &mut bytes)?;
+        let head_bytes: Option<Option<usize>> = decode_rest("exchange", bytes)?;
+        let config = message.config.map(|config| JobConfig {
+            head_bytes: head_bytes.flatten().unwrap_or_default(),
+            ..config
+        });
         Ok(Self {
+            config,
             extension: extension.flatten(),
             ..message
         })
--- a/src/service/jobs/node.rs
+++ b/src/service/jobs/node.rs
@@ -14,7 +14,6 @@
 
 use crate::clock::boot_ms;
 use crate::clock::unix_ms;
-use crate::decide::connections::StageLimits;
 use crate::keep_alive::KeepAliveClient;
 use crate::keep_alive::KeepAliveSettings;
 use crate::kernel::ServiceKernel;
@@ -24,6 +23,7 @@
 use crate::ports::client::CallTimeouts;
 use crate::ports::client::PortClient;
 use crate::service::ingress::body::ClientRequest;
+use crate::service::ingress::limits::RequestLimits;
 use crate::service::ingress::limits::VmLimits;
 use crate::service::ingress::serve;
 use crate::service::ingress::serve::ServeSettings;
@@ -236,7 +236,7 @@
         stop_phase: ShutdownPhase::Stopped,
         limits: VmLimits::probes(),
     };
-    let limits = StageLimits::default;
+    let limits = RequestLimits::default;
     kernel.spawn(
         NAME,
         serve::run(ready, server.clone(), limits, kernel.phase(), handler),
@@ -253,6 +253,12 @@
         serve::run(control, server, limits, kernel.phase(), handler),
     );
     let front_state = states.front;
+    let operator = front_state.operator.clone();
+    let limits = move || {
+        let operator = operator.borrow();
+        let config = operator.config.as_deref();
+        config.map(RequestLimits::from).unwrap_or_default()
+    };
     let handler = move |request| front::handle(front_state.clone(), request);
     let server = ServeSettings {
         name: "front",
@@ -293,7 +299,7 @@
         stop_phase: ShutdownPhase::Stopped,
         limits: VmLimits::probes(),
     };
-    let limits = StageLimits::default;
+    let limits = RequestLimits::default;
     kernel.spawn(
         NAME,
         serve::run(listener, server, limits, kernel.phase(), handler),
