Bodies: limited together by the VM's memory

Cause: bodies were limited one by one, and not together.

Change: the bytes of unfinished and unanswered requests are counted at the server. A declared length is not charged.

--- a/src/service/ingress/body.rs
+++ b/src/service/ingress/body.rs
@@ -69,6 +69,8 @@
         let mut buffer = BodyBuffer {
             chunks: Vec::new(),
             length: 0,
+            reserved: 0,
+            handle: &handle,
         };
         let result = tokio::select! {
             biased;
@@ -97,7 +99,7 @@
         }
     }
 
-    async fn fill(&mut self, buffer: &mut BodyBuffer, limit: usize) -> Result<(), BodyError> {
+    async fn fill(&mut self, buffer: &mut BodyBuffer<'_>, limit: usize) -> Result<(), BodyError> {
         if self.incoming.size_hint().lower() > limit as u64 {
             return TooLargeSnafu { limit }.fail();
         }
@@ -112,23 +114,38 @@
     }
 }
 
-/// Chunks of a body.
-struct BodyBuffer {
+/// Chunks of a body, in memory that is reserved at the server.
+struct BodyBuffer<'a> {
     chunks: Vec<Bytes>,
     length: usize,
+    reserved: usize,
+    handle: &'a ConnectionHandle,
 }
 
-impl BodyBuffer {
+impl BodyBuffer<'_> {
     fn append(&mut self, data: Bytes, limit: usize) -> Result<(), BodyError> {
         self.length += data.len();
         if self.length > limit {
             return TooLargeSnafu { limit }.fail();
         }
+        self.handle
+            .reserve(data.len())
+            .map_err(|_| BodyError::NoRoom)?;
+        self.reserved += data.len();
         self.chunks.push(data);
         Ok(())
     }
 
-    fn finish(self) -> Vec<u8> {
+    /// Returns the bytes; their memory stays reserved until the request is answered.
+    fn finish(mut self) -> Vec<u8> {
+        self.reserved = 0;
         self.chunks.concat()
     }
 }
+
+impl Drop for BodyBuffer<'_> {
+    fn drop(&mut self) {
+        self.chunks.clear();
+        self.handle.release(self.reserved);
+    }
+}
--- a/src/service/ingress/mod.rs
+++ b/src/service/ingress/mod.rs
@@ -209,6 +209,11 @@
     }
 
     /// Reserves memory for a request; other connections may be closed for it.
+    fn reserve(&self, bytes: usize) -> Result<(), NoRoom> {
+        let now = self.ingress.now();
+        self.reserve_in(&mut self.ingress.lock(), bytes, now)
+    }
+
     fn reserve_in(
         &self,
         state: &mut IngressState,
@@ -223,6 +228,10 @@
         Ok(())
     }
 
+    fn release(&self, bytes: usize) {
+        self.ingress.lock().table.release(self.id, bytes);
+    }
+
     fn count(&self, cause: CloseCause) {
         self.ingress.count(&mut self.ingress.lock(), cause);
     }
