Bodies: a chunk no longer keeps the buffer in which it was received

Cause: the body was a list of handles to its chunks. Each handle takes memory beside its byte, and refers to the receive buffer of its chunk.

Ruled out: one buffer that doubles as it grows.

Change: chunks are copied to blocks of 1 to 16 KiB, which are counted as they are allocated and put together once the body is whole.

--- a/src/service/ingress/body.rs
+++ b/src/service/ingress/body.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -15,6 +14,13 @@
 use crate::decide::connections::ConnectionStage;
 use crate::service::ingress::ConnectionHandle;
 
+/// Size of the first block of a body, in bytes; each further one is twice as large as the one
+/// before, up to the largest size.
+const FIRST_BLOCK_BYTES: usize = 1024;
+
+/// Largest size of a block of a body, in bytes.
+const MAX_BLOCK_BYTES: usize = 16 * 1024;
+
 /// A request of a client; its body has not been read.
 pub struct ClientRequest {
     /// Head of the request.
@@ -67,7 +73,7 @@
         let deadline = deadline.min(Instant::now() + self.handle.ingress.body_limit);
         let handle = self.handle.clone();
         let mut buffer = BodyBuffer {
-            chunks: Vec::new(),
+            blocks: Vec::new(),
             length: 0,
             reserved: 0,
             handle: &handle,
@@ -107,45 +113,64 @@
             let frame = frame.map_err(|source| BodyError::Broken { source })?;
             // Trailers are ignored.
             if let Ok(data) = frame.into_data() {
-                buffer.append(data, limit)?;
+                buffer.append(&data, limit)?;
             }
         }
         Ok(())
     }
 }
 
-/// Chunks of a body, in memory that is reserved at the server.
+/// Bytes of a body, in memory that is reserved at the server.
+///
+/// They are copied from the received chunks: each of these refers to the buffer in which it
+/// was received, which it would keep. They are kept in blocks, since a buffer that grows
+/// leaves freed memory of each former size with the allocator.
 struct BodyBuffer<'a> {
-    chunks: Vec<Bytes>,
+    blocks: Vec<Vec<u8>>,
     length: usize,
     reserved: usize,
     handle: &'a ConnectionHandle,
 }
 
 impl BodyBuffer<'_> {
-    fn append(&mut self, data: Bytes, limit: usize) -> Result<(), BodyError> {
-        self.length += data.len();
-        if self.length > limit {
+    fn append(&mut self, mut data: &[u8], limit: usize) -> Result<(), BodyError> {
+        if self.length + data.len() > limit {
             return TooLargeSnafu { limit }.fail();
         }
-        self.handle
-            .reserve(data.len())
-            .map_err(|_| BodyError::NoRoom)?;
-        self.reserved += data.len();
-        self.chunks.push(data);
+        self.length += data.len();
+        while !data.is_empty() {
+            let block = match self.blocks.last_mut() {
+                Some(block) if block.len() < block.capacity() => block,
+                last => {
+                    let former = last.map_or(0, |block| block.capacity());
+                    let capacity = (former * 2).clamp(FIRST_BLOCK_BYTES, MAX_BLOCK_BYTES);
+                    self.handle
+                        .reserve(capacity)
+                        .map_err(|_| BodyError::NoRoom)?;
+                    self.reserved += capacity;
+                    self.blocks.push_mut(Vec::with_capacity(capacity))
+                }
+            };
+            let (part, rest) = data.split_at(data.len().min(block.capacity() - block.len()));
+            block.extend_from_slice(part);
+            data = rest;
+        }
         Ok(())
     }
 
     /// Returns the bytes; their memory stays reserved until the request is answered.
     fn finish(mut self) -> Vec<u8> {
         self.reserved = 0;
-        self.chunks.concat()
+        if self.blocks.len() == 1 {
+            return self.blocks.remove(0);
+        }
+        self.blocks.concat()
     }
 }
 
 impl Drop for BodyBuffer<'_> {
     fn drop(&mut self) {
-        self.chunks.clear();
+        self.blocks.clear();
         self.handle.release(self.reserved);
     }
 }
