Entry: callers that do not finish their requests take no places of others

Seen (chicoryd): with connections=16, 48 callers that send three bytes of a head, or one byte of a body with a deadline of 600 s, and stay: others get no answer (a limit of 10 s in the test).

Nobody was accepted at the limit on connections, and nobody was let go; bodies of up to 1 MiB and answers of up to 4 MiB were limited one by one.

Change: the service uses the servers' table of connections. Settings buffer_bytes, head_bytes, head_limit_ms, body_limit_ms, idle_limit_ms and read_limit_ms; answers count too until they are read. A body without room is refused as not run (overload). The limits moved to a module of their own.

Evidence: both connections_taken_* tests of entry_clients failed before and pass. The other two need the new settings; memory_taken_* shows the refusal, not a bound on the process. The control address (salvo) is unchanged.

--- a/src/service/entry/handler.rs
+++ b/src/service/entry/handler.rs
@@ -1,24 +1,18 @@
 //! Handler of callers' requests: reads a request and builds its answer.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
-use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Version;
-use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use tokio::time::Instant;
-use tokio::time::timeout_at;
 
 use crate::kernel::ShutdownPhase;
 use crate::metrics::REQUESTS;
@@ -33,25 +27,25 @@
 use crate::service::entry::send::BufferedRequest;
 use crate::service::entry::send::FinalAnswer;
 use crate::service::entry::send::end_to_end_headers;
+use crate::service::ingress::body::BodyError;
+use crate::service::ingress::body::ClientRequest;
+use crate::service::ingress::body::RequestBody;
 
 type CallerResponse = Response<Full<Bytes>>;
 
 /// Handles one request; failures become answers with an outcome, never errors.
-pub(super) async fn handle(
-    context: Arc<EntryContext>,
-    request: Request<Incoming>,
-) -> Result<CallerResponse, Infallible> {
+pub(super) async fn handle(context: Arc<EntryContext>, request: ClientRequest) -> CallerResponse {
     let mut response = answer_request(&context, request).await;
     if *context.phase.borrow() >= ShutdownPhase::Announced {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(response)
+    response
 }
 
-async fn answer_request(context: &Arc<EntryContext>, request: Request<Incoming>) -> CallerResponse {
+async fn answer_request(context: &Arc<EntryContext>, request: ClientRequest) -> CallerResponse {
     let arrived = Instant::now();
-    let (parts, body) = request.into_parts();
+    let ClientRequest { parts, body } = request;
     let id = request_id(context, &parts);
     let method = parts.method.clone();
     let answer = match read_request(context, parts, body, arrived, &id).await {
@@ -113,7 +107,7 @@
 async fn read_request(
     context: &EntryContext,
     parts: Parts,
-    body: Incoming,
+    body: RequestBody,
     arrived: Instant,
     id: &HeaderValue,
 ) -> Result<BufferedRequest, FinalAnswer> {
@@ -129,23 +123,26 @@
     }
     let limit = context.limits.request_bytes;
     let deadline = arrived + options.time_left;
-    let body = Limited::new(body, limit).collect();
-    match timeout_at(deadline, body).await {
-        Ok(Ok(body)) => Ok(BufferedRequest {
-            body: body.to_bytes(),
+    match body.read(limit, deadline).await {
+        Ok(body) => Ok(BufferedRequest {
+            body: body.into(),
             id: id.clone(),
             options,
             parts,
             deadline,
         }),
-        Ok(Err(error)) => Err(bad(&format!(
-            "body not accepted, at most {limit} bytes: {error}"
-        ))),
-        Err(_) => {
+        Err(BodyError::TimedOut) => {
             let problem = "body not received before the deadline";
             let reason = RefuseReason::DeadlinePassed;
             Err(not_run(reason, STATE_RETRY_AFTER, problem))
         }
+        Err(BodyError::NoRoom) => {
+            let problem = "no memory for the body";
+            Err(not_run(RefuseReason::Overload, STATE_RETRY_AFTER, problem))
+        }
+        Err(error) => Err(bad(&format!(
+            "body not accepted, at most {limit} bytes: {error}"
+        ))),
     }
 }
 
--- a/src/service/entry/mod.rs
+++ b/src/service/entry/mod.rs
@@ -16,14 +16,9 @@
 mod send;
 mod targets;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -31,6 +26,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
+use tokio::time::interval;
 use tokio::time::sleep;
 
 use crate::kernel::ServiceKernel;
@@ -41,6 +37,9 @@
 use crate::service::config::ConfigView;
 use crate::service::entry::dispatcher::DispatchParts;
 use crate::service::fleet::FleetView;
+use crate::service::ingress::ConnectionHandle;
+use crate::service::ingress::Ingress;
+use crate::service::ingress::serve;
 use crate::service::peers::PeerView;
 use crate::service::unix_ms;
 use crate::settings::DaemonSettings;
@@ -54,8 +53,8 @@
 pub const NAME: ServiceName = "entry";
 /// Name of the dispatcher's task; it ends after the task [`NAME`], at the phase `Stopped`.
 const DISPATCH: ServiceName = "dispatch";
-/// Maximum time in which a caller has to send the head of a request.
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between two checks of the time limits of connections.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// Delay after a failed accept, for instance when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum number of requests that are being forwarded to other entry VMs at once.
@@ -128,44 +127,58 @@
 /// Accepts callers until the phase `Draining`, then waits until all their
 /// connections are closed.
 async fn accept(context: Arc<EntryContext>, listener: TcpListener) {
-    let connections = context.limits.connections;
-    let permits = Arc::new(Semaphore::new(connections));
+    let ingress = Ingress::new(NAME, &context.limits.serve_limits());
+    let mut connections = JoinSet::new();
     let mut phase = context.phase.clone();
     tokio::select! {
-        () = accept_callers(&context, &listener, &permits) => {}
+        () = accept_callers(&context, &ingress, &listener, &mut connections) => {}
         () = wait_for_phase(&mut phase, ShutdownPhase::Draining) => {}
     }
-    // These connections need no permit: the socket's backlog limits their number.
-    let mut backlog = JoinSet::new();
-    for (stream, caller) in close_listener(listener) {
-        backlog.spawn(serve_connection(context.clone(), stream, caller));
+    for stream in close_listener(listener) {
+        match ingress.open() {
+            Ok(handle) => drop(connections.spawn(serve_caller(context.clone(), stream, handle))),
+            Err(_) => serve::refuse_connection(&stream),
+        }
+    }
+    let mut sweep = interval(SWEEP_PERIOD);
+    while !connections.is_empty() {
+        tokio::select! {
+            _ = connections.join_next() => {}
+            _ = sweep.tick() => ingress.sweep(context.limits.request_limits().stages),
+        }
     }
-    backlog.join_all().await;
-    let all = u32::try_from(connections).unwrap_or(u32::MAX);
-    // All permits are free when all connections are closed. The semaphore itself is
-    // never closed, so this can't fail.
-    let _ = permits.acquire_many(all).await;
 }
 
-/// Accepts callers, each with a permit that limits the number of connections.
+/// Accepts callers; at the limit on connections, those that do not finish their requests are
+/// closed for new ones.
 async fn accept_callers(
     context: &Arc<EntryContext>,
+    ingress: &Ingress,
     listener: &TcpListener,
-    permits: &Arc<Semaphore>,
+    connections: &mut JoinSet<()>,
 ) {
-    while let Ok(permit) = permits.clone().acquire_owned().await {
-        match listener.accept().await {
-            Ok((stream, caller)) => {
-                let context = context.clone();
-                tokio::spawn(async move {
-                    serve_connection(context, stream, caller).await;
-                    drop(permit);
-                });
-            }
-            Err(error) => {
-                log::warn!(event = "accept_failed", error:% = error; "");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
+    let mut sweep = interval(SWEEP_PERIOD);
+    loop {
+        tokio::select! {
+            _ = connections.join_next(), if !connections.is_empty() => {}
+            _ = sweep.tick() => ingress.sweep(context.limits.request_limits().stages),
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let Ok(handle) = ingress.open() else {
+                        serve::refuse_connection(&stream);
+                        continue;
+                    };
+                    // One of these is being closed.
+                    while connections.len() >= context.limits.connections {
+                        connections.join_next().await;
+                    }
+                    connections.spawn(serve_caller(context.clone(), stream, handle));
+                }
+                Err(error) => {
+                    log::warn!(event = "accept_failed", error:% = error; "");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            },
         }
     }
 }
@@ -175,44 +188,29 @@
 /// They are accepted first, since the operating system resets connections that are
 /// still in the backlog when the listener is closed, and the requests that their
 /// callers have already sent would be lost.
-fn close_listener(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+fn close_listener(listener: TcpListener) -> Vec<TcpStream> {
     let mut accepted = Vec::new();
     let Ok(listener) = listener.into_std() else {
         return accepted;
     };
-    while let Ok((stream, caller)) = listener.accept() {
+    while let Ok((stream, _)) = listener.accept() {
         let stream = stream.set_nonblocking(true).map(|()| stream);
-        accepted.extend(
-            stream
-                .and_then(TcpStream::from_std)
-                .map(|stream| (stream, caller)),
-        );
+        accepted.extend(stream.and_then(TcpStream::from_std));
     }
     accepted
 }
 
-async fn serve_connection(context: Arc<EntryContext>, stream: TcpStream, caller: SocketAddr) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(event = "nodelay_failed", peer:% = caller, error:% = error; "");
-    }
+async fn serve_caller(
+    context: Arc<EntryContext>,
+    stream: TcpStream,
+    handle: Arc<ConnectionHandle>,
+) {
     let mut phase = context.phase.clone();
     let announce = context.limits.announce;
-    let handle = service_fn(move |request| handler::handle(context.clone(), request));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), handle);
-    let mut connection = std::pin::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = wait_before_close(&mut phase, announce) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = result {
-        log::debug!(event = "caller_connection_failed", peer:% = caller, error:% = error; "");
-    }
+    let limits = context.limits.request_limits();
+    let shutdown = async move { wait_before_close(&mut phase, announce).await };
+    let handler = move |request| handler::handle(context.clone(), request);
+    serve::serve_connection(stream, handle, limits, shutdown, handler).await;
 }
 
 /// Waits for the phase `Draining` and then for `delay`.
--- a/src/settings.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,8 @@
 //! All faults of a file are reported together; an unknown section or key is a
 //! fault.
 
+mod limits;
+
 use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
@@ -17,6 +19,8 @@
 use crate::names::EntryName;
 use crate::platform::PlatformSettings;
 
+pub use limits::EntryLimits;
+
 /// A peer: another entry VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerAddress {
@@ -47,41 +51,6 @@
     pub control: ControlPeriods,
 }
 
-/// Limits of the request path.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EntryLimits {
-    /// Max size of a request body, in bytes.
-    pub request_bytes: usize,
-    /// Max size of a response body, in bytes; a response is buffered until it is complete.
-    pub answer_bytes: usize,
-    /// Max open connections of callers.
-    pub connections: usize,
-    /// Time limit for connecting to a backend server.
-    pub connect_limit: Duration,
-    /// Time between the start of a shutdown, when the health check begins to fail, and
-    /// closing the listening socket; idle connections stay open for the same time after
-    /// that.
-    pub announce: Duration,
-    /// Time after a request's deadline until its connection is closed and its slot freed.
-    pub overrun_limit: Duration,
-    /// Max time for requests in progress to finish at shutdown.
-    pub shutdown_limit: Duration,
-}
-
-impl Default for EntryLimits {
-    fn default() -> Self {
-        Self {
-            request_bytes: 1 << 20,
-            answer_bytes: 4 << 20,
-            connections: 4096,
-            connect_limit: Duration::from_millis(250),
-            announce: Duration::from_secs(5),
-            overrun_limit: Duration::from_secs(60),
-            shutdown_limit: Duration::from_secs(30),
-        }
-    }
-}
-
 /// Periods and time limits of the control traffic.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ControlPeriods {
@@ -144,6 +113,12 @@
         &[
             "request_bytes",
             "answer_bytes",
+            "buffer_bytes",
+            "head_bytes",
+            "head_limit_ms",
+            "body_limit_ms",
+            "idle_limit_ms",
+            "read_limit_ms",
             "connections",
             "connect_limit_ms",
             "announce_ms",
@@ -366,11 +341,18 @@
 
 fn limits(reader: &mut SettingReader<'_>) -> EntryLimits {
     const BYTES: (usize, usize) = (1024, 64 << 20);
+    const BUFFER: (usize, usize) = (1024, 64 << 30);
     const CONNECTIONS: (usize, usize) = (1, 65_536);
     let defaults = EntryLimits::default();
     EntryLimits {
         request_bytes: reader.number("limits", "request_bytes", BYTES, defaults.request_bytes),
         answer_bytes: reader.number("limits", "answer_bytes", BYTES, defaults.answer_bytes),
+        buffer_bytes: reader.number("limits", "buffer_bytes", BUFFER, defaults.buffer_bytes),
+        head_bytes: reader.number("limits", "head_bytes", BYTES, defaults.head_bytes),
+        head_limit: reader.millis("limits", "head_limit_ms", defaults.head_limit),
+        body_limit: reader.millis("limits", "body_limit_ms", defaults.body_limit),
+        idle_limit: reader.millis("limits", "idle_limit_ms", defaults.idle_limit),
+        read_limit: reader.millis("limits", "read_limit_ms", defaults.read_limit),
         connections: reader.number("limits", "connections", CONNECTIONS, defaults.connections),
         connect_limit: reader.millis("limits", "connect_limit_ms", defaults.connect_limit),
         announce: reader.millis("limits", "announce_ms", defaults.announce),
