Jobs: decoded steps count as memory of their request

Seen: 20 whole submissions of 262,144 bytes, each with 87,000 steps, took 358 MB (8.4 allowed); 120 of 4,096 steps, while the store did not answer, 200 MB. The first are refused by the owner (at most 4,096 tasks, each step has one at least), but only after they were decoded and relayed.

Cause: a step takes some 200 bytes decoded, and three in its shortest form. All steps were decoded, whatever their number, and what they took was not counted.

The memory of a decoded job and its copies is counted until the request is answered; without room it is refused (503, Retry-After), before it is relayed.

--- a/src/jobs/types.rs
+++ b/src/jobs/types.rs
@@ -232,6 +232,16 @@
         None
     }
 
+    /// Returns the memory that the job takes, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let steps = self.steps.iter().map(|step| {
+            let texts = step.label.len() + step.data_rack.len() + step.image.len();
+            size_of::<StepSpec>() + texts + size_of_val(step.after.as_slice())
+        });
+        self.spec.len() + steps.sum::<usize>()
+    }
+
     /// Returns the number of tasks of one occurrence.
     #[must_use]
     pub fn tasks_per_occurrence(&self) -> u64 {
--- a/src/service/entry/handler.rs
+++ b/src/service/entry/handler.rs
@@ -107,7 +107,7 @@
 async fn read_request(
     context: &EntryContext,
     parts: Parts,
-    body: RequestBody,
+    mut body: RequestBody,
     arrived: Instant,
     id: &HeaderValue,
 ) -> Result<BufferedRequest, FinalAnswer> {
--- a/src/service/ingress/body.rs
+++ b/src/service/ingress/body.rs
@@ -69,7 +69,7 @@
     /// # Errors
     ///
     /// Fails if the body is not received whole.
-    pub async fn read(mut self, limit: usize, deadline: Instant) -> Result<Vec<u8>, BodyError> {
+    pub async fn read(&mut self, limit: usize, deadline: Instant) -> Result<Vec<u8>, BodyError> {
         let deadline = deadline.min(Instant::now() + self.handle.ingress.body_limit);
         let handle = self.handle.clone();
         let mut buffer = BodyBuffer {
@@ -97,7 +97,7 @@
     /// # Errors
     ///
     /// Fails if the connection is being closed; the request must not be passed on then.
-    pub fn ignore(self) -> Result<(), BodyError> {
+    pub fn ignore(&self) -> Result<(), BodyError> {
         if self.handle.enter(ConnectionStage::Whole) {
             Ok(())
         } else {
@@ -105,6 +105,15 @@
         }
     }
 
+    /// Reserves memory for what a request takes besides its body, until it is answered.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room; the request must not be passed on then.
+    pub fn reserve(&self, bytes: usize) -> Result<(), BodyError> {
+        self.handle.reserve(bytes).map_err(|_| BodyError::NoRoom)
+    }
+
     async fn fill(&mut self, buffer: &mut BodyBuffer<'_>, limit: usize) -> Result<(), BodyError> {
         if self.incoming.size_hint().lower() > limit as u64 {
             return TooLargeSnafu { limit }.fail();
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -16,6 +16,7 @@
 use crate::jobs::config::QueueConfig;
 use crate::jobs::confirmation::RevocationPolicy;
 use crate::jobs::terms::JobTerms;
+use crate::jobs::types::JobSpec;
 use crate::kernel::ShutdownPhase;
 use crate::metrics::REQUESTS;
 use crate::metrics::UNAUTHORIZED;
@@ -70,6 +71,9 @@
 /// Duration from which an answer without an error is logged.
 const SLOW_ANSWER: Duration = Duration::from_millis(500);
 
+/// Copies of a job while its submission is relayed: decoded, encoded, and that of an attempt.
+const JOB_COPIES: usize = 3;
+
 /// Marks the answer to a request that was not received whole.
 #[derive(Clone, Copy, Debug)]
 struct UnfinishedRequest;
@@ -219,13 +223,19 @@
 impl CallerBody {
     /// Reads the body; fails with the answer if it is not received whole. Nothing has been
     /// passed on then, so the caller may be told that the request was not executed.
-    async fn read(self, limit: usize) -> Result<Vec<u8>, Box<HttpAnswer>> {
+    async fn read(&mut self, limit: usize) -> Result<Vec<u8>, Box<HttpAnswer>> {
         let body = self.body.read(limit, self.deadline).await;
         body.map_err(Self::refusal)
     }
 
+    /// Reserves memory for a job until the request is answered: it is relayed as a copy.
+    fn reserve(&self, job: &JobSpec) -> Result<(), Box<HttpAnswer>> {
+        let bytes = job.memory_bytes() * JOB_COPIES;
+        self.body.reserve(bytes).map_err(Self::refusal)
+    }
+
     /// Returns an operation that needs no body.
-    fn ignore(self, operation: RelayOperation) -> Result<RelayOperation, Box<HttpAnswer>> {
+    fn ignore(&self, operation: RelayOperation) -> Result<RelayOperation, Box<HttpAnswer>> {
         self.body.ignore().map_err(Self::refusal)?;
         Ok(operation)
     }
@@ -248,7 +258,7 @@
     config: &JobConfig,
     check: KeyCheck<'_>,
     request: &Parts,
-    body: CallerBody,
+    mut body: CallerBody,
 ) -> Result<RelayRequest, Box<HttpAnswer>> {
     let host = request.headers.get(header::HOST);
     let host = host
@@ -274,9 +284,10 @@
         (&Method::GET, _) => body.ignore(RelayOperation::Query)?,
         (&Method::DELETE, _) => body.ignore(RelayOperation::Cancel)?,
         (&Method::POST, _) => {
-            let body = body.read(config.body_bytes).await?;
-            match (state.dialect.job)(&body) {
+            let bytes = body.read(config.body_bytes).await?;
+            match (state.dialect.job)(&bytes) {
                 Ok(job) => {
+                    body.reserve(&job)?;
                     relay.terms = JobTerms::of_queue(config, &queue.name);
                     RelayOperation::Submit(job)
                 }
--- a/src/service/jobs/peer.rs
+++ b/src/service/jobs/peer.rs
@@ -56,7 +56,7 @@
 }
 
 /// Answers a request of another entry VM.
-pub async fn handle(state: PeerState, request: ClientRequest) -> HttpAnswer {
+pub async fn handle(state: PeerState, mut request: ClientRequest) -> HttpAnswer {
     let path = request.parts.uri.path().to_owned();
     let deadline = Instant::now() + MESSAGE_LIMIT;
     let body = match request.body.read(MAX_MESSAGE_BYTES, deadline).await {
