Wording: comments of the servers' limits and their tests

Cause: read again as a newcomer.

Change: comments only; no line of code, check, bound or expectation.

Result: the diff without its comment lines is empty.

--- a/src/decide/connections/mod.rs
+++ b/src/decide/connections/mod.rs
@@ -21,7 +21,7 @@
 pub use types::ConnectionStage;
 pub use types::StageLimits;
 
-/// Bytes to be received for a request to count as making progress.
+/// Bytes received or sent that count as progress.
 pub const PROGRESS_BYTES: usize = 1024;
 
 /// Time without progress after which a client that does not read its answer may be closed
@@ -39,7 +39,7 @@
     since: Duration,
     /// Last progress in the stage.
     progress: Duration,
-    /// Bytes received since then.
+    /// Bytes received or sent since then.
     unmarked_bytes: usize,
     held_bytes: usize,
     closing: bool,
@@ -109,7 +109,7 @@
         self.entries.is_empty()
     }
 
-    /// Returns the memory that is held for requests, in bytes.
+    /// Returns the memory that is held for requests and for answers being sent, in bytes.
     #[must_use]
     pub fn held_bytes(&self) -> usize {
         self.held_bytes
@@ -272,7 +272,8 @@
 
     /// Marks the connections whose stage has taken too long as closing and returns them.
     ///
-    /// The time limit of a body is that of its request, so it is not checked here.
+    /// The time limit of a body is checked where the body is read, since it depends on the
+    /// request.
     pub fn expire(&mut self, limits: StageLimits, now: Duration) -> Vec<ConnectionClosure> {
         let expired = self.entries.iter().filter(|(_, entry)| !entry.closing);
         let expired = expired.filter_map(|(id, entry)| {
--- a/src/decide/connections/types.rs
+++ b/src/decide/connections/types.rs
@@ -10,7 +10,8 @@
 pub struct ConnectionLimits {
     /// Max number of connections.
     pub connections: usize,
-    /// Max memory of the requests that are incomplete or not answered yet, in bytes.
+    /// Max memory of the requests that are incomplete or not answered yet, in bytes; answers that
+    /// are being sent count too.
     pub buffer_bytes: usize,
     /// Max time that a client may take to read its answer without progress.
     pub answer_limit: Duration,
--- a/src/service/entry/mod.rs
+++ b/src/service/entry/mod.rs
@@ -168,7 +168,7 @@
                         serve::refuse_connection(&stream);
                         continue;
                     };
-                    // One of these is being closed.
+                    // A connection that is closed for this one still has to end.
                     while connections.len() >= context.limits.connections {
                         connections.join_next().await;
                     }
--- a/src/service/ingress/limits.rs
+++ b/src/service/ingress/limits.rs
@@ -22,8 +22,8 @@
 /// Share of the memory for the connections of callers, besides their requests.
 const CONNECTION_DIVISOR: usize = 2;
 
-/// Max memory of a connection besides its request: the buffers of the HTTP library and the
-/// tasks.
+/// Memory allowed for a connection besides its request: the buffers of the HTTP library and
+/// the tasks.
 const CONNECTION_BYTES: usize = 32 * 1024;
 
 /// Max number of connections of callers, whatever the VM allows.
--- a/src/service/ingress/serve.rs
+++ b/src/service/ingress/serve.rs
@@ -138,7 +138,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => match ingress.open() {
                     Ok(handle) => {
-                        // One of these is being closed.
+                        // A connection that is closed for this one still has to end.
                         while connections.len() >= max_connections {
                             connections.join_next().await;
                         }
--- a/src/service/ingress/stream.rs
+++ b/src/service/ingress/stream.rs
@@ -92,7 +92,7 @@
         self.stream.is_write_vectored()
     }
 
-    /// The HTTP library flushes once it has written everything.
+    // The HTTP library flushes once it has written everything, so the answer has been sent.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         self.handle.end_answer();
--- a/src/service/jobs/front.rs
+++ b/src/service/jobs/front.rs
@@ -74,7 +74,7 @@
 /// Copies of a job while its submission is relayed: decoded, encoded, and that of an attempt.
 const JOB_COPIES: usize = 3;
 
-/// Marks the answer to a request that was not received whole.
+/// Marks the answer to a request that was not received whole, or for which there was no room.
 #[derive(Clone, Copy, Debug)]
 struct UnfinishedRequest;
 
--- a/tests/request_limits.rs
+++ b/tests/request_limits.rs
@@ -18,8 +18,7 @@
     }
 }
 
-/// The largest VM of the deployments bears the connections that were allowed before, the
-/// smallest one half of its memory.
+/// Limits that do not follow from the VM exceed its descriptors or its memory.
 #[test]
 fn callers_by_vm() {
     let small = VmLimits::default().callers().connections;
