--- a/review/stand-ins-3/src/blame.rs
+++ b/review/stand-ins-3/src/blame.rs
@@ -59,7 +59,7 @@
     let racks = (0..RACKS).flat_map(|rack| (0..RACK).map(move |number| (rack, number)));
     let machines = racks.map(|(rack, number)| (machine(rack, number), format!("r1-{rack}")));
     let machines: Vec<(String, String)> = machines.collect();
-    let deployment = setup::start(context, &machines)?;
+    let deployment = setup::start(context, &machines, None)?;
     thread::sleep(Duration::from_secs(2));
     let started = Instant::now();
     let disruption = context.trouble.then(|| {
--- a/review/stand-ins-3/src/gang.rs
+++ b/review/stand-ins-3/src/gang.rs
@@ -31,7 +31,7 @@
 pub fn run(context: &Context) -> io::Result<Findings> {
     let machines = (0..6).map(|number| (format!("m-{number}"), format!("r1-{}", number / 4)));
     let machines: Vec<(String, String)> = machines.collect();
-    let deployment = setup::start(context, &machines)?;
+    let deployment = setup::start(context, &machines, None)?;
     thread::sleep(Duration::from_secs(2));
     let step = object([
         ("count", MEMBERS.into()),
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -5,6 +5,7 @@
 //! the rule was broken, 0 if it held, 2 if the case could not run. Without the disruption if the
 //! environment has `TROUBLE=0`.
 
+mod advice;
 mod blame;
 mod caller;
 mod gang;
@@ -49,6 +50,8 @@
     let findings = match case {
         "blame" => blame::run(&context),
         "gang" => gang::run(&context),
+        "advice-gang" => advice::run_gang(&context),
+        "advice-slow" => advice::run_slow(&context),
         _ => Err(io::Error::other(format!("unknown case {case}"))),
     };
     match &findings {
--- a/review/stand-ins-3/src/setup.rs
+++ b/review/stand-ins-3/src/setup.rs
@@ -1,20 +1,18 @@
 //! A small deployment: store, workers of one service, list of machines, daemons, a caller.
 
 use std::io;
-use std::sync::Arc;
 
 use crate::Context;
 use crate::caller::Caller;
 use crate::caller::HOST;
 use crate::caller::PREFIX;
-use crate::http::Handler;
-use crate::http::Server;
 use crate::json::Json;
 use crate::json::object;
 use crate::nodes;
 use crate::nodes::Node;
 use crate::nodes::Platform;
 use crate::store::Store;
+use crate::workers::Advice;
 use crate::workers::Fleet;
 
 /// Name of the service.
@@ -26,24 +24,28 @@
 /// A running deployment.
 pub struct Deployment {
     pub fleet: Fleet,
+    store: Store,
     pub caller: Caller,
     /// Dropping them ends the daemons.
     pub _nodes: Vec<Node>,
 }
 
 /// Starts a deployment whose workers are on these machines, each with its rack.
-pub fn start(context: &Context, machines: &[(String, String)]) -> io::Result<Deployment> {
+/// Their one queue has this advice service, if any.
+pub fn start(
+    context: &Context,
+    machines: &[(String, String)],
+    advice: Option<Advice>,
+) -> io::Result<Deployment> {
     let store = Store::default();
     let store_server = store.start()?;
-    store.put("op/config", &config());
-    let fleet = Fleet::new(store, context.record.clone(), SERVICE);
+    let fleet = Fleet::new(store.clone(), context.record.clone(), SERVICE);
+    write_config(&store, &fleet, context, 7, advice);
     for (machine, rack) in machines {
         fleet.start_worker(machine, rack)?;
     }
     let list = fleet.start_list()?;
-    // No queue of these cases needs advice.
-    let handler: Handler = Arc::new(|_| Some((429, "{}".to_owned())));
-    let advice = Server::start(handler)?;
+    let advice = fleet.start_advice()?;
     let platform = Platform {
         store: store_server.address,
         list: list.address,
@@ -57,13 +59,35 @@
     };
     Ok(Deployment {
         fleet,
+        store,
         caller,
         _nodes: nodes,
     })
 }
 
-fn config() -> Json {
-    let route = object([
+impl Deployment {
+    /// Writes the next version of the configuration, as the operator does.
+    pub fn configure(&self, context: &Context, version: u64, advice: Option<Advice>) {
+        write_config(&self.store, &self.fleet, context, version, advice);
+    }
+}
+
+fn write_config(
+    store: &Store,
+    fleet: &Fleet,
+    context: &Context,
+    version: u64,
+    advice: Option<Advice>,
+) {
+    fleet.set_advice(advice);
+    store.put("op/config", &config(version, advice));
+    context.record.write(&format!(
+        "configuration version={version} advice={advice:?}"
+    ));
+}
+
+fn config(version: u64, advice: Option<Advice>) -> Json {
+    let mut route = vec![
         ("name", "r-supplies".into()),
         ("host", HOST.into()),
         ("prefix", PREFIX.into()),
@@ -74,7 +98,19 @@
         ("service", SERVICE.into()),
         ("maxAttempts", 3u64.into()),
         ("slackFactor", Json::Number(2.2)),
-    ]);
+    ];
+    if let Some(advice) = advice {
+        let times = object([
+            ("decisionMs", advice.decision_ms.into()),
+            ("periodMs", advice.period_ms.into()),
+            ("validityMs", advice.validity_ms.into()),
+        ]);
+        route.push(("advice", times));
+    }
+    let fields = route
+        .into_iter()
+        .map(|(name, value)| (name.to_owned(), value));
+    let route = Json::Object(fields.collect());
     let service = object([("name", SERVICE.into()), ("rejectsOverload", true.into())]);
     let limits = object([
         ("maxHeaderBytes", 16_384u64.into()),
@@ -83,7 +119,7 @@
         ("idleTimeoutMs", 15_000u64.into()),
     ]);
     object([
-        ("version", 7u64.into()),
+        ("version", version.into()),
         ("routes", Json::List(vec![route])),
         ("services", Json::List(vec![service])),
         ("limits", limits),
--- a/review/stand-ins-3/src/workers.rs
+++ b/review/stand-ins-3/src/workers.rs
@@ -89,9 +89,19 @@
     server: Option<Server>,
 }
 
+/// Times of a queue's advice service, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Advice {
+    pub decision_ms: u64,
+    pub period_ms: u64,
+    pub validity_ms: u64,
+}
+
 /// A start that a worker has begun, for the check of a case.
 #[derive(Clone, Debug)]
 pub struct Start {
+    pub at: Instant,
+    pub task: String,
     pub run: u32,
     pub worker: String,
     pub checkpoint: String,
@@ -111,6 +121,12 @@
     workers: Vec<Worker>,
     starts: Vec<Start>,
     ended: Vec<Ended>,
+    /// End of each ticket, by ticket.
+    tickets: BTreeMap<String, Instant>,
+    /// Calls to the advice service, answered or not.
+    advised: usize,
+    /// The policy of the queue, if it has one: its starts need tickets.
+    advice: Option<Advice>,
 }
 
 /// All workers of the deployment; clones share their state.
@@ -132,6 +148,10 @@
     task.rsplit_once('.').map_or(task, |(step, _)| step)
 }
 
+fn ticket(step: &str, worker: &str) -> String {
+    format!("{worker}-{step}")
+}
+
 fn setting(spec: &str, name: &str) -> u64 {
     let pairs = spec.split(' ').filter_map(|pair| pair.split_once('='));
     let mut values = pairs.filter(|(key, _)| *key == name);
@@ -379,6 +399,54 @@
         self.lock().ended.clone()
     }
 
+    /// Sets the policy of the queue.
+    pub fn set_advice(&self, advice: Option<Advice>) {
+        self.lock().advice = advice;
+    }
+
+    /// Returns the number of calls to the advice service.
+    pub fn advised(&self) -> usize {
+        self.lock().advised
+    }
+
+    /// Starts the advice service: it takes one call at a time, and allows all workers.
+    pub fn start_advice(&self) -> std::io::Result<Server> {
+        let (fleet, turn) = (self.clone(), Mutex::new(()));
+        let handler: Handler = Arc::new(move |request| {
+            fleet.lock().advised += 1;
+            let Ok(_turn) = turn.lock() else {
+                return None;
+            };
+            fleet.advise(&Json::parse(&request.body))
+        });
+        Server::start(handler)
+    }
+
+    fn advise(&self, call: &Json) -> Option<(u16, String)> {
+        let advice = self.lock().advice?;
+        let (step, workers) = (call.text("step"), call.list("workers"));
+        let took_ms = advice.decision_ms + advice.period_ms * workers.len() as u64;
+        thread::sleep(Duration::from_millis(took_ms));
+        let until = Instant::now() + Duration::from_millis(advice.validity_ms);
+        let mut allowed = Vec::new();
+        for worker in workers {
+            if let Json::Text(id) = worker {
+                let ticket = ticket(&step, id);
+                self.lock().tickets.insert(ticket.clone(), until);
+                allowed.push(Json::List(vec![id.as_str().into(), ticket.into()]));
+            }
+        }
+        self.record.write(&format!(
+            "advice step={step} workers={} took_ms={took_ms}",
+            workers.len()
+        ));
+        let body = object([
+            ("allowed", allowed.into()),
+            ("validityMs", advice.validity_ms.into()),
+        ]);
+        Some((200, body.to_string()))
+    }
+
     /// Starts the server of the platform's list of machines.
     pub fn start_list(&self) -> std::io::Result<Server> {
         let fleet = self.clone();
@@ -461,6 +529,12 @@
             order.number("runId").unwrap_or(0) as u32,
         );
         let (spec, carried) = (order.text("spec"), order.text("checkpoint"));
+        let ticket = ticket(step_of(&task), &state.workers[at].id);
+        let is_valid = state
+            .tickets
+            .get(&ticket)
+            .is_some_and(|until| *until > Instant::now());
+        let is_allowed = state.advice.is_none() || is_valid && order.text("ticket") == ticket;
         let worker = &mut state.workers[at];
         if worker
             .runs
@@ -477,6 +551,9 @@
         if order.number("expiresMs").unwrap_or(0) <= worker.clock_ms() {
             return self.refuse(worker, "late");
         }
+        if !is_allowed {
+            return self.refuse(worker, "ticket");
+        }
         worker.extend_lease(order);
         let cpu = setting(&spec, "cpu");
         if worker.runs.values().map(|run| run.cpu).sum::<u64>() + cpu > WORKER_CPU {
@@ -504,6 +581,8 @@
         ));
         let body = answer(worker, []);
         state.starts.push(Start {
+            at: Instant::now(),
+            task,
             run: number,
             worker: id,
             checkpoint: carried,
