--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -6,14 +6,16 @@
 //! environment has `TROUBLE=0`.
 
 mod advice;
-mod blame;
 mod caller;
-mod gang;
+mod harm;
 mod http;
+mod idle;
 mod json;
+mod long;
 mod nodes;
 mod record;
 mod setup;
+mod silent;
 mod store;
 mod workers;
 
@@ -48,9 +50,10 @@
     };
     std::fs::create_dir_all(&context.folder)?;
     let findings = match case {
-        "blame" => blame::run(&context),
-        "gang" => gang::run(&context),
         "advice-gang" => advice::run_gang(&context),
+        "harm" => harm::run(&context),
+        "silent" => silent::run(&context),
+        "long" => long::run(&context),
         "advice-slow" => advice::run_slow(&context),
         _ => Err(io::Error::other(format!("unknown case {case}"))),
     };
--- a/review/stand-ins-3/src/nodes.rs
+++ b/review/stand-ins-3/src/nodes.rs
@@ -65,11 +65,11 @@
         let text = settings(number, own, &seeds.join(","), platform);
         let path: PathBuf = folder.join(format!("node-{number}.conf"));
         fs::write(&path, text)?;
-        let log = File::create(folder.join(format!("node-{number}.log")))?;
+        let log = folder.join(format!("node-{number}.log"));
         let child = Command::new(program)
             .env_clear()
             .env("CHICORYGAUGE_CONFIG", &path)
-            .stdout(log)
+            .stdout(File::create(&log)?)
             .stderr(Stdio::null())
             .spawn()?;
         nodes.push(Node {
--- a/review/stand-ins-3/src/store.rs
+++ b/review/stand-ins-3/src/store.rs
@@ -139,15 +139,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Removes a key as the platform does when a worker has left.
-    pub fn remove(&self, key: &str) {
-        let mut state = self.lock();
-        state.revision += 1;
-        state.remove(key);
-        drop(state);
-        self.shared.1.notify_all();
-    }
-
     fn handle(&self, request: &Request) -> (u16, String) {
         let (status, body) = match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/kv-key") => self.read(request.parameter("key")),
--- a/review/stand-ins-3/src/workers.rs
+++ b/review/stand-ins-3/src/workers.rs
@@ -1,7 +1,7 @@
 //! Workers, the platform's list of machines, and the advice service.
 //!
 //! The text of a job tells the workers what its subtasks do: `key=value` pairs separated by
-//! blanks. `work` is the time of a subtask, `gang` the number of members of its gang.
+//! blanks. `work` is the time of a subtask, 0 if it lasts, `gang` the number of members of its gang.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -37,21 +37,15 @@
 /// `checkpointIntervalS` of the site, in milliseconds.
 const CHECKPOINT_MS: u64 = 500;
 
-/// Three heartbeat intervals, after which the entry of a silent worker is removed.
-const ENTRY_LIMIT: Duration = Duration::from_millis(4500);
+/// Time that the figure for a serving subtask covers.
+const TAIL_WINDOW: Duration = Duration::from_millis(500);
+
+/// Time until a subtask that lasts is at work.
+const STARTUP: Duration = Duration::from_millis(500);
 
 /// Most ends in one answer.
 const LISTED_ENDS: usize = 500;
 
-/// How a worker ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Crash {
-    /// Its connections are reset.
-    Plain,
-    /// It and its machine answer nothing any more.
-    Dark,
-}
-
 #[derive(Clone)]
 struct Run {
     number: u32,
@@ -61,6 +55,15 @@
     placed: Instant,
     /// When it began to work; a gang begins together.
     began: Option<Instant>,
+    /// Share of its speed at which it may work, in percent.
+    pace: u64,
+    /// Milliseconds that it adds to the tail of serving subtasks beside it at full speed; 0 if it
+    /// does not fill.
+    harm_ms: u64,
+    /// Tail of a serving subtask without others beside it, in milliseconds; 0 for others.
+    tail_ms: u64,
+    /// Work that a filling subtask has done, in milliseconds.
+    filled_ms: f64,
     /// Work that the checkpoint stands for, in milliseconds.
     base_ms: u64,
     checkpoint: String,
@@ -87,6 +90,8 @@
     ends: Vec<End>,
     last_end: u64,
     server: Option<Server>,
+    /// Tails of its serving subtasks in the last half second.
+    tails: Vec<(Instant, u64)>,
 }
 
 /// Times of a queue's advice service, in milliseconds.
@@ -102,9 +107,6 @@
 pub struct Start {
     pub at: Instant,
     pub task: String,
-    pub run: u32,
-    pub worker: String,
-    pub checkpoint: String,
 }
 
 /// An end that a worker has listed, for the check of a case.
@@ -123,6 +125,8 @@
     ended: Vec<Ended>,
     /// End of each ticket, by ticket.
     tickets: BTreeMap<String, Instant>,
+    /// Tail of the serving subtask of each worker over time, in milliseconds.
+    tails: Vec<(Instant, String, u64)>,
     /// Calls to the advice service, answered or not.
     advised: usize,
     /// The policy of the queue, if it has one: its starts need tickets.
@@ -175,6 +179,9 @@
 
 impl Run {
     fn done_ms(&self) -> u64 {
+        if self.harm_ms > 0 {
+            return self.filled_ms as u64;
+        }
         let restore_ms = if self.base_ms > 0 { RESTORE_MS } else { 0 };
         let worked = self
             .began
@@ -237,6 +244,26 @@
         });
     }
 
+    /// Lets the filling subtasks work at their pace, and notes the tails of the serving ones.
+    fn work(&mut self, since: Duration) {
+        for worker in &mut self.workers {
+            let runs = worker.runs.values_mut();
+            for run in runs.filter(|run| run.harm_ms > 0) {
+                run.filled_ms += since.as_secs_f64() * 10.0 * run.pace as f64;
+            }
+            let harms = worker.runs.values().map(|run| run.harm_ms * run.pace / 100);
+            let harm: u64 = harms.sum();
+            let serving = worker.runs.values().find(|run| run.tail_ms > 0);
+            let now = Instant::now();
+            worker.tails.retain(|(at, _)| now - *at < TAIL_WINDOW);
+            let Some(tail) = serving.map(|run| run.tail_ms + harm) else {
+                continue;
+            };
+            worker.tails.push((now, tail));
+            self.tails.push((now, worker.id.clone(), tail));
+        }
+    }
+
     /// Ends what has finished, lapsed or waited too long, and begins the gangs that are present.
     fn tick(&mut self, record: &Record) {
         let mut ends: Vec<(usize, String, &'static str)> = Vec::new();
@@ -249,7 +276,7 @@
                 } else if run.gang > 0 {
                     let key = (step_of(task).to_owned(), run.number);
                     gangs.entry(key).or_default().push((at, task.clone()));
-                } else if run.done_ms() >= run.work_ms {
+                } else if run.work_ms > 0 && run.done_ms() >= run.work_ms {
                     ends.push((at, task.clone(), "done"));
                 }
             }
@@ -302,8 +329,12 @@
         };
         let ticker = fleet.clone();
         thread::spawn(move || {
+            let mut last = Instant::now();
             loop {
                 thread::sleep(Duration::from_millis(5));
+                let now = Instant::now();
+                ticker.lock().work(now - last);
+                last = now;
                 ticker.lock().tick(&ticker.record);
                 ticker.shared.1.notify_all();
             }
@@ -333,6 +364,7 @@
             ends: Vec::new(),
             last_end: 0,
             server: None,
+            tails: Vec::new(),
         });
         drop(state);
         let fleet = self.clone();
@@ -360,33 +392,16 @@
         Ok(id)
     }
 
-    /// Crashes the workers on these machines for good.
-    pub fn crash(&self, machines: &[&str], how: Crash) {
-        let mut state = self.lock();
-        let mut gone = Vec::new();
-        for worker in &mut state.workers {
-            if !worker.alive || !machines.contains(&worker.machine.as_str()) {
-                continue;
-            }
-            worker.alive = false;
-            self.record.write(&format!(
-                "worker id={} machine={} crashed how={how:?} runs={}",
-                worker.id,
-                worker.machine,
-                worker.runs.len()
-            ));
-            worker.runs.clear();
-            if let Some(server) = worker.server.take().filter(|_| how == Crash::Plain) {
-                server.close();
+    /// Lets all open channels to the workers go silent; new ones work.
+    pub fn silence(&self) {
+        let state = self.lock();
+        for worker in &state.workers {
+            if let Some(server) = &worker.server {
+                server.silence();
             }
-            gone.push(format!("servers/{}", worker.id));
         }
-        drop(state);
-        let store = self.store.clone();
-        thread::spawn(move || {
-            thread::sleep(ENTRY_LIMIT);
-            gone.iter().for_each(|key| store.remove(key));
-        });
+        self.record
+            .write("all open channels to workers go silent; new ones work");
     }
 
     /// Returns the starts so far.
@@ -394,6 +409,18 @@
         self.lock().starts.clone()
     }
 
+    /// Returns the number of a job's runs at workers that are up.
+    pub fn running(&self, job: &str) -> usize {
+        let state = self.lock();
+        let runs = state.workers.iter().flat_map(|worker| worker.runs.keys());
+        runs.filter(|task| task.starts_with(job)).count()
+    }
+
+    /// Returns the tail of the serving subtask of each worker over time, in milliseconds.
+    pub fn tails(&self) -> Vec<(Instant, String, u64)> {
+        self.lock().tails.clone()
+    }
+
     /// Returns the ends so far.
     pub fn ended(&self) -> Vec<Ended> {
         self.lock().ended.clone()
@@ -514,7 +541,13 @@
                 Some((200, answer(&state.workers[at], [])))
             }
             "/hold" => self.hold(state, at, &order),
-            "/pace" => Some((200, answer(worker, []))),
+            "/pace" => {
+                let (task, percent) = (order.text("task"), order.number("percent"));
+                if let Some(run) = worker.runs.get_mut(&task) {
+                    run.pace = percent.unwrap_or(100).min(100);
+                }
+                Some((200, answer(worker, [])))
+            }
             _ => Some((404, "{}".to_owned())),
         }
     }
@@ -556,7 +589,9 @@
         }
         worker.extend_lease(order);
         let cpu = setting(&spec, "cpu");
-        if worker.runs.values().map(|run| run.cpu).sum::<u64>() + cpu > WORKER_CPU {
+        let counted = worker.runs.values().filter(|run| run.harm_ms == 0);
+        let used: u64 = counted.map(|run| run.cpu).sum();
+        if setting(&spec, "harm") == 0 && used + cpu > WORKER_CPU {
             return self.refuse(worker, "room");
         }
         worker.highest.insert(task.clone(), number);
@@ -571,6 +606,10 @@
             gang,
             placed: Instant::now(),
             began: (gang == 0).then(Instant::now),
+            pace: 100,
+            harm_ms: setting(&spec, "harm"),
+            tail_ms: setting(&spec, "tail"),
+            filled_ms: 0.0,
             base_ms: base.unwrap_or(0),
             checkpoint: carried.clone(),
         };
@@ -583,9 +622,6 @@
         state.starts.push(Start {
             at: Instant::now(),
             task,
-            run: number,
-            worker: id,
-            checkpoint: carried,
         });
         (200, body)
     }
@@ -619,14 +655,21 @@
                 .0;
         }
         let worker = &state.workers[at];
+        let tails = worker.tails.iter().map(|(_, tail)| *tail);
+        let mean_tail = tails.sum::<u64>() / worker.tails.len().max(1) as u64;
         let running = worker.runs.iter().map(|(task, run)| {
-            let percent = run.done_ms() * 100 / run.work_ms.max(1);
+            let percent = match run.work_ms {
+                // A subtask that lasts is at work after a short startup.
+                0 if run.placed.elapsed() < STARTUP => 50,
+                0 => 100,
+                work_ms => run.done_ms() * 100 / work_ms,
+            };
             Json::List(vec![
                 task.as_str().into(),
                 u64::from(run.number).into(),
                 run.saved(task).into(),
                 percent.into(),
-                run.cpu.into(),
+                if run.tail_ms > 0 { mean_tail } else { run.cpu }.into(),
             ])
         });
         let finished = worker.ends.iter().take(LISTED_ENDS).map(|end| {
