Advice: a call is awaited for as long as the queue's configuration says

Cause: the time limit was a constant. The queue's own response times were decoded, stored and never read. Ruled out: no limit (a silent connection would end all advice), fewer workers a call (one may take longer than 1.5 s).

Change: the scheduler sets the limit of each call: twice the configured response time, since the service may be busy with a call that was given up, and an allowance for the network, which consecutive calls that exceed their limit double up to 32 s. The simulated world has an advice service.

Two of three new tests failed before; the third is a guard.

--- a/src/jobs/actions.rs
+++ b/src/jobs/actions.rs
@@ -105,6 +105,8 @@
         call: AdviceCall,
         /// Any task of the step that the request is for.
         step: TaskId,
+        /// Time limit of the call, in milliseconds.
+        limit_ms: u64,
     },
     /// A call to the VM management API.
     Fleet(FleetCall),
--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -22,9 +22,6 @@
 /// must reach the worker before the ticket expires.
 const TICKET_MARGIN_MS: u64 = 250;
 
-/// Delay before the next request after one without an answer, in milliseconds.
-const REQUEST_RETRY_MS: u64 = 200;
-
 /// How long a worker that was not allowed is excluded from requests, in milliseconds.
 const NOT_ALLOWED_MS: u64 = 5000;
 
@@ -74,15 +71,16 @@
 
     /// Requests advice for a step that found no worker, if its queue needs advice.
     pub(crate) fn request_advice(&mut self, task: &TaskId, pool: &str, spec: &StepSpec, now: u64) {
-        if !self.needs_advice(task) || self.advice_calls > 0 {
+        if !self.advice_calls.is_due(now) {
             return;
         }
-        let Some(advice) = self.step_advice(task) else {
+        let job = self.jobs.get(&task.job);
+        let Some(timing) = job.and_then(|job| self.advice_of(job)) else {
             return;
         };
-        if advice.call_in_flight || now < advice.not_before_ms {
+        let Some(advice) = self.step_advice(task) else {
             return;
-        }
+        };
         let need = spec.reserved();
         let mut candidates: Vec<(u64, String)> = Vec::new();
         for (id, view) in &self.workers {
@@ -106,14 +104,13 @@
         if workers.is_empty() {
             return;
         }
-        if let Some(advice) = self.step_advice_mut(task) {
-            advice.call_in_flight = true;
-        }
-        self.advice_calls += 1;
+        let response_ms = timing.response_ms(workers.len());
+        let limit_ms = self.advice_calls.begin(response_ms, now);
         let step = format!("{}.{}.{}", task.job, task.occurrence, task.step);
         self.actions.push(Action::Advise {
             call: AdviceCall { step, workers },
             step: task.clone(),
+            limit_ms,
         });
     }
 
@@ -125,15 +122,13 @@
         reply: Option<AdviceReply>,
         now: u64,
     ) {
-        self.advice_calls = self.advice_calls.saturating_sub(1);
+        let is_answered = matches!(reply, Some(AdviceReply::Allowed { .. }));
+        self.advice_calls.end(is_answered, now);
         self.waiting.mark_all_due();
-        let Some(advice) = self.step_advice_mut(task) else {
+        let Some(AdviceReply::Allowed { tickets, valid_ms }) = reply else {
             return;
         };
-        advice.call_in_flight = false;
-        let Some(AdviceReply::Allowed { tickets, valid_ms }) = reply else {
-            advice.not_before_ms = now + REQUEST_RETRY_MS;
-            log::info!(event = "advice_unavailable", task:% = task; "");
+        let Some(advice) = self.step_advice_mut(task) else {
             return;
         };
         for worker in requested {
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -22,6 +22,7 @@
 use crate::jobs::actions::CallerAnswer;
 use crate::jobs::actions::WaiterId;
 use crate::jobs::admit::AdmissionState;
+use crate::jobs::advice_calls::AdviceCalls;
 use crate::jobs::candidates::PoolCandidates;
 use crate::jobs::config::JobConfig;
 use crate::jobs::config::QueueConfig;
@@ -192,8 +193,8 @@
     pub store_unresponsive: bool,
     /// Whether a higher epoch was seen; this scheduler then sends no more orders.
     pub deposed: bool,
-    /// Number of advice requests without a result yet.
-    pub advice_calls: u32,
+    /// Calls to the advice service.
+    pub(crate) advice_calls: AdviceCalls,
     /// Actions since the last [`JobEngine::take_actions`].
     pub(crate) actions: Vec<Action>,
     /// Resources in use by client account.
@@ -260,7 +261,7 @@
             store_down_since_ms: None,
             store_unresponsive: false,
             deposed: false,
-            advice_calls: 0,
+            advice_calls: AdviceCalls::default(),
             actions: Vec::new(),
             ledger: AccountLedger::default(),
             limits: LimitState::default(),
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 pub mod actions;
 pub mod admit;
 pub mod advice;
+pub mod advice_calls;
 pub mod callers;
 pub mod candidates;
 pub(crate) mod capability;
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -106,12 +106,8 @@
 pub struct StepAdvice {
     /// Workers that may run the step, each with its ticket and the ticket's expiry.
     pub tickets: BTreeMap<String, (String, u64)>,
-    /// Whether a call to the advice service is in flight.
-    pub call_in_flight: bool,
     /// Workers that the service did not allow, and until when this holds.
     pub refused: BTreeMap<String, u64>,
-    /// Earliest time of the next call.
-    pub not_before_ms: u64,
 }
 
 /// A step of an occurrence.
--- a/src/ports/client.rs
+++ b/src/ports/client.rs
@@ -75,8 +75,6 @@
     pub order: Duration,
     /// Call to the VM list service.
     pub fleet: Duration,
-    /// Call to the advice service, whose response time grows with the number of workers.
-    pub advice: Duration,
 }
 
 impl Default for CallTimeouts {
@@ -84,7 +82,6 @@
         Self {
             order: Duration::from_millis(500),
             fleet: Duration::from_millis(1500),
-            advice: Duration::from_millis(1500),
         }
     }
 }
@@ -145,18 +142,23 @@
         (self.dialect.fleet_reply)(call, &reply).context(MalformedSnafu { port, peer })
     }
 
-    /// Asks the advice service which workers may run a step.
+    /// Asks the advice service which workers may run a step; `limit` depends on the queue and the
+    /// number of workers.
     ///
     /// # Errors
     ///
-    /// Fails if no usable reply is received.
-    pub async fn advice(&self, call: &AdviceCall) -> Result<AdviceReply, PortError> {
+    /// Fails if no usable reply is received within `limit`.
+    pub async fn advice(
+        &self,
+        call: &AdviceCall,
+        limit: Duration,
+    ) -> Result<AdviceReply, PortError> {
         let port = "advice";
         let Some(peer) = self.addresses.advice else {
             return NotDeployedSnafu { port }.fail();
         };
         let wire = (self.dialect.advice_call)(call);
-        let reply = self.send(port, peer, wire, self.timeouts.advice).await?;
+        let reply = self.send(port, peer, wire, limit).await?;
         (self.dialect.advice_reply)(&reply).context(MalformedSnafu { port, peer })
     }
 
--- a/src/service/jobs/execute.rs
+++ b/src/service/jobs/execute.rs
@@ -117,13 +117,21 @@
                     });
                 });
             }
-            Action::Advise { call, step } => {
+            Action::Advise {
+                call,
+                step,
+                limit_ms,
+            } => {
                 let (client, events) = (self.client.clone(), self.events.clone());
+                let limit = Duration::from_millis(limit_ms);
                 tokio::spawn(async move {
-                    let reply = match client.advice(&call).await {
+                    let reply = match client.advice(&call, limit).await {
                         Ok(reply) => Some(reply),
                         Err(error) => {
-                            log::info!(event = "advice_failed", step = call.step.as_str(), error:% = error; "");
+                            log::info!(
+                                event = "advice_failed", step = call.step.as_str(),
+                                workers = call.workers.len(), limit_ms = limit_ms, error:% = error; ""
+                            );
                             None
                         }
                     };
--- /dev/null
+++ b/tests/jobs_advice.rs
@@ -0,0 +1,111 @@
+//! Calls to the advice service: how long they are waited for.
+
+#[path = "support/world.rs"]
+#[expect(dead_code, reason = "other test files use the rest of the world")]
+mod world;
+
+use std::sync::Arc;
+
+use chicorygauge::jobs::config::AdviceTiming;
+use chicorygauge::jobs::config::JobConfig;
+use chicorygauge::jobs::config::QueueConfig;
+
+use crate::world::World;
+use crate::world::advice::AdviceService;
+use crate::world::config;
+use crate::world::job;
+use crate::world::step;
+
+const JOB: &str = "00000000000000aa";
+
+const QUEUE: &str = "orders";
+
+const FAST: AdviceTiming = AdviceTiming {
+    call_ms: 100,
+    worker_ms: 10,
+    valid_ms: 3000,
+};
+
+/// Time for commits, starts and reports of a job with one step, in milliseconds.
+const OVERHEAD_MS: u64 = 700;
+
+fn queue(advice: Option<AdviceTiming>) -> QueueConfig {
+    QueueConfig {
+        advice,
+        ..config().queues.remove(0)
+    }
+}
+
+/// Puts a configuration in force in which the queue has this advice.
+fn set_advice(world: &mut World, advice: Option<AdviceTiming>) {
+    let config = JobConfig {
+        version: world.engine.config.version + 1,
+        queues: vec![queue(advice)],
+        ..config()
+    };
+    world.engine.set_config(Arc::new(config));
+}
+
+/// Returns a world with this many workers, whose queue needs advice.
+fn advised_world(workers: usize, timing: AdviceTiming) -> World {
+    let mut world = World::new(workers, 1);
+    set_advice(&mut world, Some(timing));
+    world.advice = Some(AdviceService::new(QUEUE, timing));
+    world.run(1000);
+    world
+}
+
+fn service(world: &mut World) -> &mut AdviceService {
+    world.advice.as_mut().expect("an advice service")
+}
+
+/// Calls were broken off after 1.5 s, whatever the queue's configuration says, and repeated.
+#[test]
+fn call_slow_by_configuration_job_completes() {
+    for (call_ms, worker_ms, valid_ms) in [
+        (1200, 50, 3000),
+        (2500, 50, 3000),
+        (5000, 50, 1000),
+        (100, 400, 3000),
+        (20_000, 50, 3000),
+    ] {
+        let timing = AdviceTiming {
+            call_ms,
+            worker_ms,
+            valid_ms,
+        };
+        let mut world = advised_world(11, timing);
+        world.submit(JOB, &job(&[step(8, 8000, 1300)]), 1);
+        world.run(call_ms + 10 * worker_ms + 1300 + OVERHEAD_MS);
+        assert!(world.completed.contains_key(JOB), "{timing:?}");
+        assert_eq!(service(&mut world).calls.len(), 1, "{timing:?}");
+    }
+}
+
+/// The owner may have an older configuration than the service, which then answers later than the
+/// owner expects; calls were broken off after the same time again and again.
+#[test]
+fn call_slower_than_configured_job_completes() {
+    for call_ms in [1000, 4000, 10_000] {
+        let mut world = advised_world(4, FAST);
+        let actual = AdviceTiming { call_ms, ..FAST };
+        service(&mut world).timings.insert(QUEUE.to_owned(), actual);
+        world.submit(JOB, &job(&[step(4, 8000, 1300)]), 1);
+        world.run(10 * call_ms + 1300 + OVERHEAD_MS);
+        assert!(world.completed.contains_key(JOB), "{call_ms} ms");
+    }
+}
+
+/// A service that was silent is asked again soon after it answers, and its answers are awaited.
+#[test]
+fn call_unanswered_repeated_after_outage() {
+    for silent_ms in [500, 3000, 30_000] {
+        let mut world = advised_world(4, FAST);
+        service(&mut world).is_silent = true;
+        world.submit(JOB, &job(&[step(4, 8000, 1300)]), 1);
+        world.run(silent_ms);
+        service(&mut world).is_silent = false;
+        world.run(silent_ms + 2000 + 1300 + OVERHEAD_MS);
+        assert!(world.completed.contains_key(JOB), "{silent_ms} ms");
+    }
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -6,6 +6,8 @@
 //! A hold is the call that renews a worker's lease. The worker replies with its run lists
 //! as soon as it has ended runs to report, or at the call's deadline.
 
+#[path = "advice.rs"]
+pub mod advice;
 #[path = "in_service.rs"]
 mod in_service;
 
@@ -14,6 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use advice::AdviceService;
 use chicorygauge::jobs::actions::Action;
 use chicorygauge::jobs::actions::CallToken;
 use chicorygauge::jobs::actions::CallerAnswer;
@@ -41,6 +44,8 @@
 use chicorygauge::jobs::types::WorkerState;
 use chicorygauge::jobs::unresponsive::UnresponsiveRecord;
 use chicorygauge::jobs::writes::WriteBatch;
+use chicorygauge::ports::AdviceCall;
+use chicorygauge::ports::AdviceReply;
 use chicorygauge::ports::FleetCall;
 use chicorygauge::ports::FleetReply;
 use chicorygauge::ports::WorkerCall;
@@ -169,6 +174,11 @@
     HoldWaits(WorkerCall, CallToken, u64, u64),
     /// The result of a call reaches the scheduler.
     CallEnds(CallToken, CallResult, u64),
+    /// The result of a call to the advice service reaches the scheduler: a task of the step, the
+    /// workers that were named and the reply.
+    AdviceEnds(TaskId, Vec<String>, Option<AdviceReply>),
+    /// The advice service answers a call, which has the time limit that follows.
+    AdviceAnswered(TaskId, AdviceCall, u64),
     FleetCallArrives(FleetCall),
     FleetCallEnds(FleetCall, Option<FleetReply>),
     CommitEnds(Box<WriteBatch>),
@@ -252,6 +262,10 @@
     pub clock_start: Option<ClockStart>,
     /// Terms that the receiving entry VM sends along with submissions.
     pub received_terms: Option<JobTerms>,
+    /// Advice service; calls stay unanswered if there is none.
+    pub advice: Option<AdviceService>,
+    /// Queue of each submitted job.
+    queues: BTreeMap<String, String>,
 }
 
 /// How long a start may be on its way, in milliseconds: starts reserved under a higher limit
@@ -385,6 +399,8 @@
             limits: Vec::new(),
             clock_start: None,
             received_terms: None,
+            advice: None,
+            queues: BTreeMap::new(),
         }
     }
 
@@ -689,6 +705,7 @@
         waiter: u64,
     ) {
         self.specs.insert(id.to_owned(), spec.clone());
+        self.queues.insert(id.to_owned(), queue.to_owned());
         self.submitted.entry(id.to_owned()).or_insert(self.now);
         let submission = Submission {
             id: id.into(),
@@ -854,7 +871,11 @@
                 }
                 Action::Worker { call, token, .. } => self.send(call, token),
                 Action::Fleet(call) => self.schedule(HOP_MS, Event::FleetCallArrives(call)),
-                Action::Advise { .. } => {}
+                Action::Advise {
+                    call,
+                    step,
+                    limit_ms,
+                } => self.request_advice(step, call, limit_ms),
             }
         }
     }
@@ -888,6 +909,61 @@
         self.schedule(HOP_MS, Event::CallArrives(call, token, sent_ms));
     }
 
+    /// Passes a call to the advice service, which handles it even after its time limit.
+    fn request_advice(&mut self, step: TaskId, call: AdviceCall, limit_ms: u64) {
+        let queue = self.queues.get(&*step.job).cloned().unwrap_or_default();
+        let Some(service) = &mut self.advice else {
+            return;
+        };
+        let until_ms = self.now + limit_ms;
+        if service.is_silent {
+            return self.schedule(limit_ms, Event::AdviceEnds(step, call.workers, None));
+        }
+        let answered_ms = service.accept(&queue, &call, self.now + HOP_MS);
+        let delay_ms = answered_ms - self.now;
+        self.schedule(
+            delay_ms,
+            Event::AdviceAnswered(step.clone(), call.clone(), until_ms),
+        );
+        if answered_ms + HOP_MS > until_ms {
+            self.schedule(limit_ms, Event::AdviceEnds(step, call.workers, None));
+        }
+    }
+
+    /// Issues the tickets of a call; the reply is dropped if the call has timed out.
+    fn answer_advice(&mut self, step: TaskId, call: &AdviceCall, until_ms: u64) {
+        let queue = self.queues.get(&*step.job).cloned().unwrap_or_default();
+        let births = self.workers.iter();
+        let births = births.map(|(id, worker)| (id.clone(), worker.entry.born_ms));
+        let births: BTreeMap<String, u64> = births.collect();
+        let Some(service) = &mut self.advice else {
+            return;
+        };
+        let reply = service.answer(&queue, call, &births, self.now);
+        if self.now + HOP_MS <= until_ms {
+            self.schedule(
+                HOP_MS,
+                Event::AdviceEnds(step, call.workers.clone(), Some(reply)),
+            );
+        }
+    }
+
+    /// Returns whether a worker may start a task with a ticket.
+    fn accepts_ticket(&mut self, id: &str, task: &str, ticket: &str) -> bool {
+        let name = TaskId::parse(task).expect("a task");
+        let queue = self.queues.get(&*name.job).cloned().unwrap_or_default();
+        let queue = self.engine.config.queue(&queue);
+        let (now, born_ms) = (self.now, self.workers[id].entry.born_ms);
+        let Some(service) = &mut self.advice else {
+            return true;
+        };
+        if queue.is_none_or(|queue| queue.advice.is_none()) {
+            return true;
+        }
+        let step = format!("{}.{}.{}", name.job, name.occurrence, name.step);
+        service.accepts(ticket, (&step, id, born_ms), now)
+    }
+
     fn handle_event(&mut self, event: Event) {
         match event {
             Event::CallArrives(call, token, sent_ms) => self.deliver_call(call, token, sent_ms),
@@ -901,6 +977,13 @@
                 self.engine
                     .handle_call_result(token, result, sent_ms, self.now);
             }
+            Event::AdviceAnswered(step, call, until_ms) => {
+                self.answer_advice(step, &call, until_ms);
+            }
+            Event::AdviceEnds(step, workers, reply) => {
+                let now = self.now;
+                self.engine.handle_advice_reply(&step, &workers, reply, now);
+            }
             Event::FleetCallArrives(call) => {
                 let reply = self.execute_fleet_call(&call);
                 let is_order = !matches!(call, FleetCall::List { .. });
@@ -1061,6 +1144,7 @@
                 task,
                 run,
                 lease_until_ms,
+                ticket,
                 ..
             } => {
                 worker.extend_lease(*lease_until_ms, now);
@@ -1082,6 +1166,10 @@
                     return Some(WorkerReply::Refused { reason });
                 }
                 let (id, task, run) = (call.worker.clone(), task.clone(), *run);
+                if !self.accepts_ticket(&id, &task, ticket) {
+                    let reason = RefusalReason::Ticket;
+                    return Some(WorkerReply::Refused { reason });
+                }
                 self.start_run(&id, &task, run, fails);
                 Some(WorkerReply::Done { clock_ms })
             }
