Advice: what was not allowed stays so for the life of the worker

PROTOCOL.md says that the answer does not change.

Change: the answer holds until the worker starts again or the queue's advice changes. An answer to a call that was sent before such a change is not kept. A worker that is removed is forgotten.

Result: three of the four new tests failed before; the one about a change during the call is new with the rule.

--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -4,7 +4,10 @@
 //! number of candidate workers. Requests therefore list only a few candidates: those
 //! that placement would prefer.
 
+use std::collections::BTreeSet;
+
 use crate::jobs::actions::Action;
+use crate::jobs::config::JobConfig;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::task::StepAdvice;
 use crate::jobs::types::StepSpec;
@@ -22,9 +25,6 @@
 /// must reach the worker before the ticket expires.
 const TICKET_MARGIN_MS: u64 = 250;
 
-/// How long a worker that was not allowed is excluded from requests, in milliseconds.
-const NOT_ALLOWED_MS: u64 = 5000;
-
 impl JobEngine {
     fn step_advice(&self, task: &TaskId) -> Option<&StepAdvice> {
         let steps = self.jobs.get(&task.job)?.open.get(&task.occurrence)?;
@@ -61,11 +61,33 @@
         }
     }
 
-    /// Removes a worker's tickets for all steps: they hold for one incarnation.
-    pub(crate) fn remove_worker_tickets(&mut self, worker: &str) {
+    /// Removes what the service said about a worker for all steps: it holds for one incarnation.
+    pub(crate) fn remove_worker_advice(&mut self, worker: &str) {
+        self.advice_calls.outdate();
         let steps = self.jobs.values_mut().flat_map(|job| job.open.values_mut());
         for step in steps.flatten() {
             step.advice.tickets.remove(worker);
+            step.advice.refused.remove(worker);
+        }
+    }
+
+    /// Forgets which workers were not allowed to run the steps of the queues whose advice differs
+    /// from that of the former configuration: other workers may be allowed now.
+    pub(crate) fn expire_refusals(&mut self, former: &JobConfig) {
+        let queues = self.config.queues.iter();
+        let changed = queues.filter(|queue| {
+            let former = former.queue(&queue.name);
+            former.is_none_or(|former| former.advice != queue.advice)
+        });
+        let changed: BTreeSet<&str> = changed.map(|queue| queue.name.as_str()).collect();
+        if changed.is_empty() {
+            return;
+        }
+        self.advice_calls.outdate();
+        let jobs = self.jobs.values_mut();
+        let jobs = jobs.filter(|job| changed.contains(job.body.queue.as_str()));
+        for step in jobs.flat_map(|job| job.open.values_mut()).flatten() {
+            step.advice.refused.clear();
         }
     }
 
@@ -84,7 +106,7 @@
         let need = spec.reserved();
         let mut candidates: Vec<(u64, String)> = Vec::new();
         for (id, view) in &self.workers {
-            let refused = advice.refused.get(id).is_some_and(|until| now < *until);
+            let refused = advice.refused.contains(id);
             let labelled = spec.label.is_empty() || view.has_label(&spec.label);
             let has_ticket = self.ticket_for(task, id, now).is_some();
             if view.entry.pool == pool
@@ -123,7 +145,7 @@
         now: u64,
     ) {
         let is_answered = matches!(reply, Some(AdviceReply::Allowed { .. }));
-        self.advice_calls.end(is_answered, now);
+        let is_current = self.advice_calls.end(is_answered, now);
         self.waiting.mark_all_due();
         let Some(AdviceReply::Allowed { tickets, valid_ms }) = reply else {
             return;
@@ -131,11 +153,11 @@
         let Some(advice) = self.step_advice_mut(task) else {
             return;
         };
-        for worker in requested {
-            if !tickets.iter().any(|(allowed, _)| allowed == worker) {
-                advice.refused.insert(worker.clone(), now + NOT_ALLOWED_MS);
-            }
-        }
+        let is_allowed = |worker: &String| tickets.iter().any(|(allowed, _)| allowed == worker);
+        let refused = requested.iter().filter(|worker| !is_allowed(worker));
+        advice
+            .refused
+            .extend(refused.filter(|_| is_current).cloned());
         for (worker, ticket) in tickets {
             advice.tickets.insert(worker, (ticket, now + valid_ms));
         }
--- a/src/jobs/advice_calls.rs
+++ b/src/jobs/advice_calls.rs
@@ -22,6 +22,8 @@
 struct CallAttempt {
     sent_ms: u64,
     limit_ms: u64,
+    /// Whether a worker has started again or the advice of a queue has changed since.
+    is_outdated: bool,
 }
 
 /// Calls of one owner to the advice service.
@@ -59,21 +61,30 @@
         self.in_flight = Some(CallAttempt {
             sent_ms: now,
             limit_ms,
+            is_outdated: false,
         });
         limit_ms
     }
 
+    /// Records that the answer to the call in flight may no longer hold.
+    pub fn outdate(&mut self) {
+        if let Some(attempt) = &mut self.in_flight {
+            attempt.is_outdated = true;
+        }
+    }
+
     /// Records the result of the call in flight; `is_answered` is whether the service has
-    /// answered it.
-    pub fn end(&mut self, is_answered: bool, now: u64) {
+    /// answered it. Returns whether the answer still holds.
+    pub fn end(&mut self, is_answered: bool, now: u64) -> bool {
         let attempt = self.in_flight.take();
         if is_answered {
             self.timeouts = 0;
-            return;
+            return attempt.is_none_or(|call| !call.is_outdated);
         }
         let expired = attempt.is_some_and(|call| now >= call.sent_ms.saturating_add(call.limit_ms));
         self.timeouts += u32::from(expired);
         self.not_before_ms = now + RETRY_DELAY_MS;
         log::info!(event = "advice_unavailable", expired = expired, timeouts = self.timeouts; "");
+        false
     }
 }
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -302,9 +302,10 @@
     pub fn set_config(&mut self, config: Arc<JobConfig>) {
         if config.version > self.config.version {
             log::info!(event = "scheduler_config", version = config.version, before = self.config.version; "");
-            self.config = config;
+            let former = std::mem::replace(&mut self.config, config);
             self.index_queues();
             self.keep_terms();
+            self.expire_refusals(&former);
             self.apply_accounts();
             self.waiting.mark_all_due();
         }
--- a/src/jobs/entries.rs
+++ b/src/jobs/entries.rs
@@ -309,6 +309,7 @@
         for worker in gone {
             log::info!(event = "worker_gone", worker = worker.as_str(); "");
             self.workers.remove(&worker);
+            self.remove_worker_advice(&worker);
         }
     }
 }
--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -170,7 +170,7 @@
             ..WorkerView::new(entry, now)
         };
         self.workers.insert(worker.to_owned(), view);
-        self.remove_worker_tickets(worker);
+        self.remove_worker_advice(worker);
         self.attach_runs(worker, kept, now);
         if report.is_none() {
             self.send_hold(worker, now);
--- a/src/jobs/machines.rs
+++ b/src/jobs/machines.rs
@@ -271,6 +271,7 @@
         let has_runs = |view: &WorkerView| !view.runs.is_empty();
         if !worker.is_empty() && !self.workers.get(&worker).is_some_and(has_runs) {
             self.workers.remove(&worker);
+            self.remove_worker_advice(&worker);
             // Another worker at its address is no evidence of a crash any more.
             self.lost_workers.remove(&worker);
             self.fleet.departed.insert(worker, now);
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -3,6 +3,7 @@
 //! Times are on the boot clock, in milliseconds.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::jobs::losses::WorkerLoss;
 use crate::jobs::record::PlacedRecord;
@@ -106,8 +107,9 @@
 pub struct StepAdvice {
     /// Workers that may run the step, each with its ticket and the ticket's expiry.
     pub tickets: BTreeMap<String, (String, u64)>,
-    /// Workers that the service did not allow, and until when this holds.
-    pub refused: BTreeMap<String, u64>,
+    /// Workers that the service did not allow. This holds for as long as the incarnation lives and
+    /// the queue's advice stays the same.
+    pub refused: BTreeSet<String>,
 }
 
 /// A step of an occurrence.
--- a/tests/jobs_advice.rs
+++ b/tests/jobs_advice.rs
@@ -1,9 +1,10 @@
-//! Calls to the advice service: how long they are waited for.
+//! Calls to the advice service: how long they are waited for, and for how long an answer holds.
 
 #[path = "support/world.rs"]
 #[expect(dead_code, reason = "other test files use the rest of the world")]
 mod world;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use chicorygauge::jobs::config::AdviceTiming;
@@ -59,6 +60,17 @@
     world.advice.as_mut().expect("an advice service")
 }
 
+/// Returns how often each worker was named in a call.
+fn named(world: &mut World) -> BTreeMap<String, usize> {
+    let mut named = BTreeMap::new();
+    for (_, call) in &service(world).calls {
+        for worker in &call.workers {
+            *named.entry(worker.clone()).or_default() += 1;
+        }
+    }
+    named
+}
+
 /// Calls were broken off after 1.5 s, whatever the queue's configuration says, and repeated.
 #[test]
 fn call_slow_by_configuration_job_completes() {
@@ -109,3 +121,84 @@
         assert!(world.completed.contains_key(JOB), "{silent_ms} ms");
     }
 }
+
+/// Workers that were not allowed were asked for again after 5 s, although the answer does not
+/// change; with a slow service the first came round again before the last were asked for.
+#[test]
+fn not_allowed_workers_asked_once() {
+    let timing = AdviceTiming {
+        call_ms: 1000,
+        worker_ms: 100,
+        valid_ms: 3000,
+    };
+    let mut world = advised_world(40, timing);
+    service(&mut world).policy = |_, worker| worker >= "w-0038";
+    world.submit(JOB, &job(&[step(2, 8000, 1300)]), 1);
+    // One spare candidate each of eight calls is the least that finds the last workers.
+    world.run(12_000 + 4000 + 1300 + OVERHEAD_MS);
+    assert!(world.completed.contains_key(JOB));
+    let named = named(&mut world);
+    assert!(named.values().all(|times| *times == 1), "{named:?}");
+}
+
+/// An answer holds for one incarnation of a worker.
+#[test]
+fn not_allowed_worker_asked_again_after_restart() {
+    let mut world = advised_world(1, FAST);
+    service(&mut world).policy = |_, _| false;
+    world.submit(JOB, &job(&[step(1, 8000, 300)]), 1);
+    world.run(2000);
+    let worker = world.workers.keys().next().expect("a worker").clone();
+    assert_eq!(named(&mut world)[&worker], 1);
+    service(&mut world).policy = |_, _| true;
+    world.crash_silently(&worker);
+    let born_ms = world.workers[&worker].entry.born_ms + 10_000;
+    let entry = world.restart(&worker, born_ms);
+    world.run(900);
+    let now = world.now;
+    world.engine.worker_listed(entry, now);
+    world.run(2000);
+    assert!(world.completed.contains_key(JOB));
+}
+
+/// A configuration that changes the advice of a queue may come with another policy.
+#[test]
+fn not_allowed_worker_asked_again_after_change() {
+    let changed = AdviceTiming {
+        call_ms: 200,
+        ..FAST
+    };
+    for former in [None, Some(FAST)] {
+        let mut world = advised_world(1, FAST);
+        service(&mut world).policy = |_, _| false;
+        world.submit(JOB, &job(&[step(1, 64_000, 300)]), 1);
+        world.run(2000);
+        if former.is_none() {
+            set_advice(&mut world, None);
+            world.run(100);
+        }
+        service(&mut world).policy = |_, _| true;
+        set_advice(&mut world, Some(changed));
+        let before = service(&mut world).calls.len();
+        world.run(1000);
+        assert!(service(&mut world).calls.len() > before, "{former:?}");
+    }
+}
+
+/// The answer to a call that was sent before such a change may no longer hold.
+#[test]
+fn not_allowed_worker_asked_again_after_change_during_call() {
+    let mut world = advised_world(1, FAST);
+    service(&mut world).policy = |_, _| false;
+    world.submit(JOB, &job(&[step(1, 8000, 300)]), 1);
+    world.run(FAST.call_ms / 2);
+    let changed = AdviceTiming {
+        worker_ms: 20,
+        ..FAST
+    };
+    set_advice(&mut world, Some(changed));
+    world.run(FAST.call_ms);
+    service(&mut world).policy = |_, _| true;
+    world.run(2000);
+    assert!(world.completed.contains_key(JOB));
+}
