Advice: queues share the service by time

A call may now be awaited for long, which makes that worse.

Change: a placement pass collects the requests, and the next call is for the queue that has used least of the service's time; first for a step that could start at once, last for one with recent tickets.

--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeSet;
 
 use crate::jobs::actions::Action;
+use crate::jobs::advice_requests::AdviceRequest;
 use crate::jobs::config::JobConfig;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::task::StepAdvice;
@@ -96,12 +97,66 @@
         if !self.advice_calls.is_due(now) {
             return;
         }
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let (Some(timing), Some(advice)) = (self.advice_of(job), self.step_advice(task)) else {
+            return;
+        };
+        let asked_ms = advice.asked_ms;
+        self.advice_requests.push(AdviceRequest {
+            task: task.clone(),
+            spec: spec.clone(),
+            pool: pool.to_owned(),
+            queue: job.body.queue.clone(),
+            is_recent: asked_ms
+                .is_some_and(|asked_ms| now < asked_ms.saturating_add(timing.valid_ms)),
+        });
+    }
+
+    /// Sends a call for one of the requests of a placement pass: the first one for a step that
+    /// could start on a worker with free capacity, or else the first one.
+    pub(crate) fn send_advice_call(&mut self, now: u64) {
+        let mut chosen = None;
+        for request in self.advice_requests.take_ordered() {
+            let (workers, fits) = self.advice_candidates(&request, now);
+            if workers.is_empty() || chosen.is_some() && !fits {
+                continue;
+            }
+            chosen = Some((request, workers));
+            if fits {
+                break;
+            }
+        }
+        let Some((request, workers)) = chosen else {
+            return;
+        };
+        let task = request.task;
         let job = self.jobs.get(&task.job);
         let Some(timing) = job.and_then(|job| self.advice_of(job)) else {
             return;
         };
+        if let Some(advice) = self.step_advice_mut(&task) {
+            advice.asked_ms = Some(now);
+        }
+        let response_ms = timing.response_ms(workers.len());
+        self.advice_requests
+            .record_call(&request.queue, response_ms);
+        let limit_ms = self.advice_calls.begin(response_ms, now);
+        let step = format!("{}.{}.{}", task.job, task.occurrence, task.step);
+        self.actions.push(Action::Advise {
+            call: AdviceCall { step, workers },
+            step: task,
+            limit_ms,
+        });
+    }
+
+    /// Returns the workers to name in a call, those that placement would prefer first, and whether
+    /// one of them has enough free capacity.
+    fn advice_candidates(&self, request: &AdviceRequest, now: u64) -> (Vec<String>, bool) {
+        let (task, spec) = (&request.task, &request.spec);
         let Some(advice) = self.step_advice(task) else {
-            return;
+            return (Vec::new(), false);
         };
         let need = spec.reserved();
         let mut candidates: Vec<(u64, String)> = Vec::new();
@@ -109,7 +164,7 @@
             let refused = advice.refused.contains(id);
             let labelled = spec.label.is_empty() || view.has_label(&spec.label);
             let has_ticket = self.ticket_for(task, id, now).is_some();
-            if view.entry.pool == pool
+            if view.entry.pool == request.pool
                 && view.is_schedulable(now)
                 && labelled
                 && !refused
@@ -122,18 +177,9 @@
         }
         candidates.sort_unstable();
         let max = (spec.tasks as usize + SPARE_CANDIDATES).min(MAX_CANDIDATES);
-        let workers: Vec<String> = candidates.into_iter().map(|(_, id)| id).take(max).collect();
-        if workers.is_empty() {
-            return;
-        }
-        let response_ms = timing.response_ms(workers.len());
-        let limit_ms = self.advice_calls.begin(response_ms, now);
-        let step = format!("{}.{}.{}", task.job, task.occurrence, task.step);
-        self.actions.push(Action::Advise {
-            call: AdviceCall { step, workers },
-            step: task.clone(),
-            limit_ms,
-        });
+        let fits = candidates.first().is_some_and(|(cost, _)| *cost < 2);
+        let workers = candidates.into_iter().map(|(_, id)| id);
+        (workers.take(max).collect(), fits)
     }
 
     /// Records an answer of the advice service; `reply` is none if there was no valid one.
@@ -159,7 +205,9 @@
             .refused
             .extend(refused.filter(|_| is_current).cloned());
         for (worker, ticket) in tickets {
-            advice.tickets.insert(worker, (ticket, now + valid_ms));
+            advice
+                .tickets
+                .insert(worker, (ticket, now.saturating_add(valid_ms)));
         }
     }
 }
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -23,6 +23,7 @@
 use crate::jobs::actions::WaiterId;
 use crate::jobs::admit::AdmissionState;
 use crate::jobs::advice_calls::AdviceCalls;
+use crate::jobs::advice_requests::AdviceRequests;
 use crate::jobs::candidates::PoolCandidates;
 use crate::jobs::config::JobConfig;
 use crate::jobs::config::QueueConfig;
@@ -195,6 +196,8 @@
     pub deposed: bool,
     /// Calls to the advice service.
     pub(crate) advice_calls: AdviceCalls,
+    /// Requests for advice that are not sent yet.
+    pub(crate) advice_requests: AdviceRequests,
     /// Actions since the last [`JobEngine::take_actions`].
     pub(crate) actions: Vec<Action>,
     /// Resources in use by client account.
@@ -262,6 +265,7 @@
             store_unresponsive: false,
             deposed: false,
             advice_calls: AdviceCalls::default(),
+            advice_requests: AdviceRequests::default(),
             actions: Vec::new(),
             ledger: AccountLedger::default(),
             limits: LimitState::default(),
@@ -378,6 +382,7 @@
     pub fn run_placement(&mut self, time: TimePair) {
         if !self.deposed {
             self.place_runs(time.boot);
+            self.send_advice_call(time.boot);
         }
     }
 
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -110,6 +110,8 @@
     /// Workers that the service did not allow. This holds for as long as the incarnation lives and
     /// the queue's advice stays the same.
     pub refused: BTreeSet<String>,
+    /// When the last call was sent; none before the first.
+    pub asked_ms: Option<u64>,
 }
 
 /// A step of an occurrence.
--- a/tests/jobs_advice.rs
+++ b/tests/jobs_advice.rs
@@ -1,4 +1,5 @@
-//! Calls to the advice service: how long they are waited for, and for how long an answer holds.
+//! Calls to the advice service: how long they are waited for, which step goes first, and for how
+//! long an answer holds.
 
 #[path = "support/world.rs"]
 #[expect(dead_code, reason = "other test files use the rest of the world")]
@@ -9,8 +10,11 @@
 
 use chicorygauge::jobs::config::AdviceTiming;
 use chicorygauge::jobs::config::JobConfig;
+use chicorygauge::jobs::config::PoolConfig;
 use chicorygauge::jobs::config::QueueConfig;
+use chicorygauge::jobs::types::StepSpec;
 
+use crate::world::POOL;
 use crate::world::World;
 use crate::world::advice::AdviceService;
 use crate::world::config;
@@ -18,8 +22,11 @@
 use crate::world::step;
 
 const JOB: &str = "00000000000000aa";
+const OTHER_JOB: &str = "00000000000000bb";
 
 const QUEUE: &str = "orders";
+const OTHER_QUEUE: &str = "queries";
+const OTHER_POOL: &str = "lookup";
 
 const FAST: AdviceTiming = AdviceTiming {
     call_ms: 100,
@@ -202,3 +209,91 @@
     world.run(2000);
     assert!(world.completed.contains_key(JOB));
 }
+
+/// The calls of one queue kept those of the other ones back: pools were served by their names, and
+/// jobs that find no room ask again and again.
+#[test]
+fn calls_of_slow_queue_other_queue_served() {
+    let slow = AdviceTiming {
+        call_ms: 1000,
+        worker_ms: 100,
+        valid_ms: 1000,
+    };
+    for is_slow_first in [true, false] {
+        let (slow_pool, other_pool) = if is_slow_first {
+            (POOL, OTHER_POOL)
+        } else {
+            (OTHER_POOL, POOL)
+        };
+        let pool = |name: &str| PoolConfig {
+            name: name.to_owned(),
+            guarded: true,
+            standby: false,
+        };
+        let other = QueueConfig {
+            name: OTHER_QUEUE.to_owned(),
+            prefix: "/queries/".to_owned(),
+            pool: other_pool.to_owned(),
+            ..queue(Some(FAST))
+        };
+        let slow_queue = QueueConfig {
+            pool: slow_pool.to_owned(),
+            ..queue(Some(slow))
+        };
+        let config = JobConfig {
+            queues: vec![slow_queue, other],
+            pools: vec![pool(POOL), pool(OTHER_POOL)],
+            ..config()
+        };
+        let mut world = World::with_config(config, 1);
+        world.advice = Some(AdviceService::new(QUEUE, slow));
+        let timings = &mut service(&mut world).timings;
+        timings.insert(OTHER_QUEUE.to_owned(), FAST);
+        for number in 0..4 {
+            world.add_worker(slow_pool, &format!("m-{number:02}"));
+            world.add_worker(other_pool, &format!("n-{number:02}"));
+        }
+        world.run(1000);
+        // Occupies the pool of the slow queue, whose other jobs then wait.
+        for number in 0..20 {
+            let id = format!("{number:016x}");
+            world.submit_to((QUEUE, slow_pool), &id, &job(&[step(4, 20_000, 20_000)]), 1);
+            world.run(100);
+        }
+        world.run(3000);
+        let submitted_ms = world.now;
+        let spec = job(&[step(4, 8000, 300)]);
+        world.submit_to((OTHER_QUEUE, other_pool), OTHER_JOB, &spec, 2);
+        // One call of the slow queue may be in progress.
+        let slow_ms = slow.call_ms + 7 * slow.worker_ms;
+        let fast_ms = FAST.call_ms + 10 * FAST.worker_ms;
+        world.run(slow_ms + fast_ms + 300 + OVERHEAD_MS);
+        let completed = world.completed.get(OTHER_JOB);
+        assert!(
+            completed.is_some(),
+            "slow first: {is_slow_first}, submitted at {submitted_ms}"
+        );
+    }
+}
+
+/// A long-running job that no worker has room for came first in each pass, and its tickets expired
+/// before the last worker was asked for, so that it alone was asked for.
+#[test]
+fn calls_of_job_without_room_other_job_served() {
+    let timing = AdviceTiming {
+        call_ms: 500,
+        worker_ms: 50,
+        valid_ms: 3000,
+    };
+    let mut world = advised_world(40, timing);
+    let without_room = StepSpec {
+        lasting: true,
+        ..step(1, 64_000, 0)
+    };
+    world.submit(JOB, &job(&[without_room]), 1);
+    world.run(5000);
+    world.submit(OTHER_JOB, &job(&[step(1, 8000, 300)]), 2);
+    // One call may be in progress.
+    world.run(2 * (500 + 4 * 50) + 300 + OVERHEAD_MS);
+    assert!(world.completed.contains_key(OTHER_JOB));
+}
