Advice: tickets that are valid for a short time are used, expired ones are not

Seen by callers: no job of a queue whose tickets are valid for 250 ms or less is ever started.

Change: the margin is at most half of the validity. A start without a valid ticket is withheld and its task placed again; a repeated start keeps its ticket. The shape of a waiting job counts tickets that have not expired, not those that it once had.

Open: a placement that takes longer to store than its ticket is valid is stored again and again.

--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -10,6 +10,7 @@
 use crate::jobs::advice_requests::AdviceRequest;
 use crate::jobs::config::JobConfig;
 use crate::jobs::engine::JobEngine;
+use crate::jobs::task::AdviceTicket;
 use crate::jobs::task::StepAdvice;
 use crate::jobs::types::StepSpec;
 use crate::jobs::types::TaskId;
@@ -22,9 +23,23 @@
 /// Candidates beyond the number of tasks, since the service may not allow all.
 const SPARE_CANDIDATES: usize = 3;
 
-/// Minimum remaining validity of a ticket that is used, in milliseconds: the start
-/// must reach the worker before the ticket expires.
-const TICKET_MARGIN_MS: u64 = 250;
+/// Minimum remaining validity of a ticket with which a run is placed, in milliseconds: the placement
+/// must be stored and the start arrive. At most half of its validity.
+const PLACEMENT_MARGIN_MS: u64 = 250;
+
+/// Minimum remaining validity of a ticket with which a start is sent, in milliseconds: a hop between
+/// data centres. At most an eighth of its validity.
+const START_MARGIN_MS: u64 = 10;
+
+impl AdviceTicket {
+    fn may_place(&self, now: u64) -> bool {
+        now.saturating_add(PLACEMENT_MARGIN_MS.min(self.valid_ms / 2)) < self.expiry_ms
+    }
+
+    fn may_start(&self, now: u64) -> bool {
+        now.saturating_add(START_MARGIN_MS.min(self.valid_ms / 8)) < self.expiry_ms
+    }
+}
 
 impl JobEngine {
     fn step_advice(&self, task: &TaskId) -> Option<&StepAdvice> {
@@ -46,14 +61,31 @@
         job.is_some_and(|job| self.advice_of(job).is_some())
     }
 
-    /// Returns whether the task needs no advice or has a usable ticket for the worker.
+    fn ticket(&self, task: &TaskId, worker: &str) -> Option<&AdviceTicket> {
+        self.step_advice(task)?.tickets.get(worker)
+    }
+
+    /// Returns whether the task needs no advice or has a ticket for the worker with which a run can
+    /// be placed.
     pub(crate) fn is_advised(&self, task: &TaskId, worker: &str, now: u64) -> bool {
-        !self.needs_advice(task) || self.ticket_for(task, worker, now).is_some()
+        !self.needs_advice(task) || self.has_ticket(task, worker, now)
+    }
+
+    fn has_ticket(&self, task: &TaskId, worker: &str, now: u64) -> bool {
+        let ticket = self.ticket(task, worker);
+        ticket.is_some_and(|ticket| ticket.may_place(now))
+    }
+
+    /// Returns whether a start of the task may be sent to the worker with the ticket that it has.
+    pub(crate) fn may_start_with_ticket(&self, task: &TaskId, worker: &str, now: u64) -> bool {
+        let ticket = self.ticket(task, worker);
+        !self.needs_advice(task) || ticket.is_some_and(|ticket| ticket.may_start(now))
     }
 
-    pub(crate) fn ticket_for(&self, task: &TaskId, worker: &str, now: u64) -> Option<String> {
-        let (ticket, until_ms) = self.step_advice(task)?.tickets.get(worker)?;
-        (now + TICKET_MARGIN_MS < *until_ms).then(|| ticket.clone())
+    /// Returns the text of the ticket for a start; empty if there is none.
+    pub(crate) fn ticket_text(&self, task: &TaskId, worker: &str) -> String {
+        let ticket = self.ticket(task, worker);
+        ticket.map_or_else(String::new, |ticket| ticket.text.clone())
     }
 
     pub(crate) fn remove_ticket(&mut self, task: &TaskId, worker: &str) {
@@ -163,7 +195,7 @@
         for (id, view) in &self.workers {
             let refused = advice.refused.contains(id);
             let labelled = spec.label.is_empty() || view.has_label(&spec.label);
-            let has_ticket = self.ticket_for(task, id, now).is_some();
+            let has_ticket = self.has_ticket(task, id, now);
             if view.entry.pool == request.pool
                 && view.is_schedulable(now)
                 && labelled
@@ -204,10 +236,13 @@
         advice
             .refused
             .extend(refused.filter(|_| is_current).cloned());
-        for (worker, ticket) in tickets {
-            advice
-                .tickets
-                .insert(worker, (ticket, now.saturating_add(valid_ms)));
+        for (worker, text) in tickets {
+            let ticket = AdviceTicket {
+                text,
+                expiry_ms: now.saturating_add(valid_ms),
+                valid_ms,
+            };
+            advice.tickets.insert(worker, ticket);
         }
     }
 }
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -89,7 +89,9 @@
         retries: u32,
         now: u64,
     ) {
-        if let Some(reason) = self.withhold_reason(worker) {
+        let may_start = retries > 0 || self.may_start_with_ticket(task, worker, now);
+        let reason = self.withhold_reason(worker);
+        if let Some(reason) = reason.or((!may_start).then_some("ticket")) {
             log::info!(event = "start_withheld", task:% = task, run = run, worker = worker, reason = reason; "");
             // An earlier attempt may still be carried out.
             return match retries {
@@ -97,7 +99,7 @@
                 _ => self.abandon_start(task, worker, run, StopReason::StartWithheld, now),
             };
         }
-        let ticket = self.ticket_for(task, worker, now);
+        let ticket = self.ticket_text(task, worker);
         let lease_ms = self.settings.lease_ms;
         let Some(view) = self.workers.get_mut(worker) else {
             return;
@@ -130,7 +132,7 @@
             spec,
             lease_until_ms,
             checkpoint,
-            ticket: ticket.unwrap_or_default(),
+            ticket,
         };
         let token = CallToken::Start {
             worker: worker.to_owned(),
--- a/src/jobs/shapes.rs
+++ b/src/jobs/shapes.rs
@@ -124,7 +124,7 @@
 }
 
 /// Returns the digest of what the waiting tasks of a job need, whether they still wait for the
-/// rack of their data, and whether a queue with advice has been given workers.
+/// rack of their data, and whether they have tickets if their queue has advice.
 #[must_use]
 pub fn job_shape(job: &JobEntry, has_advice: bool, now: u64) -> ShapeKey {
     let mut shape = 0;
@@ -138,7 +138,9 @@
             if tasks.any(|task| spec.speculative || task.placed.is_empty()) {
                 let rack_until_ms = open_ms.saturating_add(spec.estimate_ms);
                 let waits_for_rack = !spec.data_rack.is_empty() && now < rack_until_ms;
-                let lacks_advice = has_advice && step.advice.tickets.is_empty();
+                let mut tickets = step.advice.tickets.values();
+                let has_ticket = tickets.any(|ticket| now < ticket.expiry_ms);
+                let lacks_advice = has_advice && !has_ticket;
                 let state = u64::from(waits_for_rack) | u64::from(lacks_advice) << 1;
                 shape = mix(mix(shape, *own), state);
             }
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -102,11 +102,22 @@
     pub last_end_ms: u64,
 }
 
+/// Permission to run a step at a worker.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AdviceTicket {
+    /// Text that the start carries.
+    pub text: String,
+    /// When it expires.
+    pub expiry_ms: u64,
+    /// For how long it was valid when it was received, in milliseconds.
+    pub valid_ms: u64,
+}
+
 /// What the advice service said about a step.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StepAdvice {
-    /// Workers that may run the step, each with its ticket and the ticket's expiry.
-    pub tickets: BTreeMap<String, (String, u64)>,
+    /// Workers that may run the step, each with its ticket.
+    pub tickets: BTreeMap<String, AdviceTicket>,
     /// Workers that the service did not allow. This holds for as long as the incarnation lives and
     /// the queue's advice stays the same.
     pub refused: BTreeSet<String>,
--- a/tests/jobs_advice.rs
+++ b/tests/jobs_advice.rs
@@ -1,5 +1,5 @@
-//! Calls to the advice service: how long they are waited for, which step goes first, and for how
-//! long an answer holds.
+//! Calls to the advice service: how long they are waited for, which queue goes first, for how long
+//! an answer holds, and what becomes of tickets that expire.
 
 #[path = "support/world.rs"]
 #[expect(dead_code, reason = "other test files use the rest of the world")]
@@ -13,6 +13,7 @@
 use chicorygauge::jobs::config::PoolConfig;
 use chicorygauge::jobs::config::QueueConfig;
 use chicorygauge::jobs::types::StepSpec;
+use chicorygauge::ports::worker::WorkerOrder;
 
 use crate::world::POOL;
 use crate::world::World;
@@ -297,3 +298,58 @@
     world.run(2 * (500 + 4 * 50) + 300 + OVERHEAD_MS);
     assert!(world.completed.contains_key(OTHER_JOB));
 }
+
+/// Tickets that are valid for less than the margin were never used; the job never started.
+#[test]
+fn ticket_short_validity_job_completes() {
+    for valid_ms in [100, 200, 300] {
+        let mut world = advised_world(4, AdviceTiming { valid_ms, ..FAST });
+        world.submit(JOB, &job(&[step(4, 8000, 300)]), 1);
+        world.run(5000);
+        assert!(world.completed.contains_key(JOB), "{valid_ms} ms");
+        assert_eq!(service(&mut world).refused_starts, 0, "{valid_ms} ms");
+    }
+}
+
+/// A start whose ticket had expired while its placement was being stored was sent without one, and
+/// refused.
+#[test]
+fn ticket_expired_start_not_sent() {
+    for down_ms in [500, 1500, 4000] {
+        let timing = AdviceTiming {
+            valid_ms: 1000,
+            ..FAST
+        };
+        let mut world = advised_world(4, timing);
+        let queued = job(&[step(4, 8000, 300)]);
+        world.submit(JOB, &queued, 1);
+        world.run(FAST.call_ms + 4 * FAST.worker_ms);
+        world.store_up = false;
+        world.run(down_ms);
+        world.store_up = true;
+        world.run(3000);
+        assert!(world.completed.contains_key(JOB), "{down_ms} ms");
+        assert_eq!(service(&mut world).refused_starts, 0, "{down_ms} ms");
+    }
+}
+
+/// A start without a ticket was sent if the queue had got advice while its placement was being
+/// stored.
+#[test]
+fn change_advice_unadvised_start_not_sent() {
+    for after_ms in 0..12 {
+        let mut world = advised_world(4, FAST);
+        set_advice(&mut world, None);
+        world.submit(JOB, &job(&[step(4, 8000, 300)]), 1);
+        world.run(after_ms);
+        let changed_ms = world.now;
+        set_advice(&mut world, Some(FAST));
+        world.run(3000);
+        assert!(world.completed.contains_key(JOB), "{after_ms} ms");
+        let later = world.calls.iter().filter(|(at, _)| *at > changed_ms);
+        let unadvised = later.filter(|(_, call)| {
+            matches!(&call.order, WorkerOrder::Start { ticket, .. } if ticket.is_empty())
+        });
+        assert_eq!(unadvised.count(), 0, "{after_ms} ms");
+    }
+}
