Client: a call without a response closes the quiet connections to its peer

Cause: a call that timed out closed its own connection only. The next one took another idle connection, which was as dead; each of up to eight cost a hold 1.5 s of a lease of 4.5 s. Three callers closed the others by hand, four did not.

Change: the keep-alive client closes the idle connections that have carried no response since that of the failed call was due. Its callers no longer do. A call says for how long the peer may hold the response back, since other connections may have died until then. Links between the processes of the tests can go silent for their open connections.

--- a/src/http.rs
+++ b/src/http.rs
@@ -89,6 +89,37 @@
     pub body: Bytes,
     /// Time limit for the whole call.
     pub limit: Duration,
+    /// Time for which the peer may hold the response back, as in a long poll; part of the limit.
+    pub wait: Duration,
+}
+
+/// Time limit of a call whose response the peer may hold back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallLimits {
+    /// Time limit for the whole call.
+    pub limit: Duration,
+    /// Part of it for which the peer may hold the response back.
+    pub wait: Duration,
+}
+
+impl CallLimits {
+    /// Returns the limits of a call to which the peer responds at once.
+    #[must_use]
+    pub fn at_once(limit: Duration) -> Self {
+        Self {
+            limit,
+            wait: Duration::ZERO,
+        }
+    }
+
+    /// Returns the limits of a call whose response the peer may hold back for `wait`.
+    #[must_use]
+    pub fn after_wait(limit: Duration, wait: Duration) -> Self {
+        Self {
+            limit: limit + wait,
+            wait,
+        }
+    }
 }
 
 impl Default for CallRequest<'_> {
@@ -100,6 +131,7 @@
             headers: &[],
             body: Bytes::new(),
             limit: Duration::from_secs(2),
+            wait: Duration::ZERO,
         }
     }
 }
--- a/src/keep_alive.rs
+++ b/src/keep_alive.rs
@@ -1,7 +1,10 @@
 //! An HTTP client that reuses its connections (keep-alive).
 //!
 //! A connection carries one call at a time. It is closed after a call that failed
-//! or timed out, since the peer may no longer respond on it.
+//! or timed out, since the peer may no longer respond on it. The network may have dropped
+//! other connections to the peer at the same time, without a reset. So the idle ones are
+//! closed, too, unless they have carried a response since that of the call was due: a peer
+//! that is slow with one call does not cost the others their connections.
 
 use std::collections::HashMap;
 use std::io;
@@ -46,6 +49,7 @@
     }
 }
 
+/// Idle connections by peer, with the time of the last response on each.
 type IdleMap = HashMap<SocketAddr, Vec<(Instant, OpenConnection)>>;
 
 /// A client that holds idle connections to any number of peers; clones share them.
@@ -77,15 +81,22 @@
         request: CallRequest<'_>,
     ) -> Result<CallResponse, CallError> {
         let limit = request.limit;
-        match timeout(limit, self.exchange(peer, &request)).await {
+        let due = Instant::now() + request.wait;
+        let result = match timeout(limit, self.exchange(peer, &request)).await {
             Ok(result) => result,
             Err(_) => TimeoutSnafu { peer, limit }.fail(),
+        };
+        if result.is_err() {
+            self.close_unproven(peer, due);
         }
+        result
     }
 
-    /// Closes all idle connections to a peer.
-    pub fn close_idle(&self, peer: SocketAddr) {
-        self.lock().remove(&peer);
+    /// Closes the idle connections to a peer that have carried no response since `due`.
+    fn close_unproven(&self, peer: SocketAddr, due: Instant) {
+        if let Some(connections) = self.lock().get_mut(&peer) {
+            connections.retain(|(since, _)| *since >= due);
+        }
     }
 
     async fn exchange(
--- a/src/ports/client.rs
+++ b/src/ports/client.rs
@@ -8,6 +8,7 @@
 use snafu::Snafu;
 
 use crate::http::CallError;
+use crate::http::CallLimits;
 use crate::http::CallRequest;
 use crate::keep_alive::KeepAliveClient;
 use crate::ports::AdviceCall;
@@ -117,8 +118,8 @@
             _ => Duration::ZERO,
         };
         let wire = (self.dialect.worker_call)(call);
-        let limit = self.timeouts.order + wait;
-        let reply = self.send("worker", peer, wire, limit).await?;
+        let limits = CallLimits::after_wait(self.timeouts.order, wait);
+        let reply = self.send("worker", peer, wire, limits).await?;
         let reply = (self.dialect.worker_reply)(call, &reply);
         reply.context(MalformedSnafu {
             port: "worker",
@@ -138,7 +139,8 @@
             return NotDeployedSnafu { port }.fail();
         };
         let wire = (self.dialect.fleet_call)(call);
-        let reply = self.send(port, peer, wire, self.timeouts.fleet).await?;
+        let limits = CallLimits::at_once(self.timeouts.fleet);
+        let reply = self.send(port, peer, wire, limits).await?;
         (self.dialect.fleet_reply)(call, &reply).context(MalformedSnafu { port, peer })
     }
 
@@ -158,21 +160,18 @@
             return NotDeployedSnafu { port }.fail();
         };
         let wire = (self.dialect.advice_call)(call);
-        let reply = self.send(port, peer, wire, limit).await?;
+        let limits = CallLimits { limit, wait: limit };
+        let reply = self.send(port, peer, wire, limits).await?;
         (self.dialect.advice_reply)(&reply).context(MalformedSnafu { port, peer })
     }
 
     /// Sends an encoded call and returns the response without decoding it.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no complete response is received within `limit`.
-    pub async fn send(
+    async fn send(
         &self,
         port: &'static str,
         peer: SocketAddr,
         wire: WireCall,
-        limit: Duration,
+        limits: CallLimits,
     ) -> Result<WireReply, PortError> {
         let with_body = wire.method != Method::GET && wire.method != Method::DELETE;
         let request = CallRequest {
@@ -181,7 +180,8 @@
             content_type: if with_body { JSON } else { "" },
             headers: &wire.headers,
             body: wire.body,
-            limit,
+            limit: limits.limit,
+            wait: limits.wait,
         };
         let response = self.client.call(peer, request).await;
         let response = response.context(NoResponseSnafu { port })?;
--- a/src/service/jobs/exchange.rs
+++ b/src/service/jobs/exchange.rs
@@ -297,7 +297,6 @@
         let answer = match self.client.call(peer, request).await {
             Ok(answer) => answer,
             Err(error) => {
-                self.client.close_idle(peer);
                 log::debug!(event = "exchange_failed", peer:% = peer, error:% = error; "");
                 return None;
             }
--- a/src/service/jobs/peer.rs
+++ b/src/service/jobs/peer.rs
@@ -8,6 +8,7 @@
 use hyper::Method;
 use tokio::time::Instant;
 
+use crate::http::CallLimits;
 use crate::metrics::count_peer_message;
 use crate::service::ingress::body::BodyError;
 use crate::service::ingress::body::ClientRequest;
@@ -105,7 +106,10 @@
     };
     let limit = Duration::from_millis(request.limit_ms);
     let body = Bytes::from(request.body);
-    match state.link.send(method, &request.path, body, limit).await {
+    // The call may be a watch.
+    let wait = limit;
+    let limits = CallLimits { limit, wait };
+    match state.link.send(method, &request.path, body, limits).await {
         Ok(reply) => ProxyReply::Answered {
             status: reply.status,
             body: reply.body.to_vec(),
--- a/src/service/jobs/relay.rs
+++ b/src/service/jobs/relay.rs
@@ -161,7 +161,6 @@
             }
             Err(error) => {
                 log::debug!(event = "relay_unknown", peer:% = address, error:% = error; "");
-                self.client.close_idle(address);
                 AttemptResult::Unknown
             }
         }
--- a/src/service/jobs/store.rs
+++ b/src/service/jobs/store.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use crate::http::CallError;
+use crate::http::CallLimits;
 use crate::http::CallRequest;
 use crate::jobs::record::ShardKeys;
 use crate::keep_alive::KeepAliveClient;
@@ -146,7 +147,9 @@
         limit: Duration,
     ) -> Result<StoreReply, StoreError> {
         let wire = (self.dialect.store_call)(call);
-        let result = self.send(wire.method, &wire.path, wire.body, limit).await;
+        let wait = wait_of(call);
+        let limits = CallLimits { limit, wait };
+        let result = self.send(wire.method, &wire.path, wire.body, limits).await;
         let refused = matches!(&result, Ok(reply) if matches!(reply.status, 429 | 503));
         if result.is_err() || refused {
             self.switch_to_peers();
@@ -179,14 +182,15 @@
         method: Method,
         path: &str,
         body: Bytes,
-        limit: Duration,
+        limits: CallLimits,
     ) -> Result<WireReply, StoreError> {
         let request = CallRequest {
             method,
             path,
             content_type: JSON,
             body,
-            limit,
+            limit: limits.limit,
+            wait: limits.wait,
             ..CallRequest::default()
         };
         match self.client.call(self.address, request).await {
@@ -199,8 +203,6 @@
                 NotSentSnafu { problem }.fail()
             }
             Err(error) => {
-                // The other idle connections may be dead as well.
-                self.client.close_idle(self.address);
                 let problem = error.to_string();
                 UnknownSnafu { problem }.fail()
             }
@@ -229,6 +231,7 @@
             content_type: MSGPACK,
             body: Bytes::from(body),
             limit: limit + PROXY_SLACK,
+            wait: wait_of(call),
             ..CallRequest::default()
         };
         let answer = match self.client.call(peer, request).await {
@@ -279,7 +282,7 @@
             wire.method.clone(),
             &wire.path,
             wire.body.clone(),
-            PROBE_LIMIT,
+            CallLimits::at_once(PROBE_LIMIT),
         );
         if probe
             .await
@@ -292,6 +295,14 @@
     }
 }
 
+/// Returns for how long the store may hold the response to a call back.
+fn wait_of(call: &StoreCall) -> Duration {
+    match call {
+        StoreCall::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
+        _ => Duration::ZERO,
+    }
+}
+
 fn step_name(call: &StoreCall) -> &'static str {
     match call {
         StoreCall::Get { .. } => "get",
--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -30,6 +30,8 @@
     /// Address that it listens on.
     pub address: SocketAddr,
     state: watch::Sender<LinkState>,
+    /// Number of times that the open connections went silent.
+    silences: watch::Sender<u64>,
     task: JoinHandle<()>,
 }
 
@@ -46,6 +48,12 @@
     pub fn set(&self, state: LinkState) {
         self.state.send_replace(state);
     }
+
+    /// Ends relaying on all open connections for good, without closing them until the state
+    /// changes. New connections are relayed.
+    pub fn silence(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
 }
 
 /// Starts a link to `target` that delays each new connection by `delay`.
@@ -61,17 +69,21 @@
     let listener = TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
     let state = watch::Sender::new(LinkState::Up);
-    let view = state.subscribe();
+    let silences = watch::Sender::new(0);
+    let (view, silence_view) = (state.subscribe(), silences.subscribe());
     let task = tokio::spawn(async move {
         loop {
             if let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(relay(stream, target, delay, view.clone()));
+                let mut silences = silence_view.clone();
+                silences.mark_unchanged();
+                tokio::spawn(relay(stream, target, delay, view.clone(), silences));
             }
         }
     });
     Ok(RunningRelay {
         address,
         state,
+        silences,
         task,
     })
 }
@@ -81,6 +93,7 @@
     target: SocketAddr,
     delay: Duration,
     mut view: watch::Receiver<LinkState>,
+    mut silences: watch::Receiver<u64>,
 ) {
     sleep(delay).await;
     let hangs = |state: &LinkState| matches!(state, LinkState::Stalled | LinkState::Blackhole);
@@ -97,10 +110,14 @@
     };
     let _ = stream.set_nodelay(true);
     let _ = upstream.set_nodelay(true);
-    tokio::select! {
+    let is_silent = tokio::select! {
         // Either side may close its connection at any time, which is no error.
-        _ = copy_bidirectional(&mut stream, &mut upstream) => {}
-        _ = view.wait_for(|state| *state != LinkState::Up) => {}
+        _ = copy_bidirectional(&mut stream, &mut upstream) => false,
+        _ = view.wait_for(|state| *state != LinkState::Up) => false,
+        Ok(()) = silences.changed() => true,
+    };
+    if is_silent {
+        let _ = view.wait_for(|state| *state != LinkState::Up).await;
     }
     // A connection that was black-holed is not relayed again, as bytes may be missing from
     // the stream. It stays open until the state changes, then it is closed.
--- a/tests/keep_alive.rs
+++ b/tests/keep_alive.rs
@@ -122,3 +122,142 @@
         "{result:?}"
     );
 }
+
+/// A server whose open connections can go silent, without being closed. A request whose path ends
+/// in `slow` is answered after half a second.
+#[derive(Clone)]
+struct SilentServer {
+    address: SocketAddr,
+    connections: Arc<AtomicUsize>,
+    /// Number of the oldest connection that is not silent.
+    first_alive: Arc<AtomicUsize>,
+}
+
+const SLOW_ANSWER: Duration = Duration::from_millis(500);
+
+impl SilentServer {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let server = Self {
+            address: listener.local_addr().expect("an address"),
+            connections: Arc::default(),
+            first_alive: Arc::default(),
+        };
+        let acceptor = server.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let number = acceptor.connections.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(acceptor.clone().serve(stream, number));
+            }
+        });
+        server
+    }
+
+    async fn serve(self, mut stream: TcpStream, number: usize) {
+        let mut buffer = [0; 4096];
+        while let Ok(size @ 1..) = stream.read(&mut buffer).await {
+            let head = String::from_utf8_lossy(&buffer[..size]).into_owned();
+            if head.contains("slow HTTP") {
+                tokio::time::sleep(SLOW_ANSWER).await;
+            }
+            if number < self.first_alive.load(Ordering::Relaxed) {
+                continue;
+            }
+            if stream.write_all(ANSWER).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Lets all open connections go silent.
+    fn silence(&self) {
+        let open = self.connections();
+        self.first_alive.store(open, Ordering::Relaxed);
+    }
+
+    /// Returns the number of connections that were opened so far.
+    fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+}
+
+fn timed_order(path: &'static str, limit_ms: u64) -> CallRequest<'static> {
+    CallRequest {
+        path,
+        limit: Duration::from_millis(limit_ms),
+        ..order()
+    }
+}
+
+/// Opens this many connections, which are idle afterwards.
+async fn open_connections(client: &KeepAliveClient, server: &SilentServer, count: usize) {
+    let calls: Vec<_> = (0..count)
+        .map(|_| {
+            let (client, address) = (client.clone(), server.address);
+            tokio::spawn(async move { client.call(address, timed_order("/slow", 2000)).await })
+        })
+        .collect();
+    for call in calls {
+        call.await.expect("a task").expect("an answer");
+    }
+    assert_eq!(server.connections(), count);
+}
+
+/// Each of the dead connections to a peer cost a call that was waited for.
+#[tokio::test]
+async fn call_after_silence_opens_connection() {
+    let server = SilentServer::start().await;
+    let client = KeepAliveClient::default();
+    open_connections(&client, &server, 6).await;
+    server.silence();
+    let lost = client.call(server.address, timed_order("/", 200)).await;
+    assert!(matches!(lost, Err(CallError::Timeout { .. })), "{lost:?}");
+    let next = client.call(server.address, timed_order("/", 200)).await;
+    assert!(next.is_ok(), "{next:?}");
+    assert_eq!(server.connections(), 7);
+}
+
+/// The same if the call that was waited for has opened its connection itself, and another one had
+/// an answer before the silence began.
+#[tokio::test]
+async fn call_on_new_connection_lost_others_not_used() {
+    let server = SilentServer::start().await;
+    let client = KeepAliveClient::default();
+    let (opening, address) = (client.clone(), server.address);
+    let opened = tokio::spawn(async move {
+        let request = CallRequest {
+            wait: SLOW_ANSWER,
+            ..timed_order("/slow", 900)
+        };
+        opening.call(address, request).await
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let second = client.call(server.address, timed_order("/", 900)).await;
+    assert!(second.is_ok(), "{second:?}");
+    server.silence();
+    let lost = opened.await.expect("a task");
+    assert!(matches!(lost, Err(CallError::Timeout { .. })), "{lost:?}");
+    let next = client.call(server.address, timed_order("/", 200)).await;
+    assert!(next.is_ok(), "{next:?}");
+}
+
+/// A call that takes too long at a peer that answers others says nothing about the connections of
+/// those.
+#[tokio::test]
+async fn call_slow_connections_with_answers_kept() {
+    let server = SilentServer::start().await;
+    let client = KeepAliveClient::default();
+    open_connections(&client, &server, 2).await;
+    let (slow, address) = (client.clone(), server.address);
+    let slow = tokio::spawn(async move { slow.call(address, timed_order("/slow", 300)).await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for _ in 0..3 {
+        let other = client.call(server.address, timed_order("/", 900)).await;
+        assert!(other.is_ok(), "{other:?}");
+    }
+    let slow = slow.await.expect("a task");
+    assert!(matches!(slow, Err(CallError::Timeout { .. })), "{slow:?}");
+    let next = client.call(server.address, timed_order("/", 900)).await;
+    assert!(next.is_ok(), "{next:?}");
+    assert_eq!(server.connections(), 2);
+}
