Store: a watch that died with its connection is sent directly again

By calculation, after all open connections went silent, an entry VM may see changes in the store 5.3 s later: its watch fails after up to 2.6 s and is then sent via another entry VM, whose idle connection may be as dead, for 2.7 s more.

Result: silence_store_watch_sent_directly failed before (no answer within its limit) and passes.

--- a/src/service/jobs/store.rs
+++ b/src/service/jobs/store.rs
@@ -151,7 +151,12 @@
         let limits = CallLimits { limit, wait };
         let result = self.send(wire.method, &wire.path, wire.body, limits).await;
         let refused = matches!(&result, Ok(reply) if matches!(reply.status, 429 | 503));
-        if result.is_err() || refused {
+        let is_failed = match &result {
+            // The connection may have died long ago, while the store answers on others.
+            Err(StoreError::Unknown { .. }) if !wait.is_zero() => !self.answers_directly().await,
+            result => result.is_err(),
+        };
+        if is_failed || refused {
             self.switch_to_peers();
         }
         match result {
@@ -160,6 +165,15 @@
         }
     }
 
+    /// Returns whether the store answers a read of this entry VM.
+    async fn answers_directly(&self) -> bool {
+        let key = ShardKeys::default().chain(0);
+        let wire = (self.dialect.store_call)(&StoreCall::Get { key });
+        let limits = CallLimits::at_once(PROBE_LIMIT);
+        let reply = self.send(wire.method, &wire.path, wire.body, limits).await;
+        reply.is_ok_and(|reply| !matches!(reply.status, 429 | 503))
+    }
+
     /// Makes further calls go via peers until a probe succeeds.
     fn switch_to_peers(&self) {
         let mut state = self.lock();
@@ -272,22 +286,9 @@
 
 /// Probes the store until it answers directly, then ends the calls via peers.
 async fn probe(link: StoreLink) {
-    let call = StoreCall::Get {
-        key: ShardKeys::default().chain(0),
-    };
-    let wire = (link.dialect.store_call)(&call);
     loop {
         sleep(PROBE_PERIOD).await;
-        let probe = link.send(
-            wire.method.clone(),
-            &wire.path,
-            wire.body.clone(),
-            CallLimits::at_once(PROBE_LIMIT),
-        );
-        if probe
-            .await
-            .is_ok_and(|reply| !matches!(reply.status, 429 | 503))
-        {
+        if link.answers_directly().await {
             log::info!(event = "store_direct"; "");
             link.lock().via_peers = false;
             return;
