Ingress: a client that has its answer is not refused its next connection

Cause: the server learns after the write that an answer has been sent. Until then the connection is in the stage of an answer, in which it may not be closed for 5 s, so that the next one is refused.

Change: the table counts the answers that are being sent and do not wait for their clients; a new connection without a place waits for these, 100 ms at most.

--- a/src/decide/connections/mod.rs
+++ b/src/decide/connections/mod.rs
@@ -43,6 +43,8 @@
     unmarked_bytes: usize,
     held_bytes: usize,
     closing: bool,
+    /// Whether the client has not read as much of the answer as could be sent.
+    blocked: bool,
 }
 
 /// Ranks of connections in the order in which they are closed for want of room: those
@@ -72,6 +74,11 @@
         };
         (!self.closing).then_some((rank, self.progress, id))
     }
+
+    /// Returns whether an answer is being sent that does not wait for the client.
+    fn is_sending(&self) -> bool {
+        self.stage == ConnectionStage::Answer && !self.blocked && !self.closing
+    }
 }
 
 /// The connections of a server. Times are since the start of the server.
@@ -85,6 +92,8 @@
     closing: usize,
     /// Memory of the connections that are being closed.
     closing_bytes: usize,
+    /// Number of connections whose answer is being sent and does not wait for the client.
+    sending: usize,
 }
 
 impl ConnectionTable {
@@ -138,6 +147,7 @@
             unmarked_bytes: 0,
             held_bytes: 0,
             closing: false,
+            blocked: false,
         };
         self.entries.insert(id, entry);
         self.evictable.extend(entry.eviction_key(id));
@@ -153,6 +163,7 @@
             self.evictable.remove(&key);
         }
         self.held_bytes -= entry.held_bytes;
+        self.sending -= usize::from(entry.is_sending());
         if entry.closing {
             self.closing -= 1;
             self.closing_bytes -= entry.held_bytes;
@@ -181,6 +192,7 @@
             entry.since = now;
             entry.progress = now;
             entry.unmarked_bytes = 0;
+            entry.blocked = false;
         });
         if matches!(stage, ConnectionStage::Answer | ConnectionStage::Idle) {
             let held_bytes = self.entries.get(&id).map_or(0, |entry| entry.held_bytes);
@@ -189,6 +201,18 @@
         allowed
     }
 
+    /// Records whether the answer of a connection waits for its client to read.
+    pub fn set_blocked(&mut self, id: ConnectionId, blocked: bool) {
+        self.update(id, |entry| entry.blocked = blocked);
+    }
+
+    /// Returns whether an answer is being sent that does not wait for its client, so that the
+    /// connection will soon be idle.
+    #[must_use]
+    pub fn is_sending(&self) -> bool {
+        self.sending > 0
+    }
+
     /// Records bytes that were received or, of an answer, sent.
     pub fn record_progress(&mut self, id: ConnectionId, bytes: usize, now: Duration) {
         let Some(entry) = self.entries.get_mut(&id) else {
@@ -318,9 +342,11 @@
         let Some(entry) = self.entries.get_mut(&id).filter(|entry| !entry.closing) else {
             return false;
         };
-        let before = entry.eviction_key(id);
+        let (before, was_sending) = (entry.eviction_key(id), entry.is_sending());
         change(entry);
         let after = entry.eviction_key(id);
+        self.sending += usize::from(entry.is_sending());
+        self.sending -= usize::from(was_sending);
         if before != after {
             if let Some(key) = before {
                 self.evictable.remove(&key);
--- a/src/service/entry/mod.rs
+++ b/src/service/entry/mod.rs
@@ -135,7 +135,7 @@
         () = wait_for_phase(&mut phase, ShutdownPhase::Draining) => {}
     }
     for stream in close_listener(listener) {
-        match ingress.open() {
+        match ingress.open().await {
             Ok(handle) => drop(connections.spawn(serve_caller(context.clone(), stream, handle))),
             Err(_) => serve::refuse_connection(&stream),
         }
@@ -164,7 +164,7 @@
             _ = sweep.tick() => ingress.sweep(context.limits.request_limits().stages),
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let Ok(handle) = ingress.open() else {
+                    let Ok(handle) = ingress.open().await else {
                         serve::refuse_connection(&stream);
                         continue;
                     };
--- a/src/service/ingress/mod.rs
+++ b/src/service/ingress/mod.rs
@@ -21,8 +21,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use crate::decide::connections::CloseCause;
 use crate::decide::connections::ConnectionClosure;
@@ -38,6 +40,10 @@
 /// Memory of a head for each byte received: the buffer doubles as it grows.
 const HEAD_BUFFER_FACTOR: usize = 2;
 
+/// Max time for which a new connection waits for the end of answers that do not wait for their
+/// clients.
+const SENDING_LIMIT: Duration = Duration::from_millis(100);
+
 struct IngressState {
     table: ConnectionTable,
     closers: HashMap<ConnectionId, watch::Sender<Option<CloseCause>>>,
@@ -52,6 +58,8 @@
     started: Instant,
     body_limit: Duration,
     state: Arc<Mutex<IngressState>>,
+    /// Wakes new connections when an answer was sent, is blocked or has failed.
+    sent: Arc<Notify>,
 }
 
 impl Ingress {
@@ -68,21 +76,40 @@
             started: Instant::now(),
             body_limit: limits.body_limit,
             state: Arc::new(Mutex::new(state)),
+            sent: Arc::default(),
         }
     }
 
     /// Adds a connection; another one may be closed for it.
     ///
+    /// A client may have read the whole answer on one connection, and open another one, before the
+    /// first is known to be idle here. So if there is no place, this waits for answers that are
+    /// being sent and do not wait for their clients.
+    ///
     /// # Errors
     ///
     /// Fails if all places are taken by connections that may not be closed.
-    pub fn open(&self) -> Result<Arc<ConnectionHandle>, NoRoom> {
+    pub async fn open(&self) -> Result<Arc<ConnectionHandle>, NoRoom> {
+        let deadline = Instant::now() + SENDING_LIMIT;
+        loop {
+            let sent = self.sent.notified();
+            tokio::pin!(sent);
+            // Registers for wake-ups before the table is read.
+            sent.as_mut().enable();
+            let is_sending = match self.try_open() {
+                Ok(handle) => return Ok(handle),
+                Err(NoRoom) => self.lock().table.is_sending(),
+            };
+            if !is_sending || timeout_at(deadline, sent).await.is_err() {
+                self.count(&mut self.lock(), CloseCause::NoRoom);
+                return Err(NoRoom);
+            }
+        }
+    }
+
+    fn try_open(&self) -> Result<Arc<ConnectionHandle>, NoRoom> {
         let mut state = self.lock();
-        let opened = state.table.open(self.now());
-        let Ok((id, closure)) = opened else {
-            self.count(&mut state, CloseCause::NoRoom);
-            return Err(NoRoom);
-        };
+        let (id, closure) = state.table.open(self.now())?;
         self.close(&mut state, closure);
         let (closer, closing) = watch::channel(None);
         state.closers.insert(id, closer);
@@ -154,6 +181,8 @@
         let mut state = self.ingress.lock();
         state.table.remove(self.id);
         state.closers.remove(&self.id);
+        drop(state);
+        self.ingress.sent.notify_waiters();
     }
 }
 
@@ -177,6 +206,7 @@
     fn end_answer(&self) {
         if self.answering.swap(false, Ordering::Relaxed) {
             self.enter(ConnectionStage::Idle);
+            self.ingress.sent.notify_waiters();
         }
     }
 
@@ -201,10 +231,17 @@
         }
     }
 
-    /// Records bytes of an answer that were sent.
-    fn send(&self, bytes: usize) {
+    /// Records that an answer waits for the client to read.
+    fn block(&self) {
+        self.ingress.lock().table.set_blocked(self.id, true);
+        self.ingress.sent.notify_waiters();
+    }
+
+    /// Records bytes of an answer that were sent after the client had read some.
+    fn unblock(&self, bytes: usize) {
         let now = self.ingress.now();
         let mut state = self.ingress.lock();
+        state.table.set_blocked(self.id, false);
         state.table.record_progress(self.id, bytes, now);
     }
 
--- a/src/service/ingress/serve.rs
+++ b/src/service/ingress/serve.rs
@@ -136,7 +136,7 @@
             _ = connections.join_next(), if !connections.is_empty() => {}
             _ = sweep.tick(), if !connections.is_empty() => ingress.sweep(limits().stages),
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => match ingress.open() {
+                Ok((stream, _)) => match ingress.open().await {
                     Ok(handle) => {
                         // A connection that is closed for this one still has to end.
                         while connections.len() >= max_connections {
--- a/src/service/ingress/stream.rs
+++ b/src/service/ingress/stream.rs
@@ -39,10 +39,14 @@
     /// Records the result of a write.
     fn record_write(&mut self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         match &result {
-            Poll::Pending => self.write_blocked = true,
+            Poll::Pending => {
+                if !std::mem::replace(&mut self.write_blocked, true) {
+                    self.handle.block();
+                }
+            }
             Poll::Ready(sent) => {
                 if std::mem::take(&mut self.write_blocked) {
-                    self.handle.send(sent.as_ref().copied().unwrap_or(0));
+                    self.handle.unblock(sent.as_ref().copied().unwrap_or(0));
                 }
             }
         }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -256,3 +256,28 @@
         prop_assert!(table.is_empty());
     }
 }
+
+/// A client that had its whole answer was refused another connection while the first one was not
+/// known to be idle yet. Only answers that wait for their client keep their place for longer.
+#[test]
+fn open_full_answer_sent_soon_known() {
+    let mut table = table(1, 1 << 20);
+    let first = open(&mut table, 0);
+    table.enter(first, ConnectionStage::Whole, at(1));
+    assert!(!table.is_sending());
+    table.enter(first, ConnectionStage::Answer, at(2));
+    assert!(table.is_sending());
+    assert_eq!(table.open(at(3)), Err(NoRoom));
+    table.set_blocked(first, true);
+    assert!(!table.is_sending());
+    table.set_blocked(first, false);
+    assert!(table.is_sending());
+    table.enter(first, ConnectionStage::Idle, at(4));
+    assert!(!table.is_sending());
+    let (second, closure) = table.open(at(5)).expect("room");
+    assert_eq!(closure, Some((first, CloseCause::Connections)));
+    table.enter(second, ConnectionStage::Answer, at(6));
+    table.remove(second);
+    table.remove(first);
+    assert!(!table.is_sending());
+}
