Advice: gangs ask for it

Cause: a gang takes only workers with tickets, which were asked for in the search for the worker of a single task only.

Change: a gang that finds no workers asks for advice. The call names enough workers for all members, of a rack that has room for the whole gang, since the tickets are needed at the same time.

--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -31,6 +31,15 @@
 /// data centres. At most an eighth of its validity.
 const START_MARGIN_MS: u64 = 10;
 
+/// Workers to name in a call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct AdviceCandidates {
+    /// Identifiers of the workers.
+    pub(crate) workers: Vec<String>,
+    /// Whether the step could start at once if they are allowed.
+    pub(crate) fits: bool,
+}
+
 impl AdviceTicket {
     fn may_place(&self, now: u64) -> bool {
         now.saturating_add(PLACEMENT_MARGIN_MS.min(self.valid_ms / 2)) < self.expiry_ms
@@ -71,11 +80,17 @@
         !self.needs_advice(task) || self.has_ticket(task, worker, now)
     }
 
-    fn has_ticket(&self, task: &TaskId, worker: &str, now: u64) -> bool {
+    pub(crate) fn has_ticket(&self, task: &TaskId, worker: &str, now: u64) -> bool {
         let ticket = self.ticket(task, worker);
         ticket.is_some_and(|ticket| ticket.may_place(now))
     }
 
+    /// Returns whether the service did not allow a worker to run the task's step.
+    pub(crate) fn is_refused(&self, task: &TaskId, worker: &str) -> bool {
+        self.step_advice(task)
+            .is_some_and(|advice| advice.refused.contains(worker))
+    }
+
     /// Returns whether a start of the task may be sent to the worker with the ticket that it has.
     pub(crate) fn may_start_with_ticket(&self, task: &TaskId, worker: &str, now: u64) -> bool {
         let ticket = self.ticket(task, worker);
@@ -151,23 +166,28 @@
     pub(crate) fn send_advice_call(&mut self, now: u64) {
         let mut chosen = None;
         for request in self.advice_requests.take_ordered() {
-            let (workers, fits) = self.advice_candidates(&request, now);
-            if workers.is_empty() || chosen.is_some() && !fits {
+            let job = self.jobs.get(&request.task.job);
+            let Some(timing) = job.and_then(|job| self.advice_of(job)) else {
+                continue;
+            };
+            let candidates = if request.spec.gang {
+                self.gang_candidates(&request, timing, now)
+            } else {
+                self.advice_candidates(&request, now)
+            };
+            let fits = candidates.fits;
+            if candidates.workers.is_empty() || chosen.is_some() && !fits {
                 continue;
             }
-            chosen = Some((request, workers));
+            chosen = Some((request, timing, candidates.workers));
             if fits {
                 break;
             }
         }
-        let Some((request, workers)) = chosen else {
+        let Some((request, timing, workers)) = chosen else {
             return;
         };
         let task = request.task;
-        let job = self.jobs.get(&task.job);
-        let Some(timing) = job.and_then(|job| self.advice_of(job)) else {
-            return;
-        };
         if let Some(advice) = self.step_advice_mut(&task) {
             advice.asked_ms = Some(now);
         }
@@ -183,35 +203,32 @@
         });
     }
 
-    /// Returns the workers to name in a call, those that placement would prefer first, and whether
-    /// one of them has enough free capacity.
-    fn advice_candidates(&self, request: &AdviceRequest, now: u64) -> (Vec<String>, bool) {
+    /// Returns the workers to name in a call, those that placement would prefer first.
+    fn advice_candidates(&self, request: &AdviceRequest, now: u64) -> AdviceCandidates {
         let (task, spec) = (&request.task, &request.spec);
-        let Some(advice) = self.step_advice(task) else {
-            return (Vec::new(), false);
-        };
         let need = spec.reserved();
-        let mut candidates: Vec<(u64, String)> = Vec::new();
+        let mut candidates: Vec<(u64, &String)> = Vec::new();
         for (id, view) in &self.workers {
-            let refused = advice.refused.contains(id);
             let labelled = spec.label.is_empty() || view.has_label(&spec.label);
-            let has_ticket = self.has_ticket(task, id, now);
             if view.entry.pool == request.pool
                 && view.is_schedulable(now)
                 && labelled
-                && !refused
-                && !has_ticket
+                && !self.is_refused(task, id)
+                && !self.has_ticket(task, id, now)
             {
                 let fits = view.free().covers(&need);
                 let off_rack = !spec.data_rack.is_empty() && view.rack() != spec.data_rack;
-                candidates.push((u64::from(!fits) * 2 + u64::from(off_rack), id.clone()));
+                candidates.push((u64::from(!fits) * 2 + u64::from(off_rack), id));
             }
         }
         candidates.sort_unstable();
         let max = (spec.tasks as usize + SPARE_CANDIDATES).min(MAX_CANDIDATES);
         let fits = candidates.first().is_some_and(|(cost, _)| *cost < 2);
-        let workers = candidates.into_iter().map(|(_, id)| id);
-        (workers.take(max).collect(), fits)
+        let workers = candidates.into_iter().map(|(_, id)| id.clone());
+        AdviceCandidates {
+            workers: workers.take(max).collect(),
+            fits,
+        }
     }
 
     /// Records an answer of the advice service; `reply` is none if there was no valid one.
--- a/src/jobs/capability.rs
+++ b/src/jobs/capability.rs
@@ -65,7 +65,7 @@
 }
 
 /// Returns how many tasks with this need a worker holds.
-fn tasks_at(capacity: &ResourceVector, need: &ResourceVector) -> u64 {
+pub(crate) fn tasks_at(capacity: &ResourceVector, need: &ResourceVector) -> u64 {
     let amounts = [
         (capacity.cpu, need.cpu),
         (capacity.memory_mb, need.memory_mb),
--- a/src/jobs/gang.rs
+++ b/src/jobs/gang.rs
@@ -38,13 +38,13 @@
             })
         };
         let mut assignment = assign(is_isolated);
-        if is_isolated && assignment.is_none() {
-            if self.gang_awaits_isolation(first, now) {
-                return false;
-            }
+        if is_isolated && assignment.is_none() && !self.gang_awaits_isolation(first, now) {
             is_isolated = false;
             assignment = assign(false);
         }
+        if assignment.is_none() {
+            self.request_advice(first, pool, spec, now);
+        }
         let placed = assignment.is_some();
         for (index, worker) in assignment.into_iter().flatten().enumerate() {
             let task = TaskId {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -13,6 +13,7 @@
 pub mod admit;
 pub mod advice;
 pub mod advice_calls;
+pub mod advice_gang;
 pub mod advice_requests;
 pub mod callers;
 pub mod candidates;
--- a/tests/jobs_advice.rs
+++ b/tests/jobs_advice.rs
@@ -353,3 +353,70 @@
         assert_eq!(unadvised.count(), 0, "{after_ms} ms");
     }
 }
+
+fn gang(tasks: u32, cpu: u64, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(tasks, cpu, estimate_ms)
+    }
+}
+
+/// A gang takes only workers with tickets, and none were asked for: it was never started.
+#[test]
+fn gang_advice_asked_for() {
+    for (tasks, cpu, workers) in [(3, 8000, 6), (8, 20_000, 12), (40, 20_000, 60)] {
+        let mut world = advised_world(workers, FAST);
+        world.submit(JOB, &job(&[gang(tasks, cpu, 1300)]), 1);
+        world.run(FAST.call_ms + 60 * FAST.worker_ms + 1300 + OVERHEAD_MS);
+        let case = format!("{tasks} tasks");
+        assert!(world.completed.contains_key(JOB), "{case}");
+        assert_eq!(service(&mut world).calls.len(), 1, "{case}");
+    }
+}
+
+/// Tickets expire while others are asked for; a gang needs all of them at the same time.
+#[test]
+fn gang_few_workers_allowed_tickets_at_once() {
+    let timing = AdviceTiming {
+        call_ms: 400,
+        worker_ms: 20,
+        valid_ms: 1000,
+    };
+    let mut world = advised_world(30, timing);
+    // Every third one.
+    service(&mut world).policy = |_, worker| worker.ends_with(['1', '4', '7']);
+    world.submit(JOB, &job(&[gang(8, 20_000, 1300)]), 1);
+    world.run(10_000);
+    assert!(world.completed.contains_key(JOB));
+    assert_eq!(service(&mut world).refused_starts, 0);
+}
+
+/// A gang that is slower across racks is placed on one rack, so that tickets of several are no use.
+#[test]
+fn gang_one_rack_advice_for_one_rack() {
+    let mut world = advised_world(12, FAST);
+    // Of the first rack, only one worker.
+    service(&mut world).policy = |_, worker| worker > "w-0002";
+    let spec = StepSpec {
+        one_rack: true,
+        ..gang(3, 20_000, 1300)
+    };
+    world.submit(JOB, &job(&[spec]), 1);
+    world.run(6000);
+    assert!(world.completed.contains_key(JOB));
+}
+
+/// A gang for which there is no room keeps no others from the service.
+#[test]
+fn gang_without_room_other_job_served() {
+    let mut world = advised_world(4, FAST);
+    world.submit(OTHER_JOB, &job(&[step(4, 20_000, 4000)]), 1);
+    world.run(500);
+    world.submit(JOB, &job(&[gang(4, 20_000, 300)]), 2);
+    let small = format!("{:016x}", 7);
+    world.submit(&small, &job(&[step(1, 8000, 300)]), 3);
+    world.run(1000 + OVERHEAD_MS);
+    assert!(world.completed.contains_key(&small));
+    world.run(5000);
+    assert!(world.completed.contains_key(JOB));
+}
