Progress: a slow task is given more time, and does not blame its worker

All runs are stopped as stuck every 3.4 s, and all workers, sound and empty, blocked for 8 s each time.

Cause: a run counted as stuck if its percent did not change for the longer of 2.5 s and a tenth of the estimate, and as a failure of its worker, each time anew. A percent takes 4 s.

Change: a run that has progressed is given four times what a percent took; a task that was stopped as stuck, twice as long the next time; the runs of a step without progress on three workers or more, and on no other, four times as long. Only the first stop of a task counts against its worker, and none of such a step. The tasks of a step avoid workers on which some were stuck.

--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -8,6 +8,12 @@
 use crate::jobs::types::TaskId;
 use crate::jobs::worker::WorkerView;
 
+/// Cost of a worker outside the rack of the step's data.
+const OFF_RACK_COST: f64 = 10.0;
+
+/// Cost of a worker on which a run of the step was stuck.
+const STUCK_COST: f64 = 20.0;
+
 impl JobEngine {
     /// Chooses the eligible worker with the lowest cost for a task.
     ///
@@ -80,6 +86,9 @@
         let needs_advice = self.needs_advice(task);
         let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
         let placed = state.map_or(&[][..], |state| &state.placed);
+        let steps = self.jobs.get(&task.job);
+        let steps = steps.and_then(|job| job.open.get(&task.occurrence));
+        let stuck_at = steps.and_then(|steps| Some(&steps.get(task.step as usize)?.stuck_at));
         let is_suspect = self.is_suspect(task);
         let mut best: Option<(f64, &CandidateRow)> = None;
         for row in rows.iter().filter(|row| row.load.free().covers(&need)) {
@@ -93,7 +102,10 @@
             } else {
                 placement_cost(spec, row)
             };
-            let cost = load_cost + if is_rack_local { 0.0 } else { 10.0 };
+            let was_stuck = stuck_at.is_some_and(|stuck| stuck.contains(id));
+            let cost = load_cost
+                + if is_rack_local { 0.0 } else { OFF_RACK_COST }
+                + if was_stuck { STUCK_COST } else { 0.0 };
             if best.is_some_and(|(lowest, _)| cost >= lowest) {
                 continue;
             }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -54,6 +54,7 @@
 pub mod place_shares;
 pub mod price;
 pub mod price_input;
+pub mod progress;
 pub mod quarantine;
 pub mod rate;
 pub mod record;
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -4,6 +4,9 @@
 use crate::jobs::actions::CallToken;
 use crate::jobs::copies::straggler_limit_ms;
 use crate::jobs::engine::JobEngine;
+use crate::jobs::progress::StalledRun;
+use crate::jobs::progress::StuckRun;
+use crate::jobs::progress::progress_limit_ms;
 use crate::jobs::stops::StopReason;
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::RunEnd;
@@ -28,10 +31,6 @@
 /// the load that a worker lists covers the last half second.
 const PACE_PERIOD_MS: u64 = 600;
 
-/// Time without progress after which a run counts as stuck, in milliseconds: several
-/// times what one percent of the longest usual task takes.
-const STUCK_MS: u64 = 2500;
-
 /// Time after which a run is stopped whose start was neither confirmed nor refused, in
 /// milliseconds; all attempts at the start have ended long before.
 const UNCONFIRMED_MS: u64 = 4000;
@@ -144,7 +143,7 @@
     /// stays unconfirmed. Requeues runs that are missing from the view of their worker.
     /// Queues the jobs of stragglers for placement, where they may get a speculative copy.
     pub(crate) fn check_runs(&mut self, now: u64) {
-        let mut stuck = Vec::new();
+        let mut stalled = Vec::new();
         let (mut straggling, mut unconfirmed, mut untracked) = (Vec::new(), Vec::new(), Vec::new());
         for job in self.jobs.values() {
             for (task, run) in job.live_runs() {
@@ -182,10 +181,9 @@
                 }
                 // A long-running task at 100 percent has started up and is in service.
                 let in_service = spec.lasting && run.percent >= 100;
-                // The members of a gang start computing only when all of them run.
-                let limit_ms =
-                    STUCK_MS.max(spec.estimate_ms / 10) + if spec.gang { 3000 } else { 0 };
-                let no_progress = reported_ms > run.last_progress_ms + limit_ms;
+                let times_stuck = job.task(&task).map_or(0, |state| state.stuck);
+                let limit_ms = progress_limit_ms(spec, run, times_stuck);
+                let for_ms = reported_ms.saturating_sub(run.last_progress_ms);
                 let responsive = self
                     .workers
                     .get(&run.worker)
@@ -193,11 +191,17 @@
                 if running
                     && !in_service
                     && !spec.fills
-                    && no_progress
+                    && for_ms > limit_ms
                     && responsive
                     && run.pace == 100
                 {
-                    stuck.push((task, run.worker.clone(), run.run));
+                    stalled.push(StalledRun {
+                        task,
+                        worker: run.worker.clone(),
+                        run: run.run,
+                        for_ms,
+                        limit_ms,
+                    });
                 }
             }
         }
@@ -216,10 +220,25 @@
             );
             self.requeue_run(&task, &worker, run, now);
         }
-        for (task, worker, run) in stuck {
-            log::info!(event = "run_stuck", task:% = task, run = run, worker = worker.as_str(); "");
-            self.record_run_outcome(&worker, RunEnd::Failed, true, now);
-            self.stop_run(&task, &worker, run, StopReason::Stuck, now);
+        for stuck in self.stuck_runs(stalled) {
+            self.stop_stuck_run(&stuck, now);
         }
     }
+
+    fn stop_stuck_run(&mut self, stuck: &StuckRun, now: u64) {
+        let StalledRun {
+            task,
+            worker,
+            run,
+            for_ms,
+            limit_ms,
+        } = &stuck.stalled;
+        log::info!(
+            event = "run_stuck", task:% = task, run = run, worker = worker.as_str(), for_ms = for_ms,
+            limit_ms = limit_ms, workers_fault = stuck.is_workers_fault; ""
+        );
+        self.record_run_outcome(worker, RunEnd::Failed, stuck.is_workers_fault, now);
+        self.record_stuck(task, worker);
+        self.stop_run(task, worker, *run, StopReason::Stuck, now);
+    }
 }
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -100,6 +100,8 @@
     pub losses: Vec<WorkerLoss>,
     /// When a run last ended or was removed, or the task was restored; 0 for never.
     pub last_end_ms: u64,
+    /// How often a run was stopped as stuck.
+    pub stuck: u32,
 }
 
 /// Permission to run a step at a worker.
@@ -134,6 +136,8 @@
     pub open_ms: Option<u64>,
     /// What the advice service said about the workers.
     pub advice: StepAdvice,
+    /// Workers on which runs were stopped as stuck.
+    pub stuck_at: BTreeSet<String>,
 }
 
 impl StepState {
@@ -201,5 +205,6 @@
         lost: Vec::new(),
         losses: Vec::new(),
         last_end_ms: now,
+        stuck: 0,
     }
 }
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -132,6 +132,8 @@
     pub mute: bool,
     /// Whether its process is running.
     pub up: bool,
+    /// Whether its runs stand still.
+    pub stalled: bool,
     /// Whether its process has crashed.
     crashed: bool,
     /// Whether connections to it went silent when its process ended.
@@ -264,6 +266,8 @@
     pub received_terms: Option<JobTerms>,
     /// Advice service; calls stay unanswered if there is none.
     pub advice: Option<AdviceService>,
+    /// How many times as long as estimated finite tasks take.
+    pub work_factor: u64,
     /// Queue of each submitted job.
     queues: BTreeMap<String, String>,
 }
@@ -400,6 +404,7 @@
             clock_start: None,
             received_terms: None,
             advice: None,
+            work_factor: 1,
             queues: BTreeMap::new(),
         }
     }
@@ -442,6 +447,7 @@
                 reachable: true,
                 mute: false,
                 up: true,
+                stalled: false,
                 crashed: false,
                 silent: false,
                 epoch: 0,
@@ -1089,7 +1095,7 @@
             running: worker
                 .runs
                 .iter()
-                .map(|(task, run)| running_row(task, run, self.now))
+                .map(|(task, run)| running_row(task, run, worker.stalled, self.now))
                 .collect(),
             ended: worker.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
         };
@@ -1224,7 +1230,7 @@
             FakeRun {
                 run,
                 started_ms: self.now,
-                work_ms: step.estimate_ms,
+                work_ms: step.estimate_ms * if step.lasting { 1 } else { self.work_factor },
                 fails: fails && !step.lasting,
                 long_running: step.lasting,
                 stopped_ms: None,
@@ -1339,7 +1345,9 @@
                 .filter(|(_, run)| {
                     expired
                         || run.is_stopped(now)
-                        || (!run.long_running && now >= run.started_ms.saturating_add(run.work_ms))
+                        || (!run.long_running
+                            && !worker.stalled
+                            && now >= run.started_ms.saturating_add(run.work_ms))
                 })
                 .map(|(task, _)| task.clone())
                 .collect();
@@ -1460,8 +1468,12 @@
     }
 }
 
-fn running_row(task: &str, run: &FakeRun, now: u64) -> RunningRow {
-    let worked = now.saturating_sub(run.started_ms) * 100;
+fn running_row(task: &str, run: &FakeRun, is_stalled: bool, now: u64) -> RunningRow {
+    let worked = if is_stalled {
+        0
+    } else {
+        now.saturating_sub(run.started_ms) * 100
+    };
     RunningRow {
         task: task.to_owned(),
         run: run.run,
