Pace: fillers of a worker share it, also those that start

Cause: the pace belonged to the run. Each filler began at full speed and was slowed down 0.6 s and more after others had come.

Change: the pace belongs to the worker. A filler gets it as soon as its start is answered; without fillers it rises slowly.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -36,6 +36,7 @@
 use crate::jobs::limits::LimitState;
 use crate::jobs::load::PoolLoad;
 use crate::jobs::lost_workers::LostWorkers;
+use crate::jobs::pace::FillerPace;
 use crate::jobs::stable_map::StableMap;
 use crate::jobs::terms::JobTerms;
 use crate::jobs::types::JobId;
@@ -212,8 +213,8 @@
     pub(crate) candidates: PoolCandidates,
     /// Workers with ends that are not known to be stored.
     pub(crate) ending_workers: BTreeSet<String>,
-    /// When the pace of each worker's fillers was last changed.
-    pub(crate) pace_changed_ms: HashMap<String, u64>,
+    /// Paces of the fillers beside each worker's serving tasks; full speed if there is none.
+    pub(crate) filler_paces: HashMap<String, FillerPace>,
     /// What moves of VMs between pools are planned from.
     pub(crate) lending: LendingState,
     /// Load by pool, as of the last update.
@@ -273,7 +274,7 @@
             accounts: AccountState::default(),
             candidates: PoolCandidates::default(),
             ending_workers: BTreeSet::new(),
-            pace_changed_ms: HashMap::new(),
+            filler_paces: HashMap::new(),
             lending: LendingState::default(),
             loads: BTreeMap::new(),
             admission: AdmissionState::default(),
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -184,6 +184,7 @@
             CallResult::Answered(_) => {
                 if matches!(phase, RunPhase::Ordered | RunPhase::Unanswered(_)) {
                     self.set_phase(task, worker, run, RunPhase::Running(now));
+                    self.pace_started_filler(task, worker, run);
                 }
                 self.mark_started(&task.job);
             }
--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -35,6 +35,24 @@
 /// milliseconds; all attempts at the start have ended long before.
 const UNCONFIRMED_MS: u64 = 4000;
 
+/// Pace of the fillers beside a worker's serving tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FillerPace {
+    /// Share of full speed, in percent.
+    pub percent: u32,
+    /// When it was last changed; 0 for never.
+    pub changed_ms: u64,
+}
+
+impl Default for FillerPace {
+    fn default() -> Self {
+        Self {
+            percent: 100,
+            changed_ms: 0,
+        }
+    }
+}
+
 impl JobEngine {
     /// Returns whether both serving tasks and fillers run at a worker.
     pub(crate) fn has_fillers_beside_serving(&self, worker: &str) -> bool {
@@ -44,39 +62,57 @@
 
     /// Adjusts the pace of the fillers that run beside serving tasks.
     pub(crate) fn pace_fillers(&mut self, now: u64) {
+        let known = &self.workers;
+        self.filler_paces
+            .retain(|worker, _| known.contains_key(worker));
         let workers: Vec<String> = self.workers.keys().cloned().collect();
         for worker in workers {
-            if !self.has_fillers_beside_serving(&worker) {
-                continue;
-            }
-            let due = self
-                .pace_changed_ms
-                .get(&worker)
-                .is_none_or(|at| now >= at + PACE_PERIOD_MS);
-            if due {
+            if self.has_fillers_beside_serving(&worker) {
                 self.pace_worker(&worker, now);
+            } else {
+                self.raise_unused_pace(&worker, now);
             }
         }
     }
 
     /// Adjusts the pace of a worker's fillers to the tail latencies of its serving tasks.
     fn pace_worker(&mut self, worker: &str, now: u64) {
-        let Some(view) = self.workers.get(worker) else {
-            return;
-        };
+        let (worst_share, fillers) = self.tails_and_fillers(worker);
+        let former = self.filler_pace(worker);
+        let mut pace = former;
+        if now >= former.changed_ms + PACE_PERIOD_MS {
+            if worst_share > SLOW_DOWN_SHARE {
+                pace.percent = pace.percent.saturating_sub(PACE_DECREASE);
+            } else if worst_share < SPEED_UP_SHARE {
+                pace.percent = (pace.percent + PACE_INCREASE).min(100);
+            }
+        }
+        if pace.percent != former.percent {
+            pace.changed_ms = now;
+            self.filler_paces.insert(worker.to_owned(), pace);
+        }
+        for (task, run, percent) in fillers {
+            if percent != pace.percent {
+                self.set_pace(&task, worker, run, pace.percent);
+            }
+        }
+    }
+
+    /// Returns the highest tail latency of a worker's serving tasks as a share of its target, and
+    /// its fillers, each with the number and the pace of its run.
+    fn tails_and_fillers(&self, worker: &str) -> (f64, Vec<(TaskId, u32, u32)>) {
         let mut worst_share: f64 = 0.0;
-        let mut fillers: Vec<(TaskId, u32, u32)> = Vec::new();
-        for (task, number) in &view.runs {
+        let mut fillers = Vec::new();
+        let runs = self.workers.get(worker).map(|view| &view.runs);
+        for (task, number) in runs.into_iter().flatten() {
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
             };
             let (Some(spec), Some(state)) = (job.step_spec(task), job.task(task)) else {
                 continue;
             };
-            let run = state
-                .placed
-                .iter()
-                .find(|run| run.run == *number && run.worker == worker);
+            let mut placed = state.placed.iter();
+            let run = placed.find(|run| run.run == *number && run.worker == worker);
             let Some(run) = run else {
                 continue;
             };
@@ -87,18 +123,41 @@
                 fillers.push((task.clone(), *number, run.pace));
             }
         }
-        for (task, run, pace) in fillers {
-            let next = if worst_share > SLOW_DOWN_SHARE {
-                pace.saturating_sub(PACE_DECREASE)
-            } else if worst_share < SPEED_UP_SHARE {
-                (pace + PACE_INCREASE).min(100)
-            } else {
-                pace
+        (worst_share, fillers)
+    }
+
+    /// Raises the pace that the next fillers of a worker get, while none run beside its serving
+    /// tasks.
+    fn raise_unused_pace(&mut self, worker: &str, now: u64) {
+        let pace = self.filler_pace(worker);
+        if pace.percent == 100 || now < pace.changed_ms + PACE_PERIOD_MS {
+            return;
+        }
+        let percent = pace.percent + PACE_INCREASE;
+        if percent >= 100 {
+            self.filler_paces.remove(worker);
+        } else {
+            let pace = FillerPace {
+                percent,
+                changed_ms: now,
             };
-            if next != pace {
-                self.pace_changed_ms.insert(worker.to_owned(), now);
-                self.set_pace(&task, worker, run, next);
-            }
+            self.filler_paces.insert(worker.to_owned(), pace);
+        }
+    }
+
+    fn filler_pace(&self, worker: &str) -> FillerPace {
+        self.filler_paces.get(worker).copied().unwrap_or_default()
+    }
+
+    /// Gives a filler that has started beside serving tasks the pace of the others there.
+    pub(crate) fn pace_started_filler(&mut self, task: &TaskId, worker: &str, run: u32) {
+        let job = self.jobs.get(&task.job);
+        let fills = job
+            .and_then(|job| job.step_spec(task))
+            .is_some_and(|spec| spec.fills);
+        let percent = self.filler_pace(worker).percent;
+        if fills && percent < 100 && self.has_fillers_beside_serving(worker) {
+            self.set_pace(task, worker, run, percent);
         }
     }
 
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -78,6 +78,8 @@
 const MAX_LEASE_MS: u64 = 10_000;
 /// Time from a stop until its run has ended, in milliseconds.
 const STOP_MS: u64 = 150;
+/// Time after which an order on the pace of a run takes effect, in milliseconds.
+const PACING_MS: u64 = 100;
 /// Interval between two ticks of the scheduler, in milliseconds.
 const TICK_MS: u64 = 50;
 /// Name of the pool that serves the queue.
@@ -107,6 +109,12 @@
     long_running: bool,
     /// When its stop arrived; none if it is not being stopped.
     stopped_ms: Option<u64>,
+    /// Whether it only uses CPU that others leave idle.
+    fills: bool,
+    /// Target of its tail latency, in milliseconds; 0 if it serves nobody.
+    target_ms: u64,
+    /// Speeds that it was told, in percent, with the times from which they hold.
+    paces: Vec<(u64, u32)>,
 }
 
 impl FakeRun {
@@ -115,6 +123,12 @@
             .is_some_and(|stopped_ms| now >= stopped_ms + STOP_MS)
     }
 
+    fn pace(&self, now: u64) -> u32 {
+        let mut paces = self.paces.iter().rev();
+        let pace = paces.find(|(since_ms, _)| now >= *since_ms);
+        pace.map_or(100, |(_, percent)| *percent)
+    }
+
     /// Returns whether the run is long-running and has started up.
     fn is_in_service(&self, now: u64) -> bool {
         self.long_running && now >= self.started_ms.saturating_add(self.work_ms)
@@ -268,6 +282,11 @@
     pub advice: Option<AdviceService>,
     /// How many times as long as estimated finite tasks take.
     pub work_factor: u64,
+    /// Tail latency of a serving task by itself, and what a filler at full speed adds to it, in
+    /// milliseconds.
+    pub tails_ms: (u64, u64),
+    /// By worker, since when its serving task is over its target, and the longest such time.
+    pub over_target: BTreeMap<String, (u64, u64)>,
     /// Queue of each submitted job.
     queues: BTreeMap<String, String>,
 }
@@ -405,6 +424,8 @@
             received_terms: None,
             advice: None,
             work_factor: 1,
+            tails_ms: (0, 0),
+            over_target: BTreeMap::new(),
             queues: BTreeMap::new(),
         }
     }
@@ -824,6 +845,9 @@
             self.now += 1;
             self.finish_runs();
             self.observe_service();
+            if self.tails_ms.1 > 0 {
+                self.observe_tails();
+            }
             if !self.engine.fleet.waves.is_empty() {
                 let up = self.workers.values().filter(|worker| worker.up);
                 let runs = up.flat_map(|worker| worker.runs.values());
@@ -1089,13 +1113,17 @@
         if worker.ended.is_empty() && self.now < until_ms {
             return self.schedule(1, Event::HoldWaits(call, token, sent_ms, until_ms));
         }
+        let tail_ms = self.tail_ms(worker);
         let reply = WorkerReply::Held {
             clock_ms: worker.clock_ms(self.now),
             born_ms: worker.entry.born_ms,
             running: worker
                 .runs
                 .iter()
-                .map(|(task, run)| running_row(task, run, worker.stalled, self.now))
+                .map(|(task, run)| RunningRow {
+                    load: if run.target_ms > 0 { tail_ms } else { 0 },
+                    ..running_row(task, run, worker.stalled, self.now)
+                })
                 .collect(),
             ended: worker.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
         };
@@ -1179,7 +1207,12 @@
                 self.start_run(&id, &task, run, fails);
                 Some(WorkerReply::Done { clock_ms })
             }
-            WorkerOrder::Pace { .. } => Some(WorkerReply::Done { clock_ms }),
+            WorkerOrder::Pace { task, percent, .. } => {
+                if let Some(run) = worker.runs.get_mut(task) {
+                    run.paces.push((now + PACING_MS, *percent));
+                }
+                Some(WorkerReply::Done { clock_ms })
+            }
         }
     }
 
@@ -1234,6 +1267,9 @@
                 fails: fails && !step.lasting,
                 long_running: step.lasting,
                 stopped_ms: None,
+                fills: step.fills,
+                target_ms: step.target_ms,
+                paces: Vec::new(),
             },
         );
         let used: u64 = worker
@@ -1285,6 +1321,32 @@
         );
     }
 
+    /// Returns the tail latency of the serving tasks at a worker.
+    fn tail_ms(&self, worker: &FakeWorker) -> u64 {
+        let fillers = worker.runs.values().filter(|run| run.fills);
+        let paces = fillers.map(|run| u64::from(run.pace(self.now)));
+        self.tails_ms.0 + paces.sum::<u64>() * self.tails_ms.1 / 100
+    }
+
+    /// Records for how long serving tasks are over their target on end.
+    fn observe_tails(&mut self) {
+        let now = self.now;
+        let up = self.workers.iter().filter(|(_, worker)| worker.up);
+        let tails = up.filter_map(|(id, worker)| {
+            let targets = worker.runs.values().map(|run| run.target_ms);
+            let target_ms = targets.filter(|target_ms| *target_ms > 0).min()?;
+            Some((id.clone(), self.tail_ms(worker) > target_ms))
+        });
+        let tails: Vec<(String, bool)> = tails.collect();
+        for (id, is_over) in tails {
+            let (since_ms, longest_ms) = self.over_target.entry(id).or_insert((now, 0));
+            if !is_over {
+                *since_ms = now;
+            }
+            *longest_ms = (*longest_ms).max(now - *since_ms);
+        }
+    }
+
     /// Records which long-running tasks are in service.
     fn observe_service(&mut self) {
         let up = self.workers.values().filter(|worker| worker.up);
