--- a/src/jobs/advice_requests.rs
+++ b/src/jobs/advice_requests.rs
@@ -3,7 +3,7 @@
 //! The service handles one call at a time, so the queues share its time, as in start-time fair
 //! queueing: each queue has a virtual clock, which a call advances by its response time, and the
 //! queue that is furthest behind goes first. The steps of a queue go in the order in which the pass
-//! tries them, after those whose tickets of an earlier call may still be valid.
+//! tries them; those whose tickets of an earlier call may still be valid come last.
 
 use std::collections::HashMap;
 
