Client: the wait of a call is an argument, not a field of the request

Change: KeepAliveClient::call_held takes the time for which the peer may hold a response back; CallRequest is as before.

--- a/src/http.rs
+++ b/src/http.rs
@@ -89,8 +89,6 @@
     pub body: Bytes,
     /// Time limit for the whole call.
     pub limit: Duration,
-    /// Time for which the peer may hold the response back, as in a long poll; part of the limit.
-    pub wait: Duration,
 }
 
 /// Time limit of a call whose response the peer may hold back.
@@ -131,7 +129,6 @@
             headers: &[],
             body: Bytes::new(),
             limit: Duration::from_secs(2),
-            wait: Duration::ZERO,
         }
     }
 }
--- a/src/keep_alive.rs
+++ b/src/keep_alive.rs
@@ -79,9 +79,24 @@
         &self,
         peer: SocketAddr,
         request: CallRequest<'_>,
+    ) -> Result<CallResponse, CallError> {
+        self.call_held(peer, request, Duration::ZERO).await
+    }
+
+    /// Makes one call, as [`KeepAliveClient::call`] does, whose response the peer may hold back for
+    /// `wait`, as in a long poll; that is part of the time limit.
+    ///
+    /// # Errors
+    ///
+    /// As [`KeepAliveClient::call`].
+    pub async fn call_held(
+        &self,
+        peer: SocketAddr,
+        request: CallRequest<'_>,
+        wait: Duration,
     ) -> Result<CallResponse, CallError> {
         let limit = request.limit;
-        let due = Instant::now() + request.wait;
+        let due = Instant::now() + wait;
         let result = match timeout(limit, self.exchange(peer, &request)).await {
             Ok(result) => result,
             Err(_) => TimeoutSnafu { peer, limit }.fail(),
--- a/src/ports/client.rs
+++ b/src/ports/client.rs
@@ -181,9 +181,8 @@
             headers: &wire.headers,
             body: wire.body,
             limit: limits.limit,
-            wait: limits.wait,
         };
-        let response = self.client.call(peer, request).await;
+        let response = self.client.call_held(peer, request, limits.wait).await;
         let response = response.context(NoResponseSnafu { port })?;
         Ok(WireReply {
             status: response.status.as_u16(),
--- a/src/service/jobs/store.rs
+++ b/src/service/jobs/store.rs
@@ -204,10 +204,10 @@
             content_type: JSON,
             body,
             limit: limits.limit,
-            wait: limits.wait,
             ..CallRequest::default()
         };
-        match self.client.call(self.address, request).await {
+        let called = self.client.call_held(self.address, request, limits.wait);
+        match called.await {
             Ok(answer) => Ok(WireReply {
                 status: answer.status.as_u16(),
                 body: answer.body,
@@ -245,10 +245,10 @@
             content_type: MSGPACK,
             body: Bytes::from(body),
             limit: limit + PROXY_SLACK,
-            wait: wait_of(call),
             ..CallRequest::default()
         };
-        let answer = match self.client.call(peer, request).await {
+        let called = self.client.call_held(peer, request, wait_of(call));
+        let answer = match called.await {
             Ok(answer) => answer,
             Err(error @ CallError::Connect { .. }) => {
                 let problem = error.to_string();
--- a/tests/keep_alive.rs
+++ b/tests/keep_alive.rs
@@ -225,11 +225,8 @@
     let client = KeepAliveClient::default();
     let (opening, address) = (client.clone(), server.address);
     let opened = tokio::spawn(async move {
-        let request = CallRequest {
-            wait: SLOW_ANSWER,
-            ..timed_order("/slow", 900)
-        };
-        opening.call(address, request).await
+        let request = timed_order("/slow", 900);
+        opening.call_held(address, request, SLOW_ANSWER).await
     });
     tokio::time::sleep(Duration::from_millis(100)).await;
     let second = client.call(server.address, timed_order("/", 900)).await;
