Advice: a step that could start at once does not wait for others of its queue

Seen by callers: in the simulated world, a long-running task that may run on one of twelve workers waits behind the jobs that come meanwhile, before each of the three calls that find the worker.

Cause: put steps with recent tickets behind all others of their queue, also if they could start at once.

Change: recent tickets count only among steps that find no room. A step that waits for the rack of its data could not start at once on another one.

--- a/src/jobs/advice.rs
+++ b/src/jobs/advice.rs
@@ -8,6 +8,7 @@
 
 use crate::jobs::actions::Action;
 use crate::jobs::advice_requests::AdviceRequest;
+use crate::jobs::config::AdviceTiming;
 use crate::jobs::config::JobConfig;
 use crate::jobs::engine::JobEngine;
 use crate::jobs::task::AdviceTicket;
@@ -140,7 +141,14 @@
     }
 
     /// Requests advice for a step that found no worker, if its queue needs advice.
-    pub(crate) fn request_advice(&mut self, task: &TaskId, pool: &str, spec: &StepSpec, now: u64) {
+    pub(crate) fn request_advice(
+        &mut self,
+        task: &TaskId,
+        pool: &str,
+        spec: &StepSpec,
+        is_rack_bound: bool,
+        now: u64,
+    ) {
         if !self.advice_calls.is_due(now) {
             return;
         }
@@ -156,15 +164,16 @@
             spec: spec.clone(),
             pool: pool.to_owned(),
             queue: job.body.queue.clone(),
+            is_rack_bound,
             is_recent: asked_ms
                 .is_some_and(|asked_ms| now < asked_ms.saturating_add(timing.valid_ms)),
         });
     }
 
     /// Sends a call for one of the requests of a placement pass: the first one for a step that
-    /// could start on a worker with free capacity, or else the first one.
+    /// could start at once, or else the first one without recent tickets, or else the first one.
     pub(crate) fn send_advice_call(&mut self, now: u64) {
-        let mut chosen = None;
+        let mut chosen: Option<(u32, AdviceRequest, AdviceTiming, Vec<String>)> = None;
         for request in self.advice_requests.take_ordered() {
             let job = self.jobs.get(&request.task.job);
             let Some(timing) = job.and_then(|job| self.advice_of(job)) else {
@@ -175,16 +184,20 @@
             } else {
                 self.advice_candidates(&request, now)
             };
-            let fits = candidates.fits;
-            if candidates.workers.is_empty() || chosen.is_some() && !fits {
-                continue;
+            let rank = match (candidates.fits, request.is_recent) {
+                (true, _) => 0,
+                (false, false) => 1,
+                (false, true) => 2,
+            };
+            let is_better = chosen.as_ref().is_none_or(|(best, ..)| rank < *best);
+            if is_better && !candidates.workers.is_empty() {
+                chosen = Some((rank, request, timing, candidates.workers));
             }
-            chosen = Some((request, timing, candidates.workers));
-            if fits {
+            if matches!(chosen, Some((0, ..))) {
                 break;
             }
         }
-        let Some((request, timing, workers)) = chosen else {
+        let Some((_, request, timing, workers)) = chosen else {
             return;
         };
         let task = request.task;
@@ -223,7 +236,10 @@
         }
         candidates.sort_unstable();
         let max = (spec.tasks as usize + SPARE_CANDIDATES).min(MAX_CANDIDATES);
-        let fits = candidates.first().is_some_and(|(cost, _)| *cost < 2);
+        let max_cost = if request.is_rack_bound { 0 } else { 1 };
+        let fits = candidates
+            .first()
+            .is_some_and(|(cost, _)| *cost <= max_cost);
         let workers = candidates.into_iter().map(|(_, id)| id.clone());
         AdviceCandidates {
             workers: workers.take(max).collect(),
--- a/src/jobs/advice_requests.rs
+++ b/src/jobs/advice_requests.rs
@@ -3,7 +3,8 @@
 //! The service handles one call at a time, so the queues share its time, as in start-time fair
 //! queueing: each queue has a virtual clock, which a call advances by its response time, and the
 //! queue that is furthest behind goes first. The steps of a queue go in the order in which the pass
-//! tries them; those whose tickets of an earlier call may still be valid come last.
+//! tries them. Steps that could not start at once, even with tickets, come after the others; of these,
+//! those last whose tickets of an earlier call may still be valid.
 
 use std::collections::HashMap;
 
@@ -21,6 +22,8 @@
     pub pool: String,
     /// Queue of its job.
     pub queue: String,
+    /// Whether it may only start on the rack of its data for now.
+    pub is_rack_bound: bool,
     /// Whether tickets of its last call may still be valid.
     pub is_recent: bool,
 }
@@ -41,10 +44,10 @@
         self.requests.push(request);
     }
 
-    /// Returns and removes the requests in the order in which they should be sent.
+    /// Returns and removes the requests in the order of their queues' clocks.
     pub fn take_ordered(&mut self) -> Vec<AdviceRequest> {
         let mut requests = std::mem::take(&mut self.requests);
-        requests.sort_by_key(|request| (self.queue_clock(&request.queue), request.is_recent));
+        requests.sort_by_key(|request| self.queue_clock(&request.queue));
         requests
     }
 
--- a/src/jobs/choose.rs
+++ b/src/jobs/choose.rs
@@ -41,7 +41,7 @@
             best = self.cheapest_worker(task, pool, spec, rack_local_only, now);
         }
         if best.is_none() {
-            self.request_advice(task, pool, spec, now);
+            self.request_advice(task, pool, spec, rack_local_only, now);
         }
         best
     }
--- a/src/jobs/gang.rs
+++ b/src/jobs/gang.rs
@@ -43,7 +43,7 @@
             assignment = assign(false);
         }
         if assignment.is_none() {
-            self.request_advice(first, pool, spec, now);
+            self.request_advice(first, pool, spec, false, now);
         }
         let placed = assignment.is_some();
         for (index, worker) in assignment.into_iter().flatten().enumerate() {
--- a/tests/jobs_advice.rs
+++ b/tests/jobs_advice.rs
@@ -420,3 +420,33 @@
     world.run(5000);
     assert!(world.completed.contains_key(JOB));
 }
+
+/// A long-running task that may run on one worker only was asked for one after the other of several
+/// calls, each behind those for all jobs that had come meanwhile.
+#[test]
+fn calls_of_restarted_task_other_jobs_wait() {
+    let mut world = advised_world(12, FAST);
+    service(&mut world).policy = |step, worker| !step.starts_with(JOB) || worker == "w-0012";
+    let lasting = StepSpec {
+        lasting: true,
+        ..step(1, 8000, 300)
+    };
+    let mut number = 0;
+    let mut submit_short = |world: &mut World| {
+        number += 1;
+        let id = format!("{number:016x}");
+        world.submit(&id, &job(&[step(4, 2000, 300)]), number);
+        world.run(100);
+    };
+    for _ in 0..30 {
+        submit_short(&mut world);
+    }
+    world.submit(JOB, &job(&[lasting]), 1);
+    // Three calls name all workers; one of another job may be in progress.
+    for _ in 0..12 {
+        submit_short(&mut world);
+    }
+    let at_worker = world.tasks_at("w-0012");
+    let is_running = at_worker.iter().any(|task| task.starts_with(JOB));
+    assert!(is_running, "runs at the worker: {at_worker:?}");
+}
