Pace: fillers run at full speed once no serving task is left beside them

Change: at a worker without serving tasks, fillers that are paced down are set to full speed.

Result: fillers_after_serving_tasks_full_speed failed before (all at 0 percent) and passes.

--- a/src/jobs/pace.rs
+++ b/src/jobs/pace.rs
@@ -11,6 +11,7 @@
 use crate::jobs::task::RunPhase;
 use crate::jobs::types::RunEnd;
 use crate::jobs::types::TaskId;
+use crate::jobs::worker::RunCounts;
 use crate::ports::worker::WorkerOrder;
 
 /// Fillers are slowed down while the tail latency of a serving task is above this share
@@ -67,14 +68,26 @@
             .retain(|worker, _| known.contains_key(worker));
         let workers: Vec<String> = self.workers.keys().cloned().collect();
         for worker in workers {
-            if self.has_fillers_beside_serving(&worker) {
-                self.pace_worker(&worker, now);
-            } else {
-                self.raise_unused_pace(&worker, now);
+            let view = self.workers.get(&worker);
+            let counts = view.map_or_else(RunCounts::default, |view| view.run_counts);
+            match (counts.serving, counts.fillers) {
+                (0, 0) => drop(self.filler_paces.remove(&worker)),
+                (0, _) => self.release_fillers(&worker),
+                (_, 0) => self.raise_unused_pace(&worker, now),
+                (..) => self.pace_worker(&worker, now),
             }
         }
     }
 
+    /// Lets the fillers of a worker without serving tasks run at full speed.
+    fn release_fillers(&mut self, worker: &str) {
+        self.filler_paces.remove(worker);
+        let (_, fillers) = self.tails_and_fillers(worker);
+        for (task, run, _) in fillers.into_iter().filter(|(.., percent)| *percent < 100) {
+            self.set_pace(&task, worker, run, 100);
+        }
+    }
+
     /// Adjusts the pace of a worker's fillers to the tail latencies of its serving tasks.
     fn pace_worker(&mut self, worker: &str, now: u64) {
         let (worst_share, fillers) = self.tails_and_fillers(worker);
--- a/tests/jobs_pace.rs
+++ b/tests/jobs_pace.rs
@@ -84,3 +84,22 @@
     let paces: Vec<u32> = runs.map(|(_, run)| run.pace).collect();
     assert!(paces.iter().all(|pace| *pace == 100), "{paces:?}");
 }
+
+/// Fillers that had been stopped for the sake of serving tasks stayed so once these were gone.
+#[test]
+fn fillers_after_serving_tasks_full_speed() {
+    let mut world = serving_world(60, 200);
+    let id = format!("{:016x}", 1000);
+    world.submit(&id, &job(&[fillers(8000)]), 1);
+    world.run(4000);
+    let paces = |world: &World| {
+        let runs = world.engine.jobs[&*id].live_runs();
+        runs.map(|(_, run)| run.pace).collect::<Vec<u32>>()
+    };
+    assert!(paces(&world).iter().all(|pace| *pace < 100));
+    world.cancelled.insert(SERVING_JOB.to_owned(), world.now);
+    world.cancel(SERVING_JOB, 2);
+    world.run(2000);
+    let paces = paces(&world);
+    assert_eq!(paces, vec![100; WORKERS as usize]);
+}
